--- /dev/null
+++ b/crates/config/src/document.rs
@@ -0,0 +1,60 @@
+//! The parsed document and its parts.
+
+pub mod call;
+pub mod engine;
+pub mod link;
+pub mod model;
+pub mod organisation;
+pub mod server;
+pub mod service;
+pub mod settings;
+pub mod zone;
+
+pub use call::Call;
+pub use engine::Engine;
+pub use link::Link;
+pub use model::Model;
+pub use organisation::Organisation;
+pub use server::Server;
+pub use service::Service;
+pub use settings::Settings;
+pub use zone::Zone;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use agatemill_core::id;
+
+/// The operators' configuration, as written in TOML.
+///
+/// Unknown keys are refused. Invariants that hold for a checked document: names are unique within their
+/// list (a model by name and version), every reference names an entry of this document, the engines of
+/// each half and model cover every layer, and an organisation refers only to models and services of its
+/// own half.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Values for the whole system.
+    #[serde(default)]
+    pub settings: Settings,
+    /// The halves, `halves = ["kadunaledger", "toponymie"]`.
+    pub halves: Vec<id::Half>,
+    /// Availability zones, `[[zone]]`.
+    #[serde(default, rename = "zone")]
+    pub zones: Vec<Zone>,
+    /// Links between zones, `[[link]]`; a pair without an entry has the default of [`Settings`].
+    #[serde(default, rename = "link")]
+    pub links: Vec<Link>,
+    /// Models, `[[model]]`.
+    #[serde(default, rename = "model")]
+    pub models: Vec<Model>,
+    /// Model engines, `[[engine]]`.
+    #[serde(default, rename = "engine")]
+    pub engines: Vec<Engine>,
+    /// Plain services, `[[service]]`.
+    #[serde(default, rename = "service")]
+    pub services: Vec<Service>,
+    /// Organisations, `[[organisation]]`.
+    #[serde(default, rename = "organisation")]
+    pub organisations: Vec<Organisation>,
+}
--- /dev/null
+++ b/crates/config/src/document/call.rs
@@ -0,0 +1,17 @@
+//! Contracts of a service's calls.
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What is agreed about one kind of call of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Call {
+    /// HTTP method, in capitals.
+    pub method: CompactString,
+    /// Path below the service, with a leading `/`; a last segment `*` stands for any rest.
+    pub path: CompactString,
+    /// Whether the call may be sent more than once. A call that is not needs an `Idempotency-Key`.
+    pub idempotent: bool,
+}
--- /dev/null
+++ b/crates/config/src/document/link.rs
@@ -0,0 +1,22 @@
+//! Links between availability zones.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use agatemill_core::id;
+use agatemill_core::quantity::Size;
+use agatemill_core::quantity::Time;
+
+/// A link between two zones, the same in both directions. A zone may have a link with itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Link {
+    /// One zone.
+    pub from: id::Zone,
+    /// The other zone.
+    pub to: id::Zone,
+    /// Latency one way.
+    pub latency: Time,
+    /// Bytes that pass in a second.
+    pub bandwidth: Size,
+}
--- /dev/null
+++ b/crates/config/src/document/model.rs
@@ -0,0 +1,21 @@
+//! Models.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use agatemill_core::id;
+use agatemill_core::quantity::Size;
+
+/// One version of a model.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// Name that callers use.
+    pub name: id::Model,
+    /// Version.
+    pub version: id::Version,
+    /// Number of layers, at least 1.
+    pub layers: u32,
+    /// Bytes of the activation of one token between two stages.
+    pub activation: Size,
+}
--- /dev/null
+++ b/crates/config/src/document/organisation.rs
@@ -0,0 +1,41 @@
+//! Organisations.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use agatemill_core::Digest;
+use agatemill_core::Priority;
+use agatemill_core::id;
+use agatemill_core::quantity::Rate;
+
+/// An organisation whose callers use the system.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Organisation {
+    /// Name of the organisation.
+    pub name: id::Organisation,
+    /// Half that serves it.
+    pub half: id::Half,
+    /// SHA-256 digests of its bearer tokens, at least one.
+    pub tokens: Vec<Digest>,
+    /// Models that it may use.
+    #[serde(default)]
+    pub models: Vec<id::Model>,
+    /// Services that it may use.
+    #[serde(default)]
+    pub services: Vec<id::Service>,
+    /// Requests that it may send, over all entry hosts.
+    pub rate: Rate,
+    /// Requests in progress at once, over all entry hosts, at least 1.
+    pub concurrency: u32,
+    /// Its weight in the fair queue, at least 1.
+    #[serde(default = "one")]
+    pub weight: u32,
+    /// Priority of its requests.
+    #[serde(default)]
+    pub priority: Priority,
+}
+
+fn one() -> u32 {
+    1
+}
--- /dev/null
+++ b/crates/config/src/document/server.rs
@@ -0,0 +1,20 @@
+//! Backend servers of plain services.
+
+use core::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use agatemill_core::id;
+
+/// A backend server of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    /// Name of the backend server.
+    pub name: id::Server,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Zone that it is in.
+    pub zone: id::Zone,
+}
--- /dev/null
+++ b/crates/config/src/document/service.rs
@@ -0,0 +1,24 @@
+//! Plain services.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::document::Call;
+use crate::document::Server;
+use agatemill_core::id;
+
+/// A plain application service of one half.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name that callers use in `/v1/services/{service}/…`.
+    pub name: id::Service,
+    /// Half that it belongs to.
+    pub half: id::Half,
+    /// Its backend servers, `[[service.server]]`, at least one.
+    #[serde(rename = "server")]
+    pub servers: Vec<Server>,
+    /// Its calls, `[[service.call]]`. The first match counts; a call without a match is refused.
+    #[serde(rename = "call")]
+    pub calls: Vec<Call>,
+}
--- /dev/null
+++ b/crates/config/src/document/zone.rs
@@ -0,0 +1,16 @@
+//! Availability zones.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use agatemill_core::id;
+
+/// An availability zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Zone {
+    /// Name of the zone.
+    pub name: id::Zone,
+    /// Region that the zone is in.
+    pub region: id::Region,
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control process: membership, configuration spreading and planning.
--- /dev/null
+++ b/crates/core/src/number.rs
@@ -0,0 +1,45 @@
+//! Counters with a meaning of their own.
+
+use derive_more::Display;
+use derive_more::FromStr;
+use serde::Deserialize;
+use serde::Serialize;
+
+macro_rules! numbers {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)+) => {$(
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq, PartialOrd, Ord, Hash,
+            Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl $name {
+            /// The number after this one.
+            ///
+            /// # Panics
+            ///
+            /// Panics on overflow, which the growth rates of these counters never reach.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0.checked_add(1).expect("counter overflow"))
+            }
+        }
+    )+};
+}
+
+numbers! {
+    /// Number of a try at one generation; rises by one each time the chain is rebuilt.
+    Attempt(u32);
+    /// Fencing number that a planner sends with its orders; a higher one is newer.
+    Fence(u64);
+    /// Number of a configuration document in force; 0 means "none yet".
+    Generation(u64);
+    /// Number that a member raises to refute a suspicion.
+    Incarnation(u64);
+    /// Index of a token in a sequence, counted from 0 at the first prompt token.
+    Position(u32);
+    /// Modification revision of a platform key; 0 means "absent".
+    Revision(u64);
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/engine/src/step.rs
@@ -0,0 +1,43 @@
+//! One step of a session on one engine.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Input;
+use agatemill_core::Priority;
+use agatemill_core::id;
+use agatemill_core::layer;
+use agatemill_core::number::Attempt;
+use agatemill_core::number::Position;
+
+/// Asks an engine to run a range of layers for one or more positions of a session.
+///
+/// Body of `POST /v1/step`, in MessagePack.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// State that the step extends. Every attempt has a session of its own.
+    pub session: id::Session,
+    /// Attempt that the session belongs to.
+    pub attempt: Attempt,
+    /// Model to run.
+    pub model: id::Model,
+    /// Version of the model.
+    pub version: id::Version,
+    /// Layers to run; the engine must hold all of them.
+    pub layers: layer::Range,
+    /// Position of the first token of the input. Invariant: the number of positions that these layers
+    /// have already run in this session; 0 creates the session.
+    pub position: Position,
+    /// What to run.
+    pub input: Input,
+    /// Whether the engine runs the last layer and returns a token instead of an activation.
+    pub last: bool,
+    /// Order of service among waiting steps.
+    pub priority: Priority,
+    /// Milliseconds until nobody waits for the reply any longer.
+    pub deadline_ms: u64,
+    /// Sampling temperature; 0 means greedy decoding.
+    pub temperature: f32,
+    /// Seed of the sampling.
+    pub seed: Option<u64>,
+}
--- /dev/null
+++ b/crates/fake/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, model engines and plain services, with fault switches.
--- /dev/null
+++ b/crates/fake/src/main.rs
@@ -0,0 +1,2 @@
+//! main
+fn main() {}
--- /dev/null
+++ b/crates/http/src/connector.rs
@@ -0,0 +1,94 @@
+//! TCP connections for the pool.
+
+use core::future::Future;
+use core::net::SocketAddr;
+use core::pin::Pin;
+use core::task::Context;
+use core::task::Poll;
+use core::time::Duration;
+use std::io;
+
+use hyper::Uri;
+use hyper::rt::Read;
+use hyper::rt::ReadBufCursor;
+use hyper::rt::Write;
+use hyper_util::client::legacy::connect::Connected;
+use hyper_util::client::legacy::connect::Connection;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+use tower_service::Service;
+
+/// Opens TCP connections to the IP address and port in a URI.
+#[derive(Clone, Copy, Debug)]
+pub struct Connector {
+    /// How long opening a connection may take.
+    pub timeout: Duration,
+}
+
+/// A TCP stream of the pool.
+///
+/// A type of its own, because the pool asks for its `Connection` trait on the I/O type.
+pub struct Stream(FuturesIo<TcpStream>);
+
+impl Service<Uri> for Connector {
+    type Response = Stream;
+    type Error = io::Error;
+    type Future = Pin<Box<dyn Future<Output = io::Result<Stream>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let limit = self.timeout;
+        Box::pin(async move {
+            let address = address(&uri)?;
+            let connect = agatemill_runtime::timeout(limit, TcpStream::connect(address)).await;
+            let stream = connect.ok_or(io::ErrorKind::TimedOut)??;
+            stream.set_nodelay(true)?;
+            Ok(Stream(FuturesIo::new(stream)))
+        })
+    }
+}
+
+fn address(uri: &Uri) -> io::Result<SocketAddr> {
+    let text = uri.authority().map_or("", |authority| authority.as_str());
+    text.parse().map_err(|_| {
+        let message = format!("{uri} has no IP address with a port");
+        io::Error::new(io::ErrorKind::InvalidInput, message)
+    })
+}
+
+impl Connection for Stream {
+    fn connected(&self) -> Connected {
+        Connected::new()
+    }
+}
+
+impl Read for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_read(cx, buf)
+    }
+}
+
+impl Write for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once records for non-idempotent calls.
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Rates, concurrency shares, fair queueing, retry budgets and breakers.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load and experiment tool.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Failure detection and membership as a state machine without I/O.
--- /dev/null
+++ b/crates/metrics/src/lib.rs
@@ -0,0 +1,1 @@
+//! Counters, histograms and gauges, exported in the Prometheus text format.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,19 @@
+//! Client for the platform's key-value service: compare-and-swap, leases and watches.
+//!
+//! The service is reached over the etcd v3 JSON gateway. An error says whether a write may have taken
+//! effect; a writer that cannot tell reads the key back and compares the unique id in its value.
+
+pub mod client;
+pub mod entry;
+pub mod error;
+pub mod gateway;
+pub mod lease;
+pub mod swap;
+pub mod watch;
+
+pub use client::Client;
+pub use entry::Entry;
+pub use error::Error;
+pub use lease::Lease;
+pub use swap::Swap;
+pub use watch::Watch;
--- /dev/null
+++ b/crates/platform/src/watch.rs
@@ -0,0 +1,97 @@
+//! Watches.
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::Entry;
+use crate::Error;
+use crate::client::MAX_ANSWER_BYTES;
+use crate::gateway;
+
+/// A stream of changes of one key. Dropping it ends the watch.
+#[derive(Debug)]
+pub struct Watch {
+    body: Incoming,
+    /// Bytes that have arrived and hold no whole line yet.
+    buffer: Vec<u8>,
+    /// Changes that have arrived and were not asked for yet, in reverse order.
+    pending: Vec<Change>,
+}
+
+/// A change of a watched key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The key was written.
+    Put(Entry),
+    /// The key was deleted.
+    Deleted,
+}
+
+impl Watch {
+    pub(crate) fn new(body: Incoming) -> Self {
+        Self {
+            body,
+            buffer: Vec::new(),
+            pending: Vec::new(),
+        }
+    }
+
+    /// Waits for the next change, however long that takes.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unavailable`] when the watch has ended; the caller opens another and reads the key.
+    pub async fn next(&mut self) -> Result<Change, Error> {
+        loop {
+            if let Some(change) = self.pending.pop() {
+                return Ok(change);
+            }
+            match self.take_line() {
+                Some(line) => self.parse(&line)?,
+                None => self.fill().await?,
+            }
+        }
+    }
+
+    /// Ends the watch.
+    pub fn close(self) {
+        drop(self);
+    }
+
+    async fn fill(&mut self) -> Result<(), Error> {
+        let ended = || Error::Unavailable("the watch has ended".to_owned());
+        let frame = self.body.frame().await.ok_or_else(ended)?;
+        let frame = frame.map_err(|error| Error::Unavailable(error.to_string()))?;
+        if let Ok(data) = frame.into_data() {
+            self.buffer.extend_from_slice(&data);
+        }
+        if self.buffer.len() > MAX_ANSWER_BYTES {
+            return Err(Error::Malformed(
+                "a line of the watch is too long".to_owned(),
+            ));
+        }
+        Ok(())
+    }
+
+    fn take_line(&mut self) -> Option<Vec<u8>> {
+        let end = self.buffer.iter().position(|byte| *byte == b'\n')?;
+        let rest = self.buffer.split_off(end + 1);
+        Some(core::mem::replace(&mut self.buffer, rest))
+    }
+
+    fn parse(&mut self, line: &[u8]) -> Result<(), Error> {
+        if line.trim_ascii().is_empty() {
+            return Ok(());
+        }
+        let line: gateway::Line<gateway::WatchAnswer> =
+            serde_json::from_slice(line).map_err(|error| Error::Malformed(error.to_string()))?;
+        for event in line.result.events.into_iter().rev() {
+            let change = match event.kind.as_str() {
+                "DELETE" => Change::Deleted,
+                _ => Change::Put(Entry::try_from(event.kv)?),
+            };
+            self.pending.push(change);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of engine chains and backend servers.
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,66 @@
+//! Executor on several threads, monotonic time and termination signals.
+//!
+//! The executor of the `smol` crate runs on one thread unless an environment variable says otherwise;
+//! this one takes its number of threads from the settings of the process.
+
+pub mod signal;
+
+use core::future::Future;
+use core::time::Duration;
+use std::sync::LazyLock;
+use std::sync::Once;
+use std::thread;
+use std::time::Instant;
+
+use smol::Executor;
+use smol::Task;
+
+static EXECUTOR: Executor<'static> = Executor::new();
+static THREADS: Once = Once::new();
+static START: LazyLock<Instant> = LazyLock::new(Instant::now);
+
+/// Threads that run tasks when a program does not call [`start`].
+const DEFAULT_THREADS: usize = 4;
+
+/// Starts the threads that run tasks; later calls have no effect.
+///
+/// # Panics
+///
+/// Panics when the operating system refuses a thread.
+pub fn start(threads: usize) {
+    THREADS.call_once(|| {
+        LazyLock::force(&START);
+        for index in 0..threads.max(1) {
+            thread::Builder::new()
+                .name(format!("worker-{index}"))
+                .spawn(|| smol::block_on(EXECUTOR.run(core::future::pending::<()>())))
+                .expect("the operating system refused a worker thread");
+        }
+    });
+}
+
+/// Runs a future on the executor. Dropping the task cancels it; `detach` lets it run on its own.
+pub fn spawn<T: Send + 'static>(future: impl Future<Output = T> + Send + 'static) -> Task<T> {
+    start(DEFAULT_THREADS);
+    EXECUTOR.spawn(future)
+}
+
+/// Monotonic time since the process started to use this crate.
+#[must_use]
+pub fn now() -> Duration {
+    START.elapsed()
+}
+
+/// Waits for `duration`.
+pub async fn sleep(duration: Duration) {
+    smol::Timer::after(duration).await;
+}
+
+/// Runs a future for at most `limit`; `None` when it did not finish in time.
+pub async fn timeout<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
+    let expired = async {
+        sleep(limit).await;
+        None
+    };
+    smol::future::or(async { Some(future.await) }, expired).await
+}
--- /dev/null
+++ b/crates/runtime/src/signal.rs
@@ -0,0 +1,29 @@
+//! Termination signals.
+
+use std::io;
+use std::thread;
+
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+use smol::channel::Receiver;
+
+/// Yields an item for each SIGTERM or SIGINT that the process receives.
+///
+/// # Errors
+///
+/// Any error of installing the handlers.
+pub fn termination() -> io::Result<Receiver<i32>> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let (sender, receiver) = smol::channel::unbounded();
+    thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            for signal in signals.forever() {
+                if sender.send_blocking(signal).is_err() {
+                    return;
+                }
+            }
+        })?;
+    Ok(receiver)
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,25 @@
+//! Messages and services between the processes of agatemill.
+//!
+//! Requests and replies pass by [`tarpc`] over TCP in MessagePack; gossip passes by UDP datagrams in
+//! postcard. Wire types are separate from the types that the parts work with; `From` and `TryFrom`
+//! convert between them, so that a malformed message is refused at the edge.
+
+pub mod datagram;
+pub mod directory;
+pub mod envelope;
+pub mod instruction;
+pub mod local;
+pub mod member;
+pub mod operator;
+pub mod overview;
+pub mod peer;
+pub mod report;
+pub mod transport;
+
+pub use datagram::Datagram;
+pub use directory::Directory;
+pub use envelope::Envelope;
+pub use instruction::Instruction;
+pub use member::Member;
+pub use overview::Overview;
+pub use report::Report;
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,15 @@
+//! Service of a control for other controls.
+
+use crate::Envelope;
+use crate::Member;
+
+/// Service of a control for other controls.
+#[tarpc::service]
+pub trait Peer {
+    /// Offers a configuration; returns the generation that the receiver then holds.
+    async fn push(envelope: Envelope) -> u64;
+    /// The configuration that the receiver holds, if its generation is above `known`.
+    async fn pull(known: u64) -> Option<Envelope>;
+    /// Exchanges everything known of members.
+    async fn sync(members: Vec<Member>) -> Vec<Member>;
+}
--- /dev/null
+++ b/crates/wire/src/transport.rs
@@ -0,0 +1,110 @@
+//! TCP transport for the tarpc services.
+//!
+//! One listener serves [`Local`](crate::local), [`Peer`](crate::peer) and [`Operator`](crate::operator):
+//! the first byte of a connection names the service.
+
+use core::net::SocketAddr;
+use std::io;
+
+use async_compat::Compat;
+use async_compat::CompatExt;
+use futures::AsyncReadExt;
+use futures::AsyncWriteExt;
+use serde::Deserialize;
+use serde::Serialize;
+use smol::net::TcpStream;
+use tarpc::serde_transport;
+use tarpc::serde_transport::Transport;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio_serde::formats::MessagePack;
+
+/// Longest message in bytes: a configuration of 1 MB and some room for its frame.
+const MAX_MESSAGE_BYTES: usize = 4 << 20;
+
+/// Service that a connection asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Service {
+    /// [`Local`](crate::local).
+    Local,
+    /// [`Peer`](crate::peer).
+    Peer,
+    /// [`Operator`](crate::operator).
+    Operator,
+}
+
+impl From<Service> for u8 {
+    fn from(service: Service) -> Self {
+        match service {
+            Service::Local => b'L',
+            Service::Peer => b'P',
+            Service::Operator => b'O',
+        }
+    }
+}
+
+impl TryFrom<u8> for Service {
+    type Error = io::Error;
+
+    fn try_from(byte: u8) -> Result<Self, io::Error> {
+        match byte {
+            b'L' => Ok(Self::Local),
+            b'P' => Ok(Self::Peer),
+            b'O' => Ok(Self::Operator),
+            other => {
+                let text = format!("a connection asked for the unknown service {other:#04x}");
+                Err(io::Error::new(io::ErrorKind::InvalidData, text))
+            }
+        }
+    }
+}
+
+/// Transport of items of the two directions over TCP.
+pub type Tcp<Item, SinkItem> =
+    Transport<Compat<TcpStream>, Item, SinkItem, MessagePack<Item, SinkItem>>;
+
+/// Connects to `address` and asks for `service`.
+///
+/// The returned transport goes into the `new` function of a tarpc client; spawn its dispatch future
+/// with `.compat()`, because tarpc's timers need a tokio context.
+///
+/// # Errors
+///
+/// Any error of the connection.
+pub async fn connect<Item, SinkItem>(
+    address: SocketAddr,
+    service: Service,
+) -> io::Result<Tcp<Item, SinkItem>>
+where
+    Item: for<'de> Deserialize<'de>,
+    SinkItem: Serialize,
+{
+    let mut stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    stream.write_all(&[service.into()]).await?;
+    Ok(frame(stream))
+}
+
+/// Reads which service an accepted connection asks for.
+///
+/// # Errors
+///
+/// Any error of the connection, and `InvalidData` when the service is not known.
+pub async fn accept(stream: &mut TcpStream) -> io::Result<Service> {
+    stream.set_nodelay(true)?;
+    let mut byte = [0];
+    stream.read_exact(&mut byte).await?;
+    byte[0].try_into()
+}
+
+/// Wraps a connection whose service byte has passed in a transport of length-delimited messages.
+#[must_use]
+pub fn frame<Item, SinkItem>(stream: TcpStream) -> Tcp<Item, SinkItem>
+where
+    Item: for<'de> Deserialize<'de>,
+    SinkItem: Serialize,
+{
+    let mut codec = LengthDelimitedCodec::new();
+    codec.set_max_frame_length(MAX_MESSAGE_BYTES);
+    let framed = tarpc::tokio_util::codec::Framed::new(stream.compat(), codec);
+    serde_transport::new(framed, MessagePack::default())
+}
--- /dev/null
+++ b/src/bin/agatemill-control.rs
@@ -0,0 +1,2 @@
+//! agatemill-control
+fn main() {}
--- /dev/null
+++ b/src/bin/agatemill-entry.rs
@@ -0,0 +1,2 @@
+//! agatemill-entry
+fn main() {}
--- /dev/null
+++ b/src/bin/agatemill-load.rs
@@ -0,0 +1,2 @@
+//! agatemill-load
+fn main() {}
--- /dev/null
+++ b/src/bin/agatemillctl.rs
@@ -0,0 +1,2 @@
+//! agatemillctl
+fn main() {}
