Add limits, metrics and the choice of chains

Cause: the entry and the pipeline need these parts before they can be written.

Change: token bucket, retry budget, breaker, shares and a weighted fair queue with priorities and deadlines; a metrics registry with one series for each reason; the routing table with load estimates, policies as cost closures, the cheapest cover of all layers, and the maximum flow as throughput bound.

Measured: ten tests of the limits and one of the metrics pass. The first form of the retry budget counted in floating point and lost one retry in ten to rounding; its test found that, and it now counts thousandths. Routing has no tests yet.

Conclusion: the interfaces are in place for the entry and the pipeline.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -1,1 +1,15 @@
 //! Rates, concurrency shares, fair queueing, retry budgets and breakers.
+//!
+//! Everything here is a plain value that is told the time; nothing waits or does I/O. A caller keeps the
+//! values in shards, each under its own lock.
+
+pub mod breaker;
+pub mod bucket;
+pub mod budget;
+pub mod queue;
+pub mod share;
+
+pub use breaker::Breaker;
+pub use bucket::Bucket;
+pub use budget::Budget;
+pub use queue::Queue;
--- /dev/null
+++ b/crates/routing/src/server.rs
@@ -0,0 +1,111 @@
+//! Choice among the backend servers of a plain service.
+
+use core::net::IpAddr;
+use core::net::SocketAddr;
+use core::time::Duration;
+
+use agatemill_config::document;
+use agatemill_core::id;
+use agatemill_limits::Breaker;
+use agatemill_limits::breaker;
+
+/// What an entry knows of one backend server of a service.
+#[derive(Clone, Debug)]
+struct Server {
+    facts: document::Server,
+    breaker: Breaker,
+    leaving: bool,
+    /// Calls of this entry in progress.
+    in_flight: u32,
+}
+
+/// The backend servers of one service.
+#[derive(Clone, Debug)]
+pub struct Servers {
+    servers: Vec<Server>,
+    random: fastrand::Rng,
+}
+
+/// A backend server that was chosen for a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// Its name.
+    pub server: id::Server,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl Servers {
+    /// Creates the state of a service's servers.
+    #[must_use]
+    pub fn new(service: &document::Service, seed: u64) -> Self {
+        let servers = service.servers.iter().cloned().map(|facts| Server {
+            facts,
+            breaker: Breaker::new(breaker::Settings::default()),
+            leaving: false,
+            in_flight: 0,
+        });
+        Self {
+            servers: servers.collect(),
+            random: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// Takes over a new document; servers that stay keep their state.
+    pub fn apply(&mut self, service: &document::Service) {
+        let mut next = Self::new(service, self.random.u64(..));
+        for server in &mut next.servers {
+            let old = self.servers.iter().find(|old| old.facts == server.facts);
+            if let Some(old) = old {
+                *server = old.clone();
+            }
+        }
+        *self = next;
+    }
+
+    /// Marks the servers on these hosts as leaving and the others as not.
+    pub fn set_leaving(&mut self, hosts: &[IpAddr]) {
+        for server in &mut self.servers {
+            server.leaving = hosts.contains(&server.facts.address.ip());
+        }
+    }
+
+    /// Chooses the usable server with the fewest calls of this entry in progress, without `exclude`, and
+    /// counts the call as begun.
+    pub fn choose(&mut self, exclude: &[id::Server], now: Duration) -> Option<Choice> {
+        let usable = |server: &Server| !server.leaving && !exclude.contains(&server.facts.name);
+        let any_closed = self
+            .servers
+            .iter()
+            .any(|server| usable(server) && server.breaker.allows(now));
+        let random = &mut self.random;
+        let server = self
+            .servers
+            .iter_mut()
+            .filter(|server| usable(server) && (server.breaker.allows(now) || !any_closed))
+            .min_by_key(|server| (server.in_flight, random.u32(..)))?;
+        server.in_flight += 1;
+        server.breaker.begin(now);
+        Some(Choice {
+            server: server.facts.name.clone(),
+            address: server.facts.address,
+        })
+    }
+
+    /// Notes the end of a call.
+    pub fn finished(&mut self, server: &id::Server, succeeded: bool, now: Duration) {
+        let Some(server) = self
+            .servers
+            .iter_mut()
+            .find(|other| other.facts.name == *server)
+        else {
+            return;
+        };
+        server.in_flight = server.in_flight.saturating_sub(1);
+        if succeeded {
+            server.breaker.succeeded();
+        } else {
+            server.breaker.failed(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/table.rs
@@ -0,0 +1,253 @@
+//! All engines that an entry knows of.
+
+use core::net::IpAddr;
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+
+use crate::Chain;
+use crate::Engine;
+use crate::Group;
+use crate::Policy;
+use crate::Report;
+use crate::Request;
+use crate::link::Links;
+use crate::pool::Pool;
+use crate::rendezvous;
+use agatemill_config::Document;
+use agatemill_config::document;
+use agatemill_core::id;
+
+/// Engines of one layer range that an entry uses at most. With 1,000 entries before 6,700 engines, 16 for
+/// each range keeps the status queries that an engine gets in proportion.
+pub const SUBSET: usize = 16;
+
+/// All engines that an entry knows of, in pools by half, model and version, each under its own lock.
+#[derive(Debug)]
+pub struct Table {
+    host: id::Host,
+    zone: id::Zone,
+    policy: Policy,
+    state: RwLock<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Pools by half and model, the newest version first.
+    pools: HashMap<(id::Half, id::Model), Vec<Arc<Mutex<Pool>>>>,
+    /// The pool of each engine.
+    owners: HashMap<id::Server, Arc<Mutex<Pool>>>,
+    links: Links,
+}
+
+/// An engine whose status is to be queried.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The engine.
+    pub server: id::Server,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl Table {
+    /// Creates an empty table of the entry on `host` in `zone`.
+    #[must_use]
+    pub fn new(host: id::Host, zone: id::Zone, policy: Policy) -> Self {
+        Self {
+            host,
+            zone,
+            policy,
+            state: RwLock::default(),
+        }
+    }
+
+    /// Takes over a new document. Engines whose facts stay the same keep their state.
+    pub fn apply(&self, document: &Document) {
+        let mut next = State {
+            links: Links::new(document, &self.zone),
+            ..State::default()
+        };
+        for half in &document.halves {
+            // Later entries of the document are newer versions.
+            for model in document.models.iter().rev() {
+                let group = Group {
+                    half: half.clone(),
+                    model: model.name.clone(),
+                    version: model.version.clone(),
+                };
+                let pool = self.pool(document, model, group);
+                next.add(pool);
+            }
+        }
+        let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
+        next.inherit(&state);
+        *state = next;
+    }
+
+    fn pool(&self, document: &Document, model: &document::Model, group: Group) -> Pool {
+        let belongs = |engine: &&document::Engine| {
+            engine.half == group.half
+                && engine.model == group.model
+                && engine.version == group.version
+        };
+        let engines = self.subset(document.engines.iter().filter(belongs).collect());
+        let engines = engines
+            .into_iter()
+            .map(|facts| (facts.name.clone(), Engine::new(facts.clone())));
+        Pool {
+            layers: model.layers,
+            activation: model.activation,
+            engines: engines.collect(),
+            random: fastrand::Rng::with_seed(rendezvous::weight(self.host.as_str().as_bytes(), "")),
+            group,
+        }
+    }
+
+    /// The engines that this entry uses: of each layer range, half from its own zone and half from others,
+    /// those with the greatest rendezvous weight for this host.
+    fn subset<'a>(&self, engines: Vec<&'a document::Engine>) -> Vec<&'a document::Engine> {
+        let mut ranges: HashMap<_, Vec<&document::Engine>> = HashMap::new();
+        for engine in engines {
+            ranges.entry(engine.layers).or_default().push(engine);
+        }
+        let key = self.host.as_str().as_bytes();
+        let mut chosen = Vec::new();
+        for mut range in ranges.into_values() {
+            range.sort_by_cached_key(|engine| {
+                core::cmp::Reverse(rendezvous::weight(key, engine.name.as_str()))
+            });
+            let (near, far): (Vec<_>, Vec<_>) = range
+                .into_iter()
+                .partition(|engine| engine.zone == self.zone);
+            let from_far = far
+                .len()
+                .min(SUBSET.saturating_sub(near.len().min(SUBSET / 2)));
+            let from_near = near.len().min(SUBSET - from_far);
+            chosen.extend(near.into_iter().take(from_near));
+            chosen.extend(far.into_iter().take(from_far));
+        }
+        chosen
+    }
+
+    /// Marks the engines on these hosts as leaving and the others as not.
+    pub fn set_leaving(&self, hosts: &[IpAddr]) {
+        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
+        for pool in state.pools.values().flatten() {
+            for engine in lock(pool).engines.values_mut() {
+                engine.leaving = hosts.contains(&engine.facts.address.ip());
+            }
+        }
+    }
+
+    /// The engines whose status is to be queried.
+    #[must_use]
+    pub fn targets(&self) -> Vec<Target> {
+        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
+        let pools = state.pools.values().flatten();
+        let targets = pools.flat_map(|pool| {
+            let pool = lock(pool);
+            let target = |engine: &Engine| Target {
+                server: engine.facts.name.clone(),
+                address: engine.facts.address,
+            };
+            pool.engines.values().map(target).collect::<Vec<_>>()
+        });
+        targets.collect()
+    }
+
+    /// Notes a report of an engine.
+    pub fn reported(&self, server: &id::Server, report: &Report) {
+        self.with_engine(server, |engine| engine.report(report));
+    }
+
+    /// Notes that a status query had no answer.
+    pub fn missed(&self, server: &id::Server) {
+        self.with_engine(server, Engine::missed);
+    }
+
+    /// Notes the time of a decoding step that succeeded.
+    pub fn succeeded(&self, server: &id::Server, time: Duration) {
+        self.with_engine(server, |engine| engine.succeeded(time));
+    }
+
+    /// Notes a step that failed.
+    pub fn failed(&self, server: &id::Server, now: Duration) {
+        self.with_engine(server, |engine| {
+            engine.breaker.failed(now);
+        });
+    }
+
+    /// Whether a model has engines in this half at all.
+    #[must_use]
+    pub fn knows(&self, half: &id::Half, model: &id::Model) -> bool {
+        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
+        state.pools.contains_key(&(half.clone(), model.clone()))
+    }
+
+    /// Chooses a chain for a request, of the newest version that has one, and counts its sessions as
+    /// opened. The caller passes the chain to [`Table::closed`] in the end. `None` when no chain covers
+    /// the model.
+    #[must_use]
+    pub fn choose(&self, request: &Request, now: Duration) -> Option<Chain> {
+        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
+        let key = (request.half.clone(), request.model.clone());
+        let mut pools = state.pools.get(&key)?.iter();
+        pools.find_map(|pool| lock(pool).choose(request, &self.policy, &state.links, now))
+    }
+
+    /// Notes that the sessions of a chain are closed.
+    pub fn closed(&self, chain: &Chain, now: Duration) {
+        for stage in chain.stages() {
+            self.with_engine(&stage.server, |engine| engine.load.closed(now));
+        }
+    }
+
+    fn with_engine(&self, server: &id::Server, change: impl FnOnce(&mut Engine)) {
+        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
+        let Some(pool) = state.owners.get(server) else {
+            return;
+        };
+        if let Some(engine) = lock(pool).engines.get_mut(server) {
+            change(engine);
+        }
+    }
+}
+
+impl State {
+    fn add(&mut self, pool: Pool) {
+        if pool.engines.is_empty() {
+            return;
+        }
+        let key = (pool.group.half.clone(), pool.group.model.clone());
+        let servers: Vec<id::Server> = pool.engines.keys().cloned().collect();
+        let pool = Arc::new(Mutex::new(pool));
+        for server in servers {
+            self.owners.insert(server, Arc::clone(&pool));
+        }
+        self.pools.entry(key).or_default().push(pool);
+    }
+
+    /// Takes over the state of engines whose facts are the same in the old state.
+    fn inherit(&mut self, old: &Self) {
+        for (server, pool) in &self.owners {
+            let Some(old) = old.owners.get(server) else {
+                continue;
+            };
+            let old = lock(old).engines.get(server).cloned();
+            if let Some(engine) = lock(pool).engines.get_mut(server)
+                && let Some(old) = old.filter(|old| old.facts == engine.facts)
+            {
+                *engine = old;
+            }
+        }
+    }
+}
+
+/// Locks a pool. A panic in another thread leaves a pool whole, because every change is a plain assignment.
+fn lock(pool: &Mutex<Pool>) -> std::sync::MutexGuard<'_, Pool> {
+    pool.lock().unwrap_or_else(PoisonError::into_inner)
+}
