--- /dev/null
+++ b/crates/fake/src/platform/faults.rs
@@ -0,0 +1,64 @@
+//! Fault switches.
+
+use core::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The faults in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Faults {
+    /// Connections are closed without an answer and calls have no effect.
+    pub down: bool,
+    /// Calls are answered with "too many requests" and have no effect.
+    pub refuse: bool,
+    /// Milliseconds between the effect of a call and its answer.
+    pub delay_ms: u64,
+    /// Number of next writes whose answers are lost after they took effect.
+    pub lose_writes: u64,
+    /// All answers to calls on keys with this prefix are lost, after the effect; empty for none.
+    pub lose_prefix: String,
+}
+
+/// A change of the faults; fields that are absent stay as they are.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Change {
+    /// See [`Faults::down`].
+    pub down: Option<bool>,
+    /// See [`Faults::refuse`].
+    pub refuse: Option<bool>,
+    /// See [`Faults::delay_ms`].
+    pub delay_ms: Option<u64>,
+    /// See [`Faults::lose_writes`].
+    pub lose_writes: Option<u64>,
+    /// See [`Faults::lose_prefix`].
+    pub lose_prefix: Option<String>,
+    /// Ends all leases now.
+    pub drop_leases: bool,
+}
+
+impl Faults {
+    /// Applies a change.
+    pub fn apply(&mut self, change: &Change) {
+        self.down = change.down.unwrap_or(self.down);
+        self.refuse = change.refuse.unwrap_or(self.refuse);
+        self.delay_ms = change.delay_ms.unwrap_or(self.delay_ms);
+        self.lose_writes = change.lose_writes.unwrap_or(self.lose_writes);
+        if let Some(prefix) = &change.lose_prefix {
+            self.lose_prefix.clone_from(prefix);
+        }
+    }
+
+    /// Time between the effect of a call and its answer.
+    #[must_use]
+    pub fn delay(&self) -> Duration {
+        Duration::from_millis(self.delay_ms)
+    }
+
+    /// Whether answers about this key are lost.
+    #[must_use]
+    pub fn loses(&self, key: &[u8]) -> bool {
+        !self.lose_prefix.is_empty() && key.starts_with(self.lose_prefix.as_bytes())
+    }
+}
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -205,6 +205,12 @@
     /// Whether this is the first line, which confirms the watch.
     #[serde(default, skip_serializing_if = "core::ops::Not::not")]
     pub created: bool,
+    /// Whether this is the last line, because the service has ended the watch.
+    #[serde(default, skip_serializing_if = "core::ops::Not::not")]
+    pub canceled: bool,
+    /// Highest revision that the service has dropped, when it ended the watch for that reason.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub compact_revision: String,
     /// Changes.
     #[serde(default)]
     pub events: Vec<WatchEvent>,
