Add the engine client and stand-ins for engines and services

The pipeline driver and its tests need a client of engines and engines that can fail on demand. The client's error tells a call that did not run (connect failed, or a code that promises it) from one that may have run.

The report lag, event lag, priorities and prefix cache have no test yet.

--- /dev/null
+++ b/crates/engine/src/client.rs
@@ -0,0 +1,219 @@
+//! Client of an engine.
+
+use core::net::SocketAddr;
+use core::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::Error;
+use crate::Event;
+use crate::Failure;
+use crate::Order;
+use crate::Reply;
+use crate::Status;
+use crate::Step;
+use crate::transfer;
+
+/// Largest answer to a step: 32,768 positions of 16 KiB activations.
+const MAX_REPLY_BYTES: usize = 512 << 20;
+
+/// Largest exported cache.
+const MAX_CACHE_BYTES: usize = 1 << 30;
+
+/// Largest JSON answer.
+const MAX_JSON_BYTES: usize = 1 << 20;
+
+/// Client of engines. Clones share the connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: agatemill_http::Client,
+}
+
+impl Client {
+    /// Creates a client that uses the connections of `http`.
+    #[must_use]
+    pub fn new(http: agatemill_http::Client) -> Self {
+        Self { http }
+    }
+
+    /// Runs a step.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`]; [`Error::is_not_run`] says whether the step may have run.
+    pub async fn step(
+        &self,
+        engine: SocketAddr,
+        step: &Step,
+        limit: Duration,
+    ) -> Result<Reply, Error> {
+        let request = post(engine, "/v1/step", MESSAGE_PACK, pack(step)?)?;
+        unpack(&self.answer(request, limit, MAX_REPLY_BYTES).await?)
+    }
+
+    /// Ends a session. A session that the engine does not have counts as ended.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`]
+    pub async fn cancel(
+        &self,
+        engine: SocketAddr,
+        name: &transfer::Name,
+        limit: Duration,
+    ) -> Result<(), Error> {
+        let request = post(engine, "/v1/cancel", JSON, write(name)?)?;
+        self.answer(request, limit, MAX_JSON_BYTES).await.map(drop)
+    }
+
+    /// Reads the KV cache of a session.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`]
+    pub async fn export(
+        &self,
+        engine: SocketAddr,
+        name: &transfer::Name,
+        limit: Duration,
+    ) -> Result<transfer::Cache, Error> {
+        let request = post(engine, "/v1/export", JSON, write(name)?)?;
+        unpack(&self.answer(request, limit, MAX_CACHE_BYTES).await?)
+    }
+
+    /// Creates a session from an exported KV cache.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`]
+    pub async fn import(
+        &self,
+        engine: SocketAddr,
+        cache: &transfer::Cache,
+        limit: Duration,
+    ) -> Result<(), Error> {
+        let request = post(engine, "/v1/import", MESSAGE_PACK, pack(cache)?)?;
+        self.answer(request, limit, MAX_JSON_BYTES).await.map(drop)
+    }
+
+    /// Reads state and load.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`]
+    pub async fn status(&self, engine: SocketAddr, limit: Duration) -> Result<Status, Error> {
+        self.get(engine, "/v1/status", limit).await
+    }
+
+    /// Gives an order.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`]
+    pub async fn order(
+        &self,
+        engine: SocketAddr,
+        order: &Order,
+        limit: Duration,
+    ) -> Result<(), Error> {
+        let request = post(engine, "/v1/orders", JSON, write(order)?)?;
+        self.answer(request, limit, MAX_JSON_BYTES).await.map(drop)
+    }
+
+    /// Reads the events of the prefix cache with a number above `after`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`]
+    pub async fn events(
+        &self,
+        engine: SocketAddr,
+        after: u64,
+        limit: Duration,
+    ) -> Result<Vec<Event>, Error> {
+        self.get(engine, &format!("/v1/events?after={after}"), limit)
+            .await
+    }
+
+    async fn get<T: DeserializeOwned>(
+        &self,
+        engine: SocketAddr,
+        path: &str,
+        limit: Duration,
+    ) -> Result<T, Error> {
+        let request = build(Method::GET, engine, path, JSON, Vec::new())?;
+        let body = self.answer(request, limit, MAX_JSON_BYTES).await?;
+        serde_json::from_slice(&body).map_err(|error| Error::Malformed(error.to_string()))
+    }
+
+    /// The body of a successful answer.
+    async fn answer(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+        max_bytes: usize,
+    ) -> Result<Bytes, Error> {
+        let response = self.http.fetch(request, limit, max_bytes).await?;
+        let status = response.status();
+        let body = response.into_body();
+        if status == StatusCode::OK {
+            return Ok(body);
+        }
+        match serde_json::from_slice::<Failure>(&body) {
+            Ok(failure) => Err(Error::Refused(failure)),
+            Err(_) => Err(Error::Malformed(format!(
+                "status {status} without an error code"
+            ))),
+        }
+    }
+}
+
+const JSON: &str = "application/json";
+const MESSAGE_PACK: &str = "application/msgpack";
+
+fn post(
+    engine: SocketAddr,
+    path: &str,
+    kind: &str,
+    body: Vec<u8>,
+) -> Result<Request<Full<Bytes>>, Error> {
+    build(Method::POST, engine, path, kind, body)
+}
+
+fn build(
+    method: Method,
+    engine: SocketAddr,
+    path: &str,
+    kind: &str,
+    body: Vec<u8>,
+) -> Result<Request<Full<Bytes>>, Error> {
+    Request::builder()
+        .method(method)
+        .uri(format!("http://{engine}{path}"))
+        .header("content-type", kind)
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|error| unsent(&error))
+}
+
+/// A request that could not be built has not left the process.
+fn unsent(error: &dyn core::error::Error) -> Error {
+    Error::Connect(agatemill_http::Error::Connect(error.to_string()))
+}
+
+fn pack(value: &impl Serialize) -> Result<Vec<u8>, Error> {
+    rmp_serde::to_vec_named(value).map_err(|error| unsent(&error))
+}
+
+fn write(value: &impl Serialize) -> Result<Vec<u8>, Error> {
+    serde_json::to_vec(value).map_err(|error| unsent(&error))
+}
+
+fn unpack<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
+    rmp_serde::from_slice(body).map_err(|error| Error::Malformed(error.to_string()))
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -3,6 +3,8 @@
 //! An engine holds a range of a model's layers and a KV cache for each session. Steps are MessagePack
 //! over HTTP/1.1, everything else is JSON; `docs/design.md` lists the paths.
 
+pub mod client;
+pub mod error;
 pub mod event;
 pub mod failure;
 pub mod input;
@@ -13,6 +15,8 @@
 pub mod step;
 pub mod transfer;
 
+pub use client::Client;
+pub use error::Error;
 pub use event::Event;
 pub use failure::Failure;
 pub use input::Input;
--- a/crates/fake/src/command.rs
+++ b/crates/fake/src/command.rs
@@ -7,7 +7,11 @@
 use clap::Parser;
 use clap::Subcommand;
 
+use crate::engine;
+use crate::engine::Engine;
 use crate::platform::Platform;
+use crate::service;
+use crate::service::Service;
 
 /// Stand-ins with fault switches, for tests.
 #[derive(Clone, Debug, Parser)]
@@ -27,6 +31,10 @@
         #[arg(long)]
         listen: SocketAddr,
     },
+    /// Serves a model engine.
+    Engine(engine::Settings),
+    /// Serves a plain application service.
+    Service(service::Settings),
 }
 
 /// Runs a stand-in until the process ends. It prints `listening on ADDR` to stdout once it serves.
@@ -41,5 +49,15 @@
             println!("listening on {}", platform.address());
             pending().await
         }
+        StandIn::Engine(settings) => {
+            let engine = Engine::listen(settings).await?;
+            println!("listening on {}", engine.address());
+            pending().await
+        }
+        StandIn::Service(settings) => {
+            let service = Service::listen(&settings).await?;
+            println!("listening on {}", service.address());
+            pending().await
+        }
     }
 }
--- /dev/null
+++ b/crates/fake/src/service.rs
@@ -0,0 +1,134 @@
+//! Stand-in for a plain application service.
+//!
+//! It answers every call with an [`Echo`]. `POST /fake/faults` sets [`Faults`], with the default for each
+//! field left out, and `GET /fake/executions` lists what ran.
+
+pub mod call;
+pub mod faults;
+
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use bytes::Bytes;
+use clap::Args;
+use hyper::Request;
+
+use crate::server::Answer;
+use crate::server::Server;
+use crate::server::json;
+
+pub use call::Echo;
+pub use call::Execution;
+pub use faults::Faults;
+
+/// Settings of a stand-in service, also the arguments of `agatemill-fake service`.
+#[derive(Clone, Debug, Args)]
+pub struct Settings {
+    /// Address to listen on; port 0 lets the operating system choose.
+    #[arg(long)]
+    pub listen: SocketAddr,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    faults: Faults,
+    executions: Vec<Execution>,
+}
+
+type Shared = Arc<Mutex<State>>;
+
+/// A running stand-in. Dropping it closes the listener and all connections.
+#[derive(Debug)]
+pub struct Service {
+    server: Server,
+    state: Shared,
+}
+
+impl Service {
+    /// Serves at the address of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Any error of opening the listener.
+    pub async fn listen(settings: &Settings) -> io::Result<Self> {
+        let state = Shared::default();
+        let shared = Arc::clone(&state);
+        let handler = move |request| answer(request, Arc::clone(&shared));
+        let server = Server::listen(settings.listen, handler).await?;
+        Ok(Self { server, state })
+    }
+
+    /// The address that it serves at.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes the faults in force.
+    pub fn fault(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut lock(&self.state).faults);
+    }
+
+    /// Calls that ran, in their order.
+    #[must_use]
+    pub fn executions(&self) -> Vec<Execution> {
+        lock(&self.state).executions.clone()
+    }
+
+    /// Stops at once, as a process that is killed.
+    pub fn close(self) {
+        drop(self);
+    }
+}
+
+async fn answer(request: Request<Bytes>, state: Shared) -> Answer {
+    match request.uri().path() {
+        "/fake/faults" => return Some(change(request.body(), &state)),
+        "/fake/executions" => return Some(json(200, &lock(&state).executions)),
+        _ => {}
+    }
+    let before = lock(&state).faults.before_ms;
+    agatemill_runtime::sleep(Duration::from_millis(before)).await;
+    let (echo, cut, after) = {
+        let mut state = lock(&state);
+        if let Some(status) = state.faults.take_refusal() {
+            return Some(json(status, &"refused"));
+        }
+        let echo = state.execute(&request);
+        let cut = state.faults.take_cut();
+        (echo, cut, state.faults.after_ms)
+    };
+    if cut {
+        return None;
+    }
+    agatemill_runtime::sleep(Duration::from_millis(after)).await;
+    Some(json(200, &echo))
+}
+
+fn change(body: &[u8], state: &Shared) -> hyper::Response<crate::server::Body> {
+    match serde_json::from_slice(body) {
+        Ok(faults) => {
+            lock(state).faults = faults;
+            json(200, &())
+        }
+        Err(error) => json(400, &error.to_string()),
+    }
+}
+
+impl State {
+    fn execute(&mut self, request: &Request<Bytes>) -> Echo {
+        let execution = Execution::new(request, self.executions.len() as u64);
+        let echo = execution.echo.clone();
+        self.executions.push(execution);
+        echo
+    }
+}
+
+fn lock(state: &Shared) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/fake/src/service/call.rs
@@ -0,0 +1,53 @@
+//! Calls of a stand-in service.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use hyper::Request;
+use serde::Deserialize;
+use serde::Serialize;
+
+use agatemill_core::Digest;
+
+/// Header that names a call across repeats.
+const KEY: &str = "idempotency-key";
+
+/// Answer to a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// Method of the call.
+    pub method: CompactString,
+    /// Path of the call with its query.
+    pub path: CompactString,
+    /// Digest of the body.
+    pub body: Digest,
+    /// Number of the execution, from 0.
+    pub number: u64,
+}
+
+/// One call that ran.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Execution {
+    /// Its answer.
+    pub echo: Echo,
+    /// Value of the header `Idempotency-Key`.
+    pub key: Option<CompactString>,
+}
+
+impl Execution {
+    /// The execution of a request.
+    #[must_use]
+    pub fn new(request: &Request<Bytes>, number: u64) -> Self {
+        let path = request.uri().path_and_query();
+        let key = request.headers().get(KEY);
+        let key = key.map(|key| String::from_utf8_lossy(key.as_bytes()).into());
+        Self {
+            echo: Echo {
+                method: request.method().as_str().into(),
+                path: path.map_or("/", |path| path.as_str()).into(),
+                body: Digest::of(request.body()),
+                number,
+            },
+            key,
+        }
+    }
+}
