Drive generations through chains of engines

A generation runs every layer once for each position, in order, and must survive the loss of engines without a wrong, missing or doubled token.

`Progress` holds the decisions and does no I/O. A step without a fitting reply ends the attempt; the next one has fresh sessions on a chain without the lost engine, built from the prompt and the tokens so far. Replies are checked for session, attempt, position, count and kind of output. A guard value tells the table once that the sessions are closed and cancels them.

An engine that is gone costs no retry budget, because retries cannot overload it and each request leaves it out afterwards; timeouts and refusals do, and a request waits for the budget before it gives up. A failed prefill counts as "may have run", so such a request ends as unknown.

--- a/crates/pipeline/src/lib.rs
+++ b/crates/pipeline/src/lib.rs
@@ -1,1 +1,24 @@
 //! Drives a generation through a chain of engines, one step for each token.
+//!
+//! [`Generation::run`] chooses a chain, runs every layer once for each position in order, and rebuilds the
+//! session on another chain when an engine is lost. [`Progress`] decides what follows each result and does
+//! no I/O; the other parts talk to the engines.
+
+pub mod backoff;
+pub mod event;
+pub mod generation;
+mod hold;
+pub mod latency;
+pub mod mismatch;
+pub mod progress;
+pub mod request;
+mod run;
+pub mod settings;
+
+pub use event::Event;
+pub use generation::Generation;
+pub use latency::Latency;
+pub use mismatch::Mismatch;
+pub use progress::Progress;
+pub use request::Request;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/pipeline/src/run.rs
@@ -0,0 +1,399 @@
+//! One generation.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use smol::channel::Sender;
+
+use crate::Event;
+use crate::Generation;
+use crate::Mismatch;
+use crate::Progress;
+use crate::Request;
+use crate::backoff;
+use crate::event::Finish;
+use crate::event::Usage;
+use crate::hold::Hold;
+use crate::hold::Past;
+use crate::progress::Loss;
+use crate::progress::Verdict;
+use agatemill_core::Cause;
+use agatemill_core::Outcome;
+use agatemill_core::Phase;
+use agatemill_core::Reason;
+use agatemill_core::Refusal;
+use agatemill_core::id;
+use agatemill_engine::Error;
+use agatemill_engine::Input;
+use agatemill_engine::Output;
+use agatemill_engine::Reply;
+use agatemill_engine::Step;
+use agatemill_routing::Chain;
+use agatemill_routing::Stage;
+
+/// Waits for the retry budget before a request gives up.
+const BUDGET_WAITS: u32 = 20;
+
+/// Bytes of prompt text for each position, for a rough guess before an engine has counted them.
+const POSITION_BYTES: usize = 4;
+
+/// One generation.
+pub struct Run<'a> {
+    shared: &'a Generation,
+    request: &'a Request,
+    caller: &'a Sender<Result<Event, Refusal>>,
+    progress: Progress,
+    past: Past,
+    /// Version that generated the first token; another one would continue with another answer.
+    version: Option<id::Version>,
+    started: Duration,
+    /// When the last token was given to the caller.
+    last_token: Option<Duration>,
+}
+
+/// Why a generation ends without a whole answer.
+enum Stop {
+    /// The caller is told.
+    Refused(Refusal),
+    /// Nobody is there to be told.
+    CallerLeft,
+}
+
+/// Why an attempt ends without a whole answer.
+enum Break {
+    /// The next attempt follows.
+    Move { budget: bool },
+    /// The request ends.
+    Stop(Stop),
+}
+
+impl From<Stop> for Break {
+    fn from(stop: Stop) -> Self {
+        Self::Stop(stop)
+    }
+}
+
+/// What the last stage returned.
+struct Token {
+    id: u32,
+    text: CompactString,
+    end: bool,
+}
+
+impl<'a> Run<'a> {
+    pub fn new(
+        shared: &'a Generation,
+        request: &'a Request,
+        caller: &'a Sender<Result<Event, Refusal>>,
+    ) -> Self {
+        Self {
+            shared,
+            request,
+            caller,
+            progress: Progress::default(),
+            past: Past::default(),
+            version: None,
+            started: agatemill_runtime::now(),
+            last_token: None,
+        }
+    }
+
+    /// Runs to the end, unless the caller leaves before.
+    pub async fn run(mut self) -> Outcome {
+        let caller = self.caller;
+        let left = async {
+            caller.closed().await;
+            Err(Stop::CallerLeft)
+        };
+        let ended = smol::future::or(self.drive(), left).await;
+        match ended {
+            Ok(()) => Outcome::resolve(Phase::Answered, Cause::Finished),
+            Err(Stop::CallerLeft) => Outcome::resolve(self.progress.phase(), Cause::CallerLeft),
+            Err(Stop::Refused(refusal)) => {
+                let outcome = refusal.outcome;
+                // A caller that has left needs no refusal; one that does not read gets it with its next read.
+                let send = self.caller.send(Err(refusal));
+                let _ = agatemill_runtime::timeout(self.shared.settings.step_timeout, send).await;
+                outcome
+            }
+        }
+    }
+
+    async fn drive(&mut self) -> Result<(), Stop> {
+        if self.request.max_tokens == 0 {
+            return self.end(Finish::Length).await;
+        }
+        loop {
+            let hold = self.open()?;
+            let ended = self.attempt(&hold).await;
+            self.past.push(hold.sessions().clone());
+            hold.close();
+            match ended {
+                Ok(finish) => return self.end(finish).await,
+                Err(Break::Stop(stop)) => return Err(stop),
+                Err(Break::Move { budget }) => self.pause(budget).await?,
+            }
+        }
+    }
+
+    /// Chooses a chain. Engines that were lost are left out as long as others cover the model; the one that
+    /// was lost first comes back first.
+    fn open(&mut self) -> Result<Hold, Stop> {
+        self.remaining()?;
+        let name = format_compact!("{}-{}", self.request.id, self.progress.attempt());
+        let name = id::Session::try_from(name)
+            .map_err(|error| self.refuse(Reason::BadRequest, error.to_string()))?;
+        let avoid = self.progress.avoid().to_vec();
+        for skipped in 0..=avoid.len() {
+            if let Some(chain) = self.choose(&avoid[skipped..]) {
+                self.progress.chosen(skipped > 0);
+                let table = Arc::clone(&self.shared.table);
+                return Ok(Hold::new(table, chain, self.shared.client.clone(), name));
+            }
+        }
+        Err(self.refuse(Reason::NoChain, "no chain of engines covers the model"))
+    }
+
+    fn choose(&self, exclude: &[id::Server]) -> Option<Chain> {
+        let request = agatemill_routing::Request {
+            half: self.request.half.clone(),
+            model: self.request.model.clone(),
+            prefix: self.request.prefix,
+            exclude: exclude.to_vec(),
+        };
+        let now = agatemill_runtime::now();
+        let chain = self.shared.table.choose(&request, now)?;
+        if self
+            .version
+            .as_ref()
+            .is_some_and(|version| version != chain.version())
+        {
+            self.shared.table.closed(&chain, now);
+            return None;
+        }
+        Some(chain)
+    }
+
+    /// Generates tokens in fresh sessions until the answer ends.
+    async fn attempt(&mut self, hold: &Hold) -> Result<Finish, Break> {
+        let mut input = Input::Prompt {
+            text: self.request.prompt.clone(),
+            generated: self.progress.generated().to_vec(),
+        };
+        loop {
+            let token = self.pass(hold, input).await?;
+            self.version
+                .get_or_insert_with(|| hold.chain().version().clone());
+            self.shared.budget().succeeded();
+            input = Input::Token { id: token.id };
+            let end = token.end;
+            self.give(token).await?;
+            if end {
+                return Ok(Finish::Stop);
+            }
+            if self.progress.generated().len() >= self.request.max_tokens as usize {
+                return Ok(Finish::Length);
+            }
+        }
+    }
+
+    /// Takes the input through every layer.
+    async fn pass(&mut self, hold: &Hold, input: Input) -> Result<Token, Break> {
+        let stages = hold.chain().stages();
+        let mut input = input;
+        for (index, stage) in stages.iter().enumerate() {
+            let last = index + 1 == stages.len();
+            let step = self.step(hold, stage, input, last)?;
+            let reply = self.send(stage, &step).await?;
+            self.progress.replied(stage.layers, reply.count);
+            match reply.output {
+                Output::Activation { data } => {
+                    let count = reply.count;
+                    input = Input::Activation { count, data };
+                }
+                Output::Token { id, text, end } => {
+                    self.progress.token(id);
+                    return Ok(Token { id, text, end });
+                }
+            }
+        }
+        Err(self
+            .refuse(Reason::BackendFailed, "the chain has no last stage")
+            .into())
+    }
+
+    fn step(&self, hold: &Hold, stage: &Stage, input: Input, last: bool) -> Result<Step, Stop> {
+        let order = self.progress.check(stage.layers);
+        order.map_err(|error| self.refuse(Reason::BackendFailed, error.to_string()))?;
+        let remaining = self.remaining()?;
+        Ok(Step {
+            session: hold.sessions().name().clone(),
+            attempt: self.progress.attempt(),
+            model: hold.chain().model().clone(),
+            version: hold.chain().version().clone(),
+            layers: stage.layers,
+            position: self.progress.position(),
+            input,
+            last,
+            priority: self.request.priority,
+            deadline_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+            temperature: self.request.temperature,
+            seed: self.request.seed,
+        })
+    }
+
+    /// Sends a step and checks the reply.
+    async fn send(&mut self, stage: &Stage, step: &Step) -> Result<Reply, Break> {
+        let limit = self.limit(stage, step);
+        let remaining = self.remaining()?;
+        let sent = agatemill_runtime::now();
+        self.progress.sending();
+        let client = &self.shared.client;
+        let result = client.step(stage.address, step, limit.min(remaining)).await;
+        let loss = match result {
+            Ok(reply) => {
+                let found = Mismatch::find(
+                    step,
+                    &reply,
+                    self.progress.count().or((step.position.0 > 0).then_some(1)),
+                    self.progress.least(),
+                );
+                let Some(mismatch) = found else {
+                    self.succeeded(stage, &reply, sent);
+                    return Ok(reply);
+                };
+                self.shared.metrics.dropped(mismatch.as_str());
+                Loss::Mismatched
+            }
+            Err(error) => {
+                log::warn!(server:% = stage.server, session:% = step.session, error:%; "pipeline: step failed");
+                loss(&error)
+            }
+        };
+        Err(self.lost(stage, loss))
+    }
+
+    fn succeeded(&self, stage: &Stage, reply: &Reply, sent: Duration) {
+        if reply.position.0 == 0 {
+            return;
+        }
+        let time = agatemill_runtime::now().saturating_sub(sent);
+        self.shared.latency().observe(&stage.server, time);
+        self.shared.table.succeeded(&stage.server, time);
+    }
+
+    fn lost(&mut self, stage: &Stage, loss: Loss) -> Break {
+        let moves = self.shared.settings.moves;
+        // A deadline that passes during a step says nothing about the engine.
+        let expired = loss == Loss::TimedOut && self.remaining().is_err();
+        match self.progress.lost(&stage.server, loss, moves) {
+            _ if expired => self
+                .refuse(Reason::DeadlineExceeded, "the deadline passed")
+                .into(),
+            Verdict::GiveUp(reason) => {
+                let detail = format_compact!("{} did not run a step", stage.server);
+                self.refuse(reason, detail).into()
+            }
+            Verdict::Move {
+                reason,
+                failed,
+                budget,
+            } => {
+                self.shared.metrics.retried(reason);
+                if failed {
+                    let now = agatemill_runtime::now();
+                    self.shared.table.failed(&stage.server, now);
+                }
+                Break::Move { budget }
+            }
+        }
+    }
+
+    /// How long a step may take on its engine.
+    fn limit(&self, stage: &Stage, step: &Step) -> Duration {
+        let guess = self.request.prompt.len() / POSITION_BYTES + self.progress.generated().len();
+        let positions = match (self.progress.count(), step.position.0) {
+            (Some(count), _) => count,
+            (None, 0) => u32::try_from(guess).unwrap_or(u32::MAX),
+            (None, _) => 1,
+        };
+        let settings = &self.shared.settings;
+        self.shared
+            .latency()
+            .limit(&stage.server, positions, settings)
+    }
+
+    /// Waits before the next attempt, and for the retry budget where the move needs it.
+    async fn pause(&mut self, budget: bool) -> Result<(), Stop> {
+        let base = self.shared.settings.backoff;
+        for waits in 0..BUDGET_WAITS {
+            let wait = backoff::wait(base, self.progress.moves() + waits, fastrand::f64());
+            agatemill_runtime::sleep(wait.min(self.remaining()?)).await;
+            if !budget || self.shared.budget().take() {
+                return Ok(());
+            }
+        }
+        Err(self.refuse(Reason::RetriesExhausted, "the retry budget is used up"))
+    }
+
+    /// Gives a token to the caller, unless it has it already.
+    async fn give(&mut self, token: Token) -> Result<(), Stop> {
+        let index = self.progress.least().saturating_sub(2);
+        if index < self.request.skip {
+            return Ok(());
+        }
+        let Token { id, text, .. } = token;
+        self.tell(Event::Token { index, id, text }).await?;
+        let now = agatemill_runtime::now();
+        match self.last_token.replace(now) {
+            None => self
+                .shared
+                .metrics
+                .first_token(now.saturating_sub(self.started)),
+            Some(last) => self.shared.metrics.next_token(now.saturating_sub(last)),
+        }
+        Ok(())
+    }
+
+    async fn end(&mut self, reason: Finish) -> Result<(), Stop> {
+        let usage = Usage {
+            prompt: self.progress.prompt(),
+            generated: self.progress.least() - 1,
+        };
+        self.tell(Event::End { reason, usage }).await
+    }
+
+    /// Sends an event. A caller that does not read before the deadline counts as gone.
+    async fn tell(&self, event: Event) -> Result<(), Stop> {
+        let remaining = self.remaining()?;
+        let send = self.caller.send(Ok(event));
+        match agatemill_runtime::timeout(remaining, send).await {
+            Some(Ok(())) => Ok(()),
+            Some(Err(_)) | None => Err(Stop::CallerLeft),
+        }
+    }
+
+    fn remaining(&self) -> Result<Duration, Stop> {
+        let remaining = self.request.deadline.checked_sub(agatemill_runtime::now());
+        remaining
+            .filter(|remaining| !remaining.is_zero())
+            .ok_or_else(|| self.refuse(Reason::DeadlineExceeded, "the deadline passed"))
+    }
+
+    fn refuse(&self, reason: Reason, detail: impl Into<CompactString>) -> Stop {
+        let phase = self.progress.phase();
+        Stop::Refused(Refusal::new(reason, phase, Progress::cause(reason), detail))
+    }
+}
+
+fn loss(error: &Error) -> Loss {
+    match error {
+        Error::Connect(_) => Loss::ConnectFailed,
+        Error::Refused(failure) => Loss::Refused(failure.code),
+        Error::TimedOut => Loss::TimedOut,
+        Error::Lost(_) => Loss::ConnectionLost,
+        Error::Malformed(_) => Loss::Mismatched,
+    }
+}
--- /dev/null
+++ b/crates/pipeline/tests/progress.rs
@@ -0,0 +1,115 @@
+//! Guards the decisions after each result against repeating or skipping work.
+
+use core::time::Duration;
+
+use agatemill_core::Phase;
+use agatemill_core::Reason;
+use agatemill_core::id;
+use agatemill_core::layer;
+use agatemill_core::number::Attempt;
+use agatemill_core::number::Position;
+use agatemill_engine::failure::Code;
+use agatemill_pipeline::Latency;
+use agatemill_pipeline::Progress;
+use agatemill_pipeline::Settings;
+use agatemill_pipeline::progress::Loss;
+use agatemill_pipeline::progress::Verdict;
+
+fn server(name: &str) -> id::Server {
+    name.parse().expect("an id")
+}
+
+fn layers(text: &str) -> layer::Range {
+    text.parse().expect("a range")
+}
+
+/// A chain whose stages are out of order, or run twice, must not be driven.
+#[test]
+fn refuses_stages_out_of_order() {
+    let mut progress = Progress::default();
+    assert!(progress.check(layers("4..8")).is_err());
+    progress.replied(layers("0..4"), 5);
+    assert!(progress.check(layers("0..4")).is_err());
+    assert!(progress.check(layers("4..8")).is_ok());
+}
+
+/// A step with an unknown result must not be followed by another step in the same session.
+#[test]
+fn starts_again_after_every_loss() {
+    for loss in [
+        Loss::ConnectFailed,
+        Loss::TimedOut,
+        Loss::ConnectionLost,
+        Loss::Mismatched,
+        Loss::Refused(Code::Overloaded),
+        Loss::Refused(Code::Internal),
+    ] {
+        let mut progress = Progress::default();
+        progress.replied(layers("0..4"), 5);
+        progress.token(7);
+        assert_eq!(progress.position(), Position(5));
+        progress.replied(layers("0..2"), 1);
+        progress.lost(&server("a"), loss, 3);
+        assert_eq!(progress.attempt(), Attempt(1));
+        assert_eq!(progress.position(), Position(0));
+        assert!(progress.check(layers("0..2")).is_ok());
+        assert_eq!(progress.generated(), [7]);
+        assert_eq!(progress.avoid(), [server("a")]);
+    }
+}
+
+/// "Not run" is claimed only while nothing can have run.
+#[test]
+fn phase_is_sent_once_a_step_may_have_run() {
+    let mut progress = Progress::default();
+    progress.sending();
+    assert_eq!(progress.phase(), Phase::Sent);
+    progress.lost(&server("a"), Loss::Refused(Code::Draining), 9);
+    assert_eq!(progress.phase(), Phase::Admitted);
+    progress.lost(&server("a"), Loss::ConnectFailed, 9);
+    assert_eq!(progress.phase(), Phase::Admitted);
+    progress.lost(&server("a"), Loss::TimedOut, 9);
+    progress.lost(&server("a"), Loss::ConnectFailed, 9);
+    assert_eq!(progress.phase(), Phase::Sent);
+}
+
+/// Codes that promise "not run" must not count against the engine, and moves must have a limit.
+#[test]
+fn counts_failures_and_limits_moves() {
+    let mut progress = Progress::default();
+    let moved = progress.lost(&server("a"), Loss::Refused(Code::Overloaded), 2);
+    assert!(matches!(
+        moved,
+        Verdict::Move {
+            failed: false,
+            budget: true,
+            ..
+        }
+    ));
+    let moved = progress.lost(&server("b"), Loss::ConnectionLost, 2);
+    assert!(matches!(moved, Verdict::Move { failed: true, .. }));
+    let ended = progress.lost(&server("c"), Loss::ConnectionLost, 2);
+    assert_eq!(ended, Verdict::GiveUp(Reason::RetriesExhausted));
+}
+
+/// A timeout below the floor or above the ceiling loses good engines or waits for lost ones.
+#[test]
+fn step_timeout_follows_latency_within_bounds() {
+    let settings = Settings::default();
+    let mut latency = Latency::default();
+    let limit = |latency: &Latency, positions| latency.limit(&server("a"), positions, &settings);
+    assert_eq!(limit(&latency, 1), settings.step_timeout);
+    latency.observe(&server("a"), Duration::from_millis(50));
+    assert_eq!(limit(&latency, 1), Duration::from_millis(500));
+    assert_eq!(limit(&latency, 101), Duration::from_millis(1500));
+    latency.observe(&server("b"), Duration::from_millis(1));
+    assert_eq!(
+        latency.limit(&server("b"), 1, &settings),
+        settings.step_floor
+    );
+    latency.observe(&server("c"), Duration::from_secs(9));
+    assert_eq!(
+        latency.limit(&server("c"), 1, &settings),
+        settings.step_timeout
+    );
+}
