Test generations against failing engines

Each answer is compared with `fake::model::expected`, and the engines' records must show that each session ran each layer over each position once, in order.

The stand-in now shuts the listener down in `drop` (socket2).

--- a/crates/fake/src/server.rs
+++ b/crates/fake/src/server.rs
@@ -3,6 +3,7 @@
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::io;
+use std::net::Shutdown;
 
 use bytes::Bytes;
 use futures::stream;
@@ -25,6 +26,7 @@
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
+use socket2::SockRef;
 
 /// Largest request.
 const MAX_REQUEST_BYTES: usize = 64 << 20;
@@ -42,6 +44,7 @@
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
+    listener: TcpListener,
     /// The task ends when it is dropped.
     _accept: Task<()>,
     /// Connections end when this sender is dropped.
@@ -64,7 +67,8 @@
         let (running, stopped) = channel::bounded(1);
         Ok(Self {
             address,
-            _accept: agatemill_runtime::spawn(accept(listener, handler, stopped)),
+            _accept: agatemill_runtime::spawn(accept(listener.clone(), handler, stopped)),
+            listener,
             _running: running,
         })
     }
@@ -76,6 +80,15 @@
     }
 }
 
+impl Drop for Server {
+    /// Refuses new connections from now on. The listener itself is closed when the executor drops the accept
+    /// task, which can be later; until then connections would be accepted and reset.
+    fn drop(&mut self) {
+        // Fails only when the listener is closed already.
+        let _ = SockRef::from(&self.listener).shutdown(Shutdown::Both);
+    }
+}
+
 async fn accept<H, F>(listener: TcpListener, handler: H, stopped: Receiver<()>)
 where
     H: Fn(Request<Bytes>) -> F + Clone + Send + Sync + 'static,
--- /dev/null
+++ b/crates/pipeline/tests/fleet/mod.rs
@@ -0,0 +1,316 @@
+//! Stand-in engines with a table that knows them.
+
+use core::time::Duration;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use smol::channel;
+use smol::channel::Receiver;
+
+use agatemill_config::Document;
+use agatemill_config::document;
+use agatemill_core::Outcome;
+use agatemill_core::Priority;
+use agatemill_core::Refusal;
+use agatemill_core::id;
+use agatemill_core::quantity::Rate;
+use agatemill_core::quantity::Size;
+use agatemill_engine::Client;
+use agatemill_fake::engine::Engine;
+use agatemill_fake::engine::Execution;
+use agatemill_fake::engine::Faults;
+use agatemill_fake::engine::Settings;
+use agatemill_fake::model;
+use agatemill_limits::Budget;
+use agatemill_metrics::Registry;
+use agatemill_pipeline::Event;
+use agatemill_pipeline::Generation;
+use agatemill_pipeline::Request;
+use agatemill_pipeline::event::Finish;
+use agatemill_routing::Table;
+use agatemill_routing::policy;
+use agatemill_routing::policy::Policy;
+
+/// Layers of the model.
+pub const LAYERS: u32 = 12;
+
+const RANGES: [&str; 3] = ["0..4", "4..8", "8..12"];
+
+/// Deadline of requests that are expected to succeed.
+const DEADLINE: Duration = Duration::from_secs(30);
+
+type Own = Arc<Mutex<HashMap<id::Server, u32>>>;
+
+pub type Item = Result<Event, Refusal>;
+
+pub struct Fleet {
+    /// Engines by stage and replica; `None` once killed.
+    engines: Mutex<Vec<Option<Engine>>>,
+    replicas: usize,
+    pub generation: Generation,
+    metrics: Registry,
+    table: Arc<Table>,
+    /// Own sessions of each engine when a chain was chosen last.
+    own: Own,
+}
+
+fn id<T: core::str::FromStr<Err: core::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("a valid id")
+}
+
+/// The policy in use, which also notes the own sessions of the engines that it compares.
+fn watched(own: &Own) -> Policy {
+    let Policy { cost, .. } = policy::estimated();
+    let own = Arc::clone(own);
+    let watch = move |engine: &agatemill_routing::Engine, random: f64| {
+        let mut own = own.lock().expect("not poisoned");
+        own.insert(engine.facts.name.clone(), engine.load.own());
+        cost(engine, random)
+    };
+    Policy {
+        cost: Arc::new(watch),
+        ..policy::estimated()
+    }
+}
+
+impl Fleet {
+    /// Starts `replicas` engines for each of three stages.
+    pub async fn start(replicas: usize, timeout: Duration) -> Self {
+        let mut engines = Vec::new();
+        let mut document = Document {
+            halves: vec![id("half")],
+            models: vec![document::Model {
+                name: id("m"),
+                version: id("1"),
+                layers: LAYERS,
+                activation: Size(8),
+            }],
+            ..Document::default()
+        };
+        for (stage, layers) in RANGES.iter().enumerate() {
+            for replica in 0..replicas {
+                let name = format!("e{stage}{replica}");
+                let settings = Settings::instant(id(&name), id("m"), id("1"), id(layers));
+                let engine = Engine::listen(settings).await.expect("listens");
+                document.engines.push(document::Engine {
+                    name: id(&name),
+                    address: engine.address(),
+                    half: id("half"),
+                    zone: id("z"),
+                    accelerator: id("a"),
+                    model: id("m"),
+                    version: id("1"),
+                    layers: id(layers),
+                    throughput: Rate::new(1000.0).expect("a rate"),
+                    batch: 16,
+                    fencing: false,
+                });
+                engines.push(Some(engine));
+            }
+        }
+        let own = Own::default();
+        let table = Arc::new(Table::new(id("host"), id("z"), watched(&own)));
+        table.apply(&document);
+        let metrics = Registry::new().expect("metrics");
+        let settings = agatemill_pipeline::Settings {
+            step_timeout: timeout,
+            ..agatemill_pipeline::Settings::default()
+        };
+        let generation = Generation::new(
+            Arc::clone(&table),
+            Client::new(agatemill_http::Client::new(Duration::from_secs(1))),
+            metrics.clone(),
+            Arc::new(Mutex::new(Budget::new(200))),
+            settings,
+        );
+        Self {
+            engines: Mutex::new(engines),
+            replicas,
+            generation,
+            metrics,
+            table,
+            own,
+        }
+    }
+
+    /// Kills an engine and returns what it ran.
+    pub fn kill(&self, stage: usize, replica: usize) -> Vec<Execution> {
+        let index = stage * self.replicas + replica;
+        let engine = self.engines.lock().expect("not poisoned")[index].take();
+        let engine = engine.expect("still runs");
+        let executions = engine.executions();
+        engine.close();
+        executions
+    }
+
+    /// Applies `call` to every engine that runs, with its stage and replica.
+    pub fn each<T>(&self, call: impl Fn(usize, usize, &Engine) -> T) -> Vec<T> {
+        let engines = self.engines.lock().expect("not poisoned");
+        let alive = engines.iter().enumerate();
+        alive
+            .filter_map(|(index, engine)| {
+                let engine = engine.as_ref()?;
+                Some(call(index / self.replicas, index % self.replicas, engine))
+            })
+            .collect()
+    }
+
+    /// Changes the faults of an engine that runs.
+    pub fn fault(&self, stage: usize, replica: usize, change: impl Fn(&mut Faults)) {
+        self.each(|other, index, engine| {
+            if (other, index) == (stage, replica) {
+                engine.fault(&change);
+            }
+        });
+    }
+
+    /// Sessions that the table counts as open by this entry, over all engines.
+    pub fn open_sessions(&self) -> u32 {
+        self.own.lock().expect("not poisoned").clear();
+        let request = agatemill_routing::Request {
+            half: id("half"),
+            model: id("m"),
+            prefix: None,
+            exclude: Vec::new(),
+        };
+        let now = agatemill_runtime::now();
+        if let Some(chain) = self.table.choose(&request, now) {
+            self.table.closed(&chain, now);
+        }
+        self.own.lock().expect("not poisoned").values().sum()
+    }
+
+    /// The replica of a stage that has a session.
+    pub fn busy(&self, stage: usize) -> usize {
+        let found = self.each(|other, replica, engine| {
+            (other == stage && engine.sessions() > 0).then_some(replica)
+        });
+        found
+            .into_iter()
+            .flatten()
+            .next()
+            .expect("a session is open")
+    }
+
+    /// Starts a generation of up to 100 tokens.
+    pub fn spawn(&self, name: &str, prompt: &str) -> (Receiver<Item>, smol::Task<Outcome>) {
+        self.spawn_request(request(name, prompt), 1)
+    }
+
+    /// Starts a generation; the caller has room for `room` unread events.
+    pub fn spawn_request(
+        &self,
+        request: Request,
+        room: usize,
+    ) -> (Receiver<Item>, smol::Task<Outcome>) {
+        let (sender, receiver) = channel::bounded(room);
+        let generation = self.generation.clone();
+        let run = async move { generation.run(&request, &sender).await };
+        (receiver, agatemill_runtime::spawn(run))
+    }
+
+    /// Checks that every session ran each layer over each position exactly once, in order.
+    pub fn check_executions(&self, killed: Vec<Vec<Execution>>) {
+        let mut next: HashMap<(String, u32), u32> = HashMap::new();
+        let alive = self.each(|_, _, engine| engine.executions());
+        let mut all = alive;
+        all.extend(killed);
+        for execution in all.into_iter().flatten() {
+            for layer in execution.layers.start()..execution.layers.end() {
+                let key = (execution.session.to_string(), layer);
+                let next = next.entry(key).or_default();
+                assert_eq!(*next, execution.position.0, "{execution:?}");
+                *next += execution.count;
+            }
+        }
+    }
+
+    /// Waits until no engine has a session.
+    pub async fn check_cancelled(&self) {
+        for _ in 0..100 {
+            if self
+                .each(|_, _, engine| engine.sessions())
+                .iter()
+                .all(|open| *open == 0)
+            {
+                return;
+            }
+            agatemill_runtime::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("sessions are left open");
+    }
+
+    /// The value of a metric with a reason.
+    pub fn count(&self, metric: &str, reason: &str) -> u64 {
+        let text = String::from_utf8(self.metrics.export().expect("exports")).expect("text");
+        let start = format!("{metric}_total{{reason=\"{reason}\"}} ");
+        let line = text.lines().find_map(|line| line.strip_prefix(&start));
+        line.map_or(0, |value| value.parse().expect("a number"))
+    }
+}
+
+pub fn request(name: &str, prompt: &str) -> Request {
+    Request {
+        id: id(name),
+        half: id("half"),
+        model: id("m"),
+        prompt: prompt.into(),
+        prefix: None,
+        max_tokens: 100,
+        temperature: 0.0,
+        seed: None,
+        priority: Priority::Normal,
+        deadline: agatemill_runtime::now() + DEADLINE,
+        skip: 0,
+    }
+}
+
+/// Reads `count` tokens, or up to the end.
+pub async fn read(receiver: &Receiver<Item>, count: usize) -> Vec<(u32, String)> {
+    let mut tokens = Vec::new();
+    while tokens.len() < count {
+        match receiver.recv().await {
+            Ok(Ok(Event::Token { index, id, text })) => {
+                assert_eq!(index as usize, tokens.len());
+                tokens.push((id, text.into()));
+            }
+            Ok(Ok(Event::End { reason, .. })) => {
+                assert_eq!(reason, Finish::Stop);
+                return tokens;
+            }
+            other => panic!("no end marker: {other:?}"),
+        }
+    }
+    tokens
+}
+
+/// Reads the rest after `tokens` and compares the whole with the right answer.
+pub async fn check_answer(receiver: &Receiver<Item>, mut tokens: Vec<(u32, String)>, prompt: &str) {
+    loop {
+        match receiver.recv().await {
+            Ok(Ok(Event::Token { index, id, text })) => {
+                assert_eq!(index as usize, tokens.len());
+                tokens.push((id, text.into()));
+            }
+            Ok(Ok(Event::End { reason, usage })) => {
+                assert_eq!(reason, Finish::Stop);
+                assert_eq!(usage.generated as usize, tokens.len());
+                break;
+            }
+            other => panic!("no end marker: {other:?}"),
+        }
+    }
+    assert_eq!(tokens, model::expected("m", LAYERS, prompt, 100));
+}
+
+/// Reads up to the refusal.
+pub async fn refusal(receiver: &Receiver<Item>) -> Refusal {
+    loop {
+        match receiver.recv().await {
+            Ok(Ok(Event::Token { .. })) => {}
+            Ok(Err(refusal)) => return refusal,
+            other => panic!("no refusal: {other:?}"),
+        }
+    }
+}
