--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -79,6 +79,15 @@
         self.breaker.succeeded();
     }
 
+    /// Notes that this entry has closed a session. A trial request that ends without a result, such as one
+    /// whose caller left, opens the breaker again: left half-open, it would let no further trial pass.
+    pub fn closed(&mut self, now: Duration) {
+        self.load.closed(now);
+        if self.breaker.state() == breaker::State::HalfOpen {
+            self.breaker.open(now);
+        }
+    }
+
     /// Moving average of the time of a decoding step.
     #[must_use]
     pub fn step_time(&self) -> Option<Duration> {
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -117,12 +117,11 @@
         chosen
     }
 
-    /// Leaves out engines with open breakers, but at most a third of those that hold the same layers: when
-    /// more breakers are open, the cause is rather the load than the engines.
+    /// Leaves out engines with open breakers, but at most a third of those that hold the same layers (one of
+    /// two): when more breakers are open, the cause is rather the load than the engines.
     fn without_ejected(&self, mut servers: Vec<id::Server>, now: Duration) -> Vec<id::Server> {
-        let cap = servers
-            .len()
-            .div_ceil(3)
+        let cap = (servers.len() / 3)
+            .max(1)
             .min(servers.len().saturating_sub(1));
         let open = |server: &id::Server| !self.engines[server].breaker.allows(now);
         let mut ejected: Vec<id::Server> = servers
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -202,7 +202,7 @@
     /// Notes that the sessions of a chain are closed.
     pub fn closed(&self, chain: &Chain, now: Duration) {
         for stage in chain.stages() {
-            self.with_engine(&stage.server, |engine| engine.load.closed(now));
+            self.with_engine(&stage.server, |engine| engine.closed(now));
         }
     }
 
