Test the stand-ins further and fix late load reports

A stand-in with a report lag reported its first change at once, because no earlier state was kept. It now keeps the state from its start and after each cancellation, import and batch. Tests are added for the lag, cache events, priorities and throughput, the service's record of calls, and 300 streams with an engine that freezes (the retry budget must delay them, not end them).

--- a/crates/fake/src/engine/scheduler.rs
+++ b/crates/fake/src/engine/scheduler.rs
@@ -43,6 +43,8 @@
         // The caller may have left.
         let _ = sender.try_send(result);
     }
-    lock(state).queue.running = 0;
+    let mut state = lock(state);
+    state.queue.running = 0;
+    state.sample(agatemill_runtime::now());
     true
 }
--- a/crates/fake/src/engine/state.rs
+++ b/crates/fake/src/engine/state.rs
@@ -81,7 +81,7 @@
     /// Creates the state of an engine without sessions.
     #[must_use]
     pub fn new(settings: Settings) -> Self {
-        Self {
+        let mut state = Self {
             faults: Faults::default(),
             queue: Queue::default(),
             prefixes: Prefixes::new(settings.cache),
@@ -96,7 +96,10 @@
             last: None,
             samples: VecDeque::new(),
             settings,
-        }
+        };
+        // Late reports show the state before the first change.
+        state.sample(Duration::ZERO);
+        state
     }
 
     /// Whether the step may run now.
@@ -216,6 +219,7 @@
         self.sessions.remove(session);
         self.cancelled.insert(session.clone());
         self.queue.cancel(session);
+        self.sample(agatemill_runtime::now());
     }
 
     /// The cache of a session.
@@ -241,6 +245,7 @@
         let attempt = cache.attempt;
         let session = Session { attempt, ..session };
         self.sessions.insert(cache.session.clone(), session);
+        self.sample(agatemill_runtime::now());
         Ok(())
     }
 
--- a/crates/fake/tests/engine.rs
+++ b/crates/fake/tests/engine.rs
@@ -153,3 +153,92 @@
         );
     });
 }
+
+/// A cached prefix must take no time and be announced, late and with gaps.
+#[test]
+fn caches_prefixes_and_announces_them_late() {
+    smol::block_on(async {
+        let mut settings = settings("0..4");
+        settings.event_lag = 300;
+        settings.event_gap = 2;
+        settings.cache = 32;
+        let engine = Engine::listen(settings).await.expect("listens");
+        let (client, address) = (client(), engine.address());
+        let text = "word ".repeat(40);
+        let mut cached = Vec::new();
+        for session in ["a", "b"] {
+            let step = step(session, 0, prompt(&text));
+            cached.push(
+                client
+                    .step(address, &step, LIMIT)
+                    .await
+                    .expect("runs")
+                    .cached,
+            );
+        }
+        // Two blocks of 16 positions fit into the cache.
+        assert_eq!(cached, [0, 32]);
+        assert_eq!(client.events(address, 0, LIMIT).await.expect("events"), []);
+        agatemill_runtime::sleep(Duration::from_millis(400)).await;
+        let events = client.events(address, 0, LIMIT).await.expect("events");
+        let numbers: Vec<u64> = events.iter().map(|event| event.number).collect();
+        assert_eq!(numbers, [1]);
+    });
+}
+
+/// The load report must lag as the settings say, or routing would be tested against perfect knowledge.
+#[test]
+fn reports_load_late() {
+    smol::block_on(async {
+        let mut settings = settings("0..4");
+        settings.report_lag = 300;
+        let engine = Engine::listen(settings).await.expect("listens");
+        let (client, address) = (client(), engine.address());
+        let sessions = || async {
+            client
+                .status(address, LIMIT)
+                .await
+                .expect("reports")
+                .sessions
+        };
+        assert_eq!(sessions().await, 0);
+        let first = step("a", 0, prompt("a"));
+        client.step(address, &first, LIMIT).await.expect("runs");
+        assert_eq!(sessions().await, 0);
+        agatemill_runtime::sleep(Duration::from_millis(500)).await;
+        assert_eq!(sessions().await, 1);
+    });
+}
+
+/// A step of higher priority must overtake those that wait, and throughput must be limited.
+#[test]
+fn runs_higher_priorities_first() {
+    smol::block_on(async {
+        let mut settings = settings("0..4");
+        settings.instant = false;
+        settings.batch = 1;
+        settings.throughput = "10/s".parse().expect("a rate");
+        let engine = Engine::listen(settings).await.expect("listens");
+        let (client, address) = (client(), engine.address());
+        let start = agatemill_runtime::now();
+        let steps = ["a", "b", "c", "d"].map(|session| {
+            let mut step = step(session, 0, prompt("a b"));
+            if session == "d" {
+                step.priority = Priority::Interactive;
+            }
+            let client = client.clone();
+            agatemill_runtime::spawn(async move { client.step(address, &step, LIMIT).await })
+        });
+        for step in steps {
+            step.await.expect("runs");
+        }
+        // Four steps of two positions at 10 a second.
+        let time = agatemill_runtime::now().saturating_sub(start);
+        assert!(time >= Duration::from_millis(780), "{time:?}");
+        let executions = engine.executions();
+        let order = executions
+            .iter()
+            .position(|one| one.session.as_str() == "d");
+        assert!(order.is_some_and(|order| order <= 1), "{executions:?}");
+    });
+}
--- a/crates/pipeline/tests/generation.rs
+++ b/crates/pipeline/tests/generation.rs
@@ -287,3 +287,34 @@
         assert_eq!(fleet.open_sessions(), 0);
     });
 }
+
+/// The retry budget must delay the streams of a frozen engine, not end them, while other engines answer.
+#[test]
+fn keeps_hundreds_of_streams_when_an_engine_freezes() {
+    const STREAMS: usize = 300;
+    smol::block_on(async {
+        let fleet = Fleet::start(3, Duration::from_secs(2)).await;
+        let prompt = |index: usize| format!("name {index} of {}", index * 7 + 1);
+        let streams: Vec<_> = (0..STREAMS)
+            .map(|index| fleet.spawn(&format!("r{index}"), &prompt(index)))
+            .collect();
+        let checks: Vec<_> = streams
+            .iter()
+            .enumerate()
+            .map(|(index, (receiver, _))| {
+                let (receiver, prompt) = (receiver.clone(), prompt(index));
+                agatemill_runtime::spawn(async move {
+                    fleet::check_answer(&receiver, Vec::new(), &prompt).await;
+                })
+            })
+            .collect();
+        agatemill_runtime::sleep(Duration::from_millis(60)).await;
+        fleet.fault(1, 1, |faults| faults.freeze = true);
+        for check in checks {
+            check.await;
+        }
+        assert!(fleet.count("agatemill_retries", "stage_timeout") > 0);
+        fleet.check_executions(Vec::new());
+        assert_eq!(fleet.open_sessions(), 0);
+    });
+}
