--- a/crates/fake/src/platform.rs
+++ b/crates/fake/src/platform.rs
@@ -79,6 +79,12 @@
         self.address
     }
 
+    /// A client of this stand-in whose calls take at most `timeout`.
+    #[must_use]
+    pub fn client(&self, timeout: Duration) -> agatemill_platform::Client {
+        agatemill_platform::Client::new(&[self.address], timeout)
+    }
+
     /// Changes the faults; fields that are `None` stay as they are.
     pub fn change(&self, change: &faults::Change) {
         lock(&self.state).change(change);
--- a/crates/fake/src/platform/faults.rs
+++ b/crates/fake/src/platform/faults.rs
@@ -16,6 +16,8 @@
     pub delay_ms: u64,
     /// Number of next writes whose answers are lost after they took effect.
     pub lose_writes: u64,
+    /// Number of next writes that take effect and are answered with "request timed out".
+    pub time_out_writes: u64,
     /// All answers to calls on keys with this prefix are lost, after the effect; empty for none.
     pub lose_prefix: String,
 }
@@ -32,6 +34,8 @@
     pub delay_ms: Option<u64>,
     /// See [`Faults::lose_writes`].
     pub lose_writes: Option<u64>,
+    /// See [`Faults::time_out_writes`].
+    pub time_out_writes: Option<u64>,
     /// See [`Faults::lose_prefix`].
     pub lose_prefix: Option<String>,
     /// Ends all leases now.
@@ -45,6 +49,7 @@
         self.refuse = change.refuse.unwrap_or(self.refuse);
         self.delay_ms = change.delay_ms.unwrap_or(self.delay_ms);
         self.lose_writes = change.lose_writes.unwrap_or(self.lose_writes);
+        self.time_out_writes = change.time_out_writes.unwrap_or(self.time_out_writes);
         if let Some(prefix) = &change.lose_prefix {
             self.lose_prefix.clone_from(prefix);
         }
--- a/crates/fake/src/platform/gateway.rs
+++ b/crates/fake/src/platform/gateway.rs
@@ -18,6 +18,7 @@
 const INVALID_ARGUMENT: u32 = 3;
 const NOT_FOUND: u32 = 5;
 const RESOURCE_EXHAUSTED: u32 = 8;
+const UNAVAILABLE: u32 = 14;
 
 /// Result of a call: an answer or the body of an error.
 pub type Answer<T> = Result<T, gateway::Failure>;
@@ -34,6 +35,12 @@
     failure(RESOURCE_EXHAUSTED, "etcdserver: too many requests")
 }
 
+/// Error for a write that the service did not see applied in time, although it may have been.
+#[must_use]
+pub fn timed_out() -> gateway::Failure {
+    failure(UNAVAILABLE, "etcdserver: request timed out")
+}
+
 /// The HTTP status that the gateway gives with an error.
 #[must_use]
 pub fn status(failure: &gateway::Failure) -> u16 {
--- a/crates/fake/src/platform/server.rs
+++ b/crates/fake/src/platform/server.rs
@@ -178,6 +178,10 @@
         state.faults.lose_writes -= 1;
         return None;
     }
+    if wrote && state.faults.time_out_writes > 0 {
+        state.faults.time_out_writes -= 1;
+        return Some(refuse(&gateway::timed_out()));
+    }
     if loses(body, state) {
         return None;
     }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -26,8 +26,9 @@
 /// gRPC status code "not found", which a lapsed lease gives.
 const NOT_FOUND: u32 = 5;
 
-/// gRPC status code "unavailable", which the service gives when it did not take the call.
-const UNAVAILABLE: u32 = 14;
+/// gRPC status code "canceled", which the gateway gives with a client error status. The call may have
+/// been applied by then.
+const CANCELED: u32 = 1;
 
 /// Client of the key-value service. Clones share connections.
 #[derive(Clone, Debug)]
@@ -214,7 +215,7 @@
             .http
             .send(request, self.timeout)
             .await
-            .map_err(|error| self.unavailable(&error))?;
+            .map_err(|error| without_effect(self.unavailable(&error)))?;
         if !response.status().is_success() {
             return Err(Error::Unavailable(format!(
                 "watch answered {}",
@@ -230,10 +231,7 @@
         path: &str,
         body: &impl Serialize,
     ) -> Result<T, Error> {
-        self.call(path, body).await.map_err(|error| match error {
-            Error::Uncertain(text) => Error::Unavailable(text),
-            other => other,
-        })
+        self.call(path, body).await.map_err(without_effect)
     }
 
     async fn call<T: DeserializeOwned>(
@@ -255,7 +253,9 @@
         let text = format!("{path} answered {}: {}", answer.status(), failure.message);
         match failure.code {
             NOT_FOUND => Err(Error::LeaseLapsed),
-            UNAVAILABLE => Err(Error::Unavailable(text)),
+            CANCELED => Err(Error::Uncertain(text)),
+            // Code 14 ("unavailable") comes with status 503 and is uncertain: the service also gives it
+            // for a write that was applied after its own time limit.
             _ if answer.status().is_client_error() => Err(Error::Unavailable(text)),
             _ => Err(Error::Uncertain(text)),
         }
@@ -297,6 +297,14 @@
     }
 }
 
+/// The error of a call that changes nothing, whether it arrived or not.
+fn without_effect(error: Error) -> Error {
+    match error {
+        Error::Uncertain(text) => Error::Unavailable(text),
+        other => other,
+    }
+}
+
 fn number<T: core::str::FromStr>(text: &str) -> Result<T, Error> {
     text.parse()
         .map_err(|_| Error::Malformed(format!("{text:?} is not a number")))
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -85,6 +85,12 @@
         }
         let line: gateway::Line<gateway::WatchAnswer> =
             serde_json::from_slice(line).map_err(|error| Error::Malformed(error.to_string()))?;
+        if line.result.canceled {
+            return Err(Error::Unavailable(format!(
+                "the service ended the watch; changes up to revision {:?} are dropped",
+                line.result.compact_revision
+            )));
+        }
         for event in line.result.events.into_iter().rev() {
             let change = match event.kind.as_str() {
                 "DELETE" => Change::Deleted,
