Add the failure detector and the freshness rule

Cause: controls need to know which hosts live without a coordination service, and whether they may serve while the platform is out of reach.

Change: crates/membership holds a state machine without I/O (probes in shuffled order, indirect probes, suspicion, incarnations, bounded piggyback, runs, excused pauses) and the freshness rule as a function. Two additions to the usual scheme: three members are probed each round, since with one a dead host among 30 stays without a probe for 1 s in 13% of the cases; and changes of state are told to three members at once, at most every 100 ms.

--- /dev/null
+++ b/crates/membership/src/machine.rs
@@ -0,0 +1,541 @@
+//! The state machine.
+
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::collections::BTreeMap;
+
+use fastrand::Rng;
+
+use crate::Kind;
+use crate::Member;
+use crate::Message;
+use crate::News;
+use crate::Outgoing;
+use crate::Profile;
+use crate::Settings;
+use crate::State;
+use crate::probe::Probe;
+use crate::probe::Relay;
+use agatemill_core::id;
+use agatemill_core::number::Incarnation;
+
+/// Membership as one host sees it.
+#[derive(Debug)]
+pub struct Machine {
+    settings: Settings,
+    random: Rng,
+    own: Member,
+    others: BTreeMap<id::Host, Known>,
+    /// Forgotten members; a record that is not newer does not bring them back.
+    forgotten: BTreeMap<id::Host, Known>,
+    /// Members in the order in which they are probed.
+    order: Vec<id::Host>,
+    /// Index into `order` of the next member to probe.
+    next: usize,
+    news: News,
+    /// Whether a change waits that is to be told at once.
+    urgent: bool,
+    probes: Vec<Probe>,
+    relays: Vec<Relay>,
+    last_tick: Duration,
+    next_round: Duration,
+    next_reconnect: Duration,
+    next_urgent: Duration,
+}
+
+/// Another member, with the time of the last change of its state.
+#[derive(Clone, Debug)]
+struct Known {
+    member: Member,
+    since: Duration,
+}
+
+impl Machine {
+    /// Creates the machine of the host `own`, which knows no other host yet.
+    #[must_use]
+    pub fn new(settings: Settings, own: Member, seed: u64, now: Duration) -> Self {
+        let mut news = News::default();
+        news.add(own.host.clone());
+        let mut random = Rng::with_seed(seed);
+        // Rounds of hosts that started together are spread over the interval.
+        let next_round = now + settings.probe_interval.mul_f64(random.f64());
+        Self {
+            settings,
+            random,
+            own,
+            others: BTreeMap::new(),
+            forgotten: BTreeMap::new(),
+            order: Vec::new(),
+            next: 0,
+            news,
+            urgent: true,
+            probes: Vec::new(),
+            relays: Vec::new(),
+            last_tick: now,
+            next_round,
+            next_reconnect: now,
+            next_urgent: now,
+        }
+    }
+
+    /// The record of this host.
+    #[must_use]
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// The records of all other hosts, dead ones and those that have left included.
+    pub fn others(&self) -> impl Iterator<Item = &Member> {
+        self.others.values().map(|known| &known.member)
+    }
+
+    /// All records, that of this host first.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        core::iter::once(&self.own).chain(self.others())
+    }
+
+    /// Changes what this host says of itself.
+    pub fn describe(&mut self, profile: Profile) {
+        if self.own.profile == profile {
+            return;
+        }
+        self.urgent |= self.own.profile.service != profile.service;
+        self.own.profile = profile;
+        self.own.revision += 1;
+        self.news.add(self.own.host.clone());
+    }
+
+    /// Says that this host leaves, and returns messages that tell several members.
+    pub fn leave(&mut self) -> Vec<Outgoing> {
+        self.own.incarnation = after(self.own.incarnation);
+        self.own.state = State::Left;
+        self.news.add(self.own.host.clone());
+        let mut out = Vec::new();
+        // Three times the usual number, so that a lost datagram does not turn leaving into a failure.
+        self.tell(self.settings.fanout * 3, &mut out);
+        out
+    }
+
+    /// Merges records from a full exchange.
+    ///
+    /// A host that has just started learns all members in this way and does not spread them, since the
+    /// other side knew them already: among 100 hosts that start together, that would delay other updates
+    /// by more than 10 s.
+    pub fn merge(&mut self, now: Duration, members: Vec<Member>) {
+        let news = self.news.clone();
+        let before = self.others.len();
+        self.learn_all(now, members);
+        if self.others.len() > before + self.settings.updates {
+            self.news = news;
+            self.news.add(self.own.host.clone());
+        }
+    }
+
+    fn learn_all(&mut self, now: Duration, members: Vec<Member>) {
+        for member in members {
+            self.learn(now, member);
+        }
+    }
+
+    /// Takes a message that arrived from `address` and returns what to send.
+    pub fn receive(
+        &mut self,
+        now: Duration,
+        address: SocketAddr,
+        message: Message,
+    ) -> Vec<Outgoing> {
+        let incarnation = self.own.incarnation;
+        let Message {
+            from,
+            kind,
+            sequence,
+            members,
+        } = message;
+        self.learn_all(now, members);
+        let mut out = Vec::new();
+        match kind {
+            Kind::Ping => out.push(self.compose(address, Some(&from), Kind::Ack, sequence)),
+            Kind::Ack => self.acknowledge(sequence, &mut out),
+            Kind::PingRequest { target } => self.relay(now, address, &target, sequence, &mut out),
+        }
+        if self.own.incarnation != incarnation {
+            // Whoever passed on the suspicion gets the refutation first; after a split, it may be the
+            // only member on its side that this host has contact with.
+            let sequence = self.random.u64(..);
+            out.push(self.compose(address, Some(&from), Kind::Ping, sequence));
+        }
+        out
+    }
+
+    /// Does what is due, and returns what to send. To be called about every 50 ms.
+    pub fn tick(&mut self, now: Duration) -> Vec<Outgoing> {
+        let mut out = Vec::new();
+        self.excuse_pause(now);
+        self.advance_probes(now, &mut out);
+        self.expire_suspicions(now);
+        self.forget(now);
+        if self.own.state == State::Left {
+            return out;
+        }
+        self.start_round(now, &mut out);
+        self.reconnect(now, &mut out);
+        self.tell_urgent(now, &mut out);
+        out
+    }
+
+    /// After a pause of this process, unanswered probes say nothing about their targets, and
+    /// refutations may still wait in the socket; suspects get the time of the pause back.
+    fn excuse_pause(&mut self, now: Duration) {
+        let gap = now.saturating_sub(self.last_tick);
+        self.last_tick = now;
+        if gap <= self.settings.pause {
+            return;
+        }
+        log::warn!(gap:? = gap; "members: this process was paused");
+        self.probes.clear();
+        self.relays.clear();
+        self.next_round = now + self.settings.probe_interval;
+        for known in self.others.values_mut() {
+            if known.member.state == State::Suspect {
+                known.since += gap;
+            }
+        }
+    }
+
+    fn advance_probes(&mut self, now: Duration, out: &mut Vec<Outgoing>) {
+        let direct = self.settings.direct_timeout;
+        let all = direct + self.settings.indirect_timeout;
+        for mut probe in core::mem::take(&mut self.probes) {
+            let waited = now.saturating_sub(probe.started);
+            if waited >= all {
+                self.suspect(now, &probe.target);
+                // Carries the suspicion, so that a target that is alive refutes it at once.
+                out.extend(self.compose_to(&probe.target, Kind::Ping, probe.sequence));
+                continue;
+            }
+            if waited >= direct && !probe.indirect {
+                probe.indirect = true;
+                self.ask_helpers(&probe, out);
+            }
+            self.probes.push(probe);
+        }
+        self.relays.retain(|relay| relay.expires > now);
+    }
+
+    /// Asks other members to probe the target, and repeats the direct probe: with a tenth of datagrams
+    /// lost, this makes a false suspicion five times as rare.
+    fn ask_helpers(&mut self, probe: &Probe, out: &mut Vec<Outgoing>) {
+        out.extend(self.compose_to(&probe.target, Kind::Ping, probe.sequence));
+        for helper in self.pick(self.settings.helpers, Some(&probe.target)) {
+            let kind = Kind::PingRequest {
+                target: probe.target.clone(),
+            };
+            let message = self.compose_to(&helper, kind, probe.sequence);
+            out.extend(message);
+        }
+    }
+
+    fn suspect(&mut self, now: Duration, host: &id::Host) {
+        let Some(known) = self.others.get(host) else {
+            return;
+        };
+        if known.member.state == State::Alive {
+            let mut member = known.member.clone();
+            member.state = State::Suspect;
+            self.learn(now, member);
+        }
+    }
+
+    fn expire_suspicions(&mut self, now: Duration) {
+        let limit = self.settings.suspicion_among(self.present().count() + 1);
+        let expired = |known: &&Known| {
+            known.member.state == State::Suspect && now.saturating_sub(known.since) >= limit
+        };
+        let expired: Vec<_> = self.others.values().filter(expired).cloned().collect();
+        for mut known in expired {
+            known.member.state = State::Dead;
+            self.learn(now, known.member);
+        }
+    }
+
+    fn forget(&mut self, now: Duration) {
+        let retention = self.settings.retention;
+        let old = |known: &Known| {
+            !known.member.state.is_present() && now.saturating_sub(known.since) >= retention
+        };
+        let hosts: Vec<_> = self
+            .others
+            .iter()
+            .filter(|(_, known)| old(known))
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in hosts {
+            if let Some(known) = self.others.remove(&host) {
+                self.forgotten.insert(
+                    host,
+                    Known {
+                        since: now,
+                        ..known
+                    },
+                );
+            }
+        }
+        // Twice the retention, because another member may have kept the record for that much longer.
+        self.forgotten
+            .retain(|_, known| now.saturating_sub(known.since) < 2 * retention);
+    }
+
+    fn start_round(&mut self, now: Duration, out: &mut Vec<Outgoing>) {
+        if now < self.next_round {
+            return;
+        }
+        self.next_round = now + self.settings.probe_interval;
+        for _ in 0..self.settings.probes {
+            let Some(target) = self.next_target() else {
+                return;
+            };
+            let sequence = self.random.u64(..);
+            let message = self.compose_to(&target, Kind::Ping, sequence);
+            out.extend(message);
+            self.probes.push(Probe {
+                target,
+                sequence,
+                started: now,
+                indirect: false,
+            });
+        }
+    }
+
+    /// The next member in shuffled order that takes part and is not being probed.
+    fn next_target(&mut self) -> Option<id::Host> {
+        for _ in 0..=self.order.len() {
+            if self.next >= self.order.len() {
+                self.order = self.present().map(|member| member.host.clone()).collect();
+                self.random.shuffle(&mut self.order);
+                self.next = 0;
+            }
+            let host = self.order.get(self.next)?.clone();
+            self.next += 1;
+            let present = self
+                .others
+                .get(&host)
+                .is_some_and(|known| known.member.state.is_present());
+            if present && !self.probes.iter().any(|probe| probe.target == host) {
+                return Some(host);
+            }
+        }
+        None
+    }
+
+    /// Pings one dead member; after a split has healed, it answers and refutes its death.
+    fn reconnect(&mut self, now: Duration, out: &mut Vec<Outgoing>) {
+        if now < self.next_reconnect {
+            return;
+        }
+        self.next_reconnect = now + self.settings.reconnect_interval;
+        let dead: Vec<_> = self
+            .others()
+            .filter(|member| member.state == State::Dead)
+            .map(|member| member.host.clone())
+            .collect();
+        if let Some(host) = self.random.choice(dead) {
+            let sequence = self.random.u64(..);
+            out.extend(self.compose_to(&host, Kind::Ping, sequence));
+        }
+    }
+
+    fn tell_urgent(&mut self, now: Duration, out: &mut Vec<Outgoing>) {
+        if self.urgent && now >= self.next_urgent {
+            self.urgent = false;
+            self.next_urgent = now + self.settings.urgent_interval;
+            self.tell(self.settings.fanout, out);
+        }
+    }
+
+    /// Sends updates to random members. An acknowledgement of no question carries them, because it
+    /// needs no answer.
+    fn tell(&mut self, count: usize, out: &mut Vec<Outgoing>) {
+        for host in self.pick(count, None) {
+            let sequence = self.random.u64(..);
+            out.extend(self.compose_to(&host, Kind::Ack, sequence));
+        }
+    }
+
+    fn acknowledge(&mut self, sequence: u64, out: &mut Vec<Outgoing>) {
+        self.probes.retain(|probe| probe.sequence != sequence);
+        if let Some(index) = self
+            .relays
+            .iter()
+            .position(|relay| relay.sequence == sequence)
+        {
+            let relay = self.relays.swap_remove(index);
+            out.push(self.compose(relay.address, None, Kind::Ack, relay.asked));
+        }
+    }
+
+    fn relay(
+        &mut self,
+        now: Duration,
+        address: SocketAddr,
+        target: &id::Host,
+        asked: u64,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let sequence = self.random.u64(..);
+        let Some(ping) = self.compose_to(target, Kind::Ping, sequence) else {
+            return;
+        };
+        out.push(ping);
+        self.relays.push(Relay {
+            sequence,
+            address,
+            asked,
+            expires: now + self.settings.indirect_timeout,
+        });
+    }
+
+    fn learn(&mut self, now: Duration, member: Member) {
+        if member.host == self.own.host {
+            self.defend(&member);
+            return;
+        }
+        let Some(known) = self.others.get_mut(&member.host) else {
+            self.welcome(now, member);
+            return;
+        };
+        let merged = known.member.merge(&member);
+        if merged == known.member {
+            return;
+        }
+        let old = core::mem::replace(&mut known.member, merged.clone());
+        if old.state != merged.state {
+            known.since = now;
+            log::info!(host:% = merged.host, state:? = merged.state; "members: state changed");
+        }
+        self.urgent |= old.state != merged.state || old.profile.service != merged.profile.service;
+        if merged.state.is_present() && !old.state.is_present() {
+            self.enqueue(merged.host.clone());
+        }
+        if !merged.state.is_present() {
+            self.probes.retain(|probe| probe.target != merged.host);
+        }
+        self.news.add(merged.host);
+    }
+
+    /// Adds a member that was not known.
+    fn welcome(&mut self, now: Duration, member: Member) {
+        if let Some(old) = self.forgotten.get(&member.host) {
+            if old.member.merge(&member).standing() == old.member.standing()
+                && old.member.run >= member.run
+            {
+                return;
+            }
+            self.forgotten.remove(&member.host);
+        }
+        log::info!(host:% = member.host, state:? = member.state; "members: new member");
+        if member.state.is_present() {
+            self.enqueue(member.host.clone());
+            self.urgent = true;
+        }
+        self.news.add(member.host.clone());
+        let known = Known { member, since: now };
+        self.others.insert(known.member.host.clone(), known);
+    }
+
+    /// Puts a member at a random place of the probe order, so that members that join together are not
+    /// probed together.
+    fn enqueue(&mut self, host: id::Host) {
+        if !self.order.contains(&host) {
+            let index = self.random.usize(..=self.order.len());
+            self.order.insert(index, host);
+        }
+    }
+
+    /// Takes what others say of this host, and refutes what is wrong.
+    fn defend(&mut self, said: &Member) {
+        if said.run < self.own.run || (said.run == self.own.run && self.agrees(said)) {
+            if (said.run, said.standing()) < (self.own.run, self.own.standing()) {
+                // The sender has missed the refutation.
+                self.news.add(self.own.host.clone());
+            }
+            return;
+        }
+        if said.run > self.own.run {
+            // The wall clock, which run ids come from, has gone back since the last run.
+            self.own.run = said.run.saturating_add(1);
+        }
+        self.own.incarnation = after(self.own.incarnation.max(said.incarnation));
+        self.own.revision = self.own.revision.max(said.revision).saturating_add(1);
+        self.news.add(self.own.host.clone());
+        self.urgent = true;
+        log::warn!(state:? = said.state, incarnation:% = self.own.incarnation;
+            "members: refuted a record of this host");
+    }
+
+    fn agrees(&self, said: &Member) -> bool {
+        let standing = said.standing() <= self.own.standing();
+        let described = said.revision < self.own.revision
+            || (said.revision == self.own.revision && said.profile == self.own.profile);
+        standing && described
+    }
+
+    fn present(&self) -> impl Iterator<Item = &Member> {
+        self.others().filter(|member| member.state.is_present())
+    }
+
+    /// Up to `count` random members that are alive, without `except`.
+    fn pick(&mut self, count: usize, except: Option<&id::Host>) -> Vec<id::Host> {
+        let alive: Vec<_> = self
+            .others()
+            .filter(|member| member.state == State::Alive && Some(&member.host) != except)
+            .map(|member| member.host.clone())
+            .collect();
+        self.random.choose_multiple(alive, count)
+    }
+
+    fn compose_to(&mut self, host: &id::Host, kind: Kind, sequence: u64) -> Option<Outgoing> {
+        let address = self.others.get(host)?.member.profile.gossip;
+        Some(self.compose(address, Some(host), kind, sequence))
+    }
+
+    /// A message with updates. A receiver that is not thought to be alive gets its own record, so that
+    /// it can refute it, and a receiver that was thought dead gets that of this host.
+    fn compose(
+        &mut self,
+        address: SocketAddr,
+        to: Option<&id::Host>,
+        kind: Kind,
+        sequence: u64,
+    ) -> Outgoing {
+        let accused = to
+            .and_then(|host| self.others.get(host))
+            .map(|known| &known.member)
+            .filter(|member| member.state != State::Alive)
+            .cloned();
+        let mut members: Vec<_> = accused.into_iter().collect();
+        if members.iter().any(|member| !member.state.is_present()) {
+            members.push(self.own.clone());
+        }
+        let room = self.settings.updates.saturating_sub(members.len());
+        let copies = members
+            .is_empty()
+            .then(|| self.settings.copies_among(self.others.len() + 1));
+        for host in self.news.take(room, copies) {
+            let known = self.others.get(&host).map(|known| &known.member);
+            let own = (host == self.own.host).then_some(&self.own);
+            members.extend(known.or(own).cloned());
+        }
+        let message = Message {
+            from: self.own.host.clone(),
+            kind,
+            sequence,
+            members,
+        };
+        Outgoing { address, message }
+    }
+}
+
+/// The next incarnation. Saturates, because a malformed datagram must not stop the process.
+fn after(incarnation: Incarnation) -> Incarnation {
+    Incarnation(incarnation.0.saturating_add(1))
+}
--- /dev/null
+++ b/crates/membership/tests/merge.rs
@@ -0,0 +1,53 @@
+//! The merge rule: records arrive in any order, any number of times.
+
+use proptest::prelude::*;
+
+use crate::network::member;
+use agatemill_core::number::Generation;
+use agatemill_core::number::Incarnation;
+use agatemill_membership::Member;
+use agatemill_membership::State;
+
+#[allow(dead_code)]
+mod network;
+
+fn members() -> impl Strategy<Value = Member> {
+    let state = prop_oneof![
+        Just(State::Alive),
+        Just(State::Suspect),
+        Just(State::Dead),
+        Just(State::Left),
+    ];
+    (0..3_u64, 0..3_u64, state, 0..3_u64, 0..3_u64).prop_map(
+        |(run, incarnation, state, revision, generation)| {
+            let mut record = member(0, run);
+            record.incarnation = Incarnation(incarnation);
+            record.state = state;
+            record.revision = revision;
+            record.profile.generation = Generation(generation);
+            record
+        },
+    )
+}
+
+proptest! {
+    /// Guards against members that disagree for ever because they heard the same news in another order.
+    #[test]
+    fn order_and_repetition_do_not_matter(a in members(), b in members(), c in members()) {
+        prop_assert_eq!(a.merge(&a), a.clone());
+        prop_assert_eq!(a.merge(&b), b.merge(&a));
+        prop_assert_eq!(a.merge(&b).merge(&c), a.merge(&b.merge(&c)));
+        prop_assert_eq!(a.merge(&b).merge(&b), a.merge(&b));
+    }
+
+    /// Guards against old news that undoes newer news.
+    #[test]
+    fn nothing_goes_back(a in members(), b in members()) {
+        let merged = a.merge(&b);
+        prop_assert!(merged.run >= a.run);
+        if merged.run == a.run {
+            prop_assert!(merged.standing() >= a.standing());
+            prop_assert!(merged.revision >= a.revision);
+        }
+    }
+}
