config: parse and check documents, load settings files

Cause: entry, control and the command line need a document that is known to be whole, and operators need all of its faults at once with field and line.

Change: Document::parse reads each field on its own from toml's spanned tree and reports every fault; the invariants stated on the types are checked afterwards, also when some parts could not be read. A call that an earlier call hides is a fault, because an idempotent `/*` ahead of a payment would let the payment be sent again. settings::load reads a TOML file into a serde type and refuses unknown keys through serde_ignored, whether or not the type says deny_unknown_fields.

Conclusion: entry and control can use both functions now.

--- /dev/null
+++ b/crates/config/src/check/engines.rs
@@ -0,0 +1,44 @@
+//! Checks of single engines.
+
+use std::collections::HashMap;
+
+use crate::check::Context;
+use crate::check::parts;
+use crate::check::places::Places;
+use crate::path::Path;
+
+pub(crate) fn check<'a>(context: &Context<'a>, places: &mut Places<'a>) {
+    let models: HashMap<_, _> = parts(&context.draft.models)
+        .map(|(_, model)| ((&model.name, &model.version), model.layers))
+        .collect();
+    let list = Path::root("engine");
+    for (index, engine) in parts(&context.draft.engines) {
+        let path = list.index(index);
+        places.check(&path, &engine.name, engine.address);
+        context.half(&path.key("half"), engine.half.as_str());
+        context.zone(&path.key("zone"), engine.zone.as_str());
+        let name = (engine.model.as_str(), engine.version.as_str());
+        context.ensure(
+            context.names.versions.contains(&name),
+            &path.key("model"),
+            format_args!("{} version {}", engine.model, engine.version),
+            "a model and version of this document",
+        );
+        if let Some(layers) = models.get(&(&engine.model, &engine.version)) {
+            context.ensure(
+                engine.layers.end() <= *layers,
+                &path.key("layers"),
+                engine.layers,
+                format_args!("a range within the {layers} layers of {}", engine.model),
+            );
+        }
+        context.ensure(
+            engine.throughput.per_second() > 0.0,
+            &path.key("throughput"),
+            engine.throughput,
+            "a rate above 0/s",
+        );
+        let expected = "at least 1 step";
+        context.ensure(engine.batch > 0, &path.key("batch"), engine.batch, expected);
+    }
+}
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -10,6 +10,8 @@
 pub mod settings;
 pub mod zone;
 
+pub(crate) mod draft;
+
 pub use call::Call;
 pub use engine::Engine;
 pub use link::Link;
@@ -23,6 +25,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::check;
+use crate::fault::Faults;
+use crate::source::Source;
+use agatemill_core::Digest;
 use agatemill_core::id;
 
 /// The operators' configuration, as written in TOML.
@@ -58,3 +64,42 @@
     #[serde(default, rename = "organisation")]
     pub organisations: Vec<Organisation>,
 }
+
+impl Document {
+    /// Parses and checks a document. All faults are reported together, except that a syntax error is
+    /// reported alone; nothing is taken in part.
+    ///
+    /// # Errors
+    ///
+    /// [`Faults`] with field, line, what was found and what is expected.
+    ///
+    /// # Panics
+    ///
+    /// Never: a part that could not be read has a fault.
+    pub fn parse(text: &str) -> Result<Self, Faults> {
+        let source = Source::new(text)?;
+        let draft = draft::Draft::read(&source);
+        check::run(&source, &draft);
+        source.finish()?;
+        let document = draft.complete();
+        Ok(document.expect("a part that could not be read has a fault"))
+    }
+
+    /// Digest of the text of a document, as in [`Envelope`](crate::Envelope). Two texts with the same
+    /// meaning but different spelling have different digests.
+    #[must_use]
+    pub fn digest(text: &str) -> Digest {
+        Digest::of(text.as_bytes())
+    }
+
+    /// Writes the document as TOML that [`Document::parse`] reads back to the same value. Comments of
+    /// the original text are not part of a document and are lost.
+    ///
+    /// # Panics
+    ///
+    /// Never: every part of a document has a TOML form.
+    #[must_use]
+    pub fn to_toml(&self) -> String {
+        toml::to_string(self).expect("every part of a document has a TOML form")
+    }
+}
--- a/crates/config/src/document/call.rs
+++ b/crates/config/src/document/call.rs
@@ -4,6 +4,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::read::Read;
+use crate::read::Reader;
+
 /// What is agreed about one kind of call of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -15,3 +18,16 @@
     /// Whether the call may be sent more than once. A call that is not needs an `Idempotency-Key`.
     pub idempotent: bool,
 }
+
+impl Read for Call {
+    fn read(reader: &mut Reader<'_>) -> Option<Self> {
+        let method = reader.required("method");
+        let path = reader.required("path");
+        let idempotent = reader.required("idempotent");
+        Some(Self {
+            method: method?,
+            path: path?,
+            idempotent: idempotent?,
+        })
+    }
+}
--- a/crates/config/src/document/engine.rs
+++ b/crates/config/src/document/engine.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::read::Read;
+use crate::read::Reader;
 use agatemill_core::id;
 use agatemill_core::layer;
 use agatemill_core::quantity::Rate;
@@ -37,3 +39,32 @@
     #[serde(default)]
     pub fencing: bool,
 }
+
+impl Read for Engine {
+    fn read(reader: &mut Reader<'_>) -> Option<Self> {
+        let name = reader.required("name");
+        let address = reader.required("address");
+        let half = reader.required("half");
+        let zone = reader.required("zone");
+        let accelerator = reader.required("accelerator");
+        let model = reader.required("model");
+        let version = reader.required("version");
+        let layers = reader.required("layers");
+        let throughput = reader.required("throughput");
+        let batch = reader.required("batch");
+        let fencing = reader.optional("fencing", false);
+        Some(Self {
+            name: name?,
+            address: address?,
+            half: half?,
+            zone: zone?,
+            accelerator: accelerator?,
+            model: model?,
+            version: version?,
+            layers: layers?,
+            throughput: throughput?,
+            batch: batch?,
+            fencing: fencing?,
+        })
+    }
+}
--- a/crates/config/src/document/link.rs
+++ b/crates/config/src/document/link.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::read::Read;
+use crate::read::Reader;
 use agatemill_core::id;
 use agatemill_core::quantity::Size;
 use agatemill_core::quantity::Time;
@@ -20,3 +22,18 @@
     /// Bytes that pass in a second.
     pub bandwidth: Size,
 }
+
+impl Read for Link {
+    fn read(reader: &mut Reader<'_>) -> Option<Self> {
+        let from = reader.required("from");
+        let to = reader.required("to");
+        let latency = reader.required("latency");
+        let bandwidth = reader.required("bandwidth");
+        Some(Self {
+            from: from?,
+            to: to?,
+            latency: latency?,
+            bandwidth: bandwidth?,
+        })
+    }
+}
--- a/crates/config/src/document/model.rs
+++ b/crates/config/src/document/model.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::read::Read;
+use crate::read::Reader;
 use agatemill_core::id;
 use agatemill_core::quantity::Size;
 
@@ -19,3 +21,18 @@
     /// Bytes of the activation of one token between two stages.
     pub activation: Size,
 }
+
+impl Read for Model {
+    fn read(reader: &mut Reader<'_>) -> Option<Self> {
+        let name = reader.required("name");
+        let version = reader.required("version");
+        let layers = reader.required("layers");
+        let activation = reader.required("activation");
+        Some(Self {
+            name: name?,
+            version: version?,
+            layers: layers?,
+            activation: activation?,
+        })
+    }
+}
--- a/crates/config/src/document/organisation.rs
+++ b/crates/config/src/document/organisation.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::read::Read;
+use crate::read::Reader;
 use agatemill_core::Digest;
 use agatemill_core::Priority;
 use agatemill_core::id;
@@ -39,3 +41,28 @@
 fn one() -> u32 {
     1
 }
+
+impl Read for Organisation {
+    fn read(reader: &mut Reader<'_>) -> Option<Self> {
+        let name = reader.required("name");
+        let half = reader.required("half");
+        let tokens = reader.required_list("tokens");
+        let models = reader.list("models");
+        let services = reader.list("services");
+        let rate = reader.required("rate");
+        let concurrency = reader.required("concurrency");
+        let weight = reader.optional("weight", one());
+        let priority = reader.optional("priority", Priority::default());
+        Some(Self {
+            name: name?,
+            half: half?,
+            tokens: tokens?,
+            models: models?,
+            services: services?,
+            rate: rate?,
+            concurrency: concurrency?,
+            weight: weight?,
+            priority: priority?,
+        })
+    }
+}
--- a/crates/config/src/document/server.rs
+++ b/crates/config/src/document/server.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::read::Read;
+use crate::read::Reader;
 use agatemill_core::id;
 
 /// A backend server of a plain service.
@@ -18,3 +20,16 @@
     /// Zone that it is in.
     pub zone: id::Zone,
 }
+
+impl Read for Server {
+    fn read(reader: &mut Reader<'_>) -> Option<Self> {
+        let name = reader.required("name");
+        let address = reader.required("address");
+        let zone = reader.required("zone");
+        Some(Self {
+            name: name?,
+            address: address?,
+            zone: zone?,
+        })
+    }
+}
--- a/crates/config/src/document/service.rs
+++ b/crates/config/src/document/service.rs
@@ -5,6 +5,8 @@
 
 use crate::document::Call;
 use crate::document::Server;
+use crate::read::Read;
+use crate::read::Reader;
 use agatemill_core::id;
 
 /// A plain application service of one half.
@@ -22,3 +24,18 @@
     #[serde(rename = "call")]
     pub calls: Vec<Call>,
 }
+
+impl Read for Service {
+    fn read(reader: &mut Reader<'_>) -> Option<Self> {
+        let name = reader.required("name");
+        let half = reader.required("half");
+        let servers = reader.required_tables("server");
+        let calls = reader.required_tables("call");
+        Some(Self {
+            name: name?,
+            half: half?,
+            servers: servers?,
+            calls: calls?,
+        })
+    }
+}
--- a/crates/config/src/document/settings.rs
+++ b/crates/config/src/document/settings.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::read::Read;
+use crate::read::Reader;
 use agatemill_core::quantity::Rate;
 use agatemill_core::quantity::Size;
 use agatemill_core::quantity::Time;
@@ -43,3 +45,27 @@
         }
     }
 }
+
+impl Read for Settings {
+    fn read(reader: &mut Reader<'_>) -> Option<Self> {
+        let default = Self::default();
+        let call_retention = reader.optional("call_retention", default.call_retention);
+        let call_answer_limit = reader.optional("call_answer_limit", default.call_answer_limit);
+        let address_lifetime = reader.optional("address_lifetime", default.address_lifetime);
+        let freshness_limit = reader.optional("freshness_limit", default.freshness_limit);
+        let request_deadline = reader.optional("request_deadline", default.request_deadline);
+        let step_timeout = reader.optional("step_timeout", default.step_timeout);
+        let load_rate = reader.optional("load_rate", default.load_rate);
+        let link_latency = reader.optional("link_latency", default.link_latency);
+        Some(Self {
+            call_retention: call_retention?,
+            call_answer_limit: call_answer_limit?,
+            address_lifetime: address_lifetime?,
+            freshness_limit: freshness_limit?,
+            request_deadline: request_deadline?,
+            step_timeout: step_timeout?,
+            load_rate: load_rate?,
+            link_latency: link_latency?,
+        })
+    }
+}
--- a/crates/config/src/document/zone.rs
+++ b/crates/config/src/document/zone.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::read::Read;
+use crate::read::Reader;
 use agatemill_core::id;
 
 /// An availability zone.
@@ -14,3 +16,14 @@
     /// Region that the zone is in.
     pub region: id::Region,
 }
+
+impl Read for Zone {
+    fn read(reader: &mut Reader<'_>) -> Option<Self> {
+        let name = reader.required("name");
+        let region = reader.required("region");
+        Some(Self {
+            name: name?,
+            region: region?,
+        })
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,17 @@
 
 pub mod document;
 pub mod envelope;
+pub mod fault;
+pub mod settings;
+
+mod check;
+mod lines;
+mod path;
+mod read;
+mod short;
+mod source;
 
 pub use document::Document;
 pub use envelope::Envelope;
+pub use fault::Fault;
+pub use fault::Faults;
