--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,6 +4,8 @@
 //! and which organisations may use them. It names no environment, because the same document is tried in
 //! one environment and promoted to another. A document is taken whole or not at all.
 
+pub mod change;
+pub mod diff;
 pub mod document;
 pub mod envelope;
 pub mod fault;
@@ -16,6 +18,8 @@
 mod short;
 mod source;
 
+pub use change::Change;
+pub use diff::diff;
 pub use document::Document;
 pub use envelope::Envelope;
 pub use fault::Fault;
