--- a/tests/all/caller.rs
+++ b/tests/all/caller.rs
@@ -12,7 +12,7 @@
 use ureq::Agent;
 
 /// Longest time that a caller waits; far above every deadline of the system.
-const LIMIT: Duration = Duration::from_secs(60);
+const LIMIT: Duration = Duration::from_mins(1);
 
 /// An answer as a caller sees it.
 #[derive(Clone, Debug, Default)]
@@ -37,7 +37,10 @@
     /// Status, outcome and reason in one line.
     pub fn summary(&self) -> String {
         let mut text = format!("{} {}", self.status, self.outcome);
-        for word in [self.reason.as_str(), if self.replayed { "replayed" } else { "" }] {
+        for word in [
+            self.reason.as_str(),
+            if self.replayed { "replayed" } else { "" },
+        ] {
             if !word.is_empty() {
                 text.push(' ');
                 text.push_str(word);
@@ -57,12 +60,23 @@
 impl Caller {
     /// Creates a caller with a bearer token.
     pub fn new(token: &str) -> Self {
-        let config = Agent::config_builder().http_status_as_error(false).timeout_global(Some(LIMIT));
-        Self { agent: config.build().into(), token: token.to_owned() }
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(LIMIT));
+        Self {
+            agent: config.build().into(),
+            token: token.to_owned(),
+        }
     }
 
     /// Sends a request with a JSON body.
-    pub fn post(&self, entry: SocketAddr, path: &str, headers: &[(&str, &str)], body: &Value) -> Answer {
+    pub fn post(
+        &self,
+        entry: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &Value,
+    ) -> Answer {
         let mut request = self
             .agent
             .post(format!("http://{entry}{path}"))
@@ -125,7 +139,10 @@
 
 fn head(response: &ureq::http::Response<ureq::Body>) -> Answer {
     let header = |name: &str| {
-        let value = response.headers().get(name).and_then(|value| value.to_str().ok());
+        let value = response
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok());
         value.unwrap_or_default().to_owned()
     };
     Answer {
@@ -140,7 +157,12 @@
     let mut answer = head(&response);
     match response.into_body().read_to_string() {
         Ok(body) => answer.body = body,
-        Err(_) => return Answer { status: 0, ..answer },
+        Err(_) => {
+            return Answer {
+                status: 0,
+                ..answer
+            };
+        }
     }
     answer.reason = reason(&answer.body);
     answer.finished = true;
@@ -149,7 +171,11 @@
 
 fn reason(body: &str) -> String {
     let problem: HashMap<String, Value> = serde_json::from_str(body).unwrap_or_default();
-    problem.get("reason").and_then(Value::as_str).unwrap_or_default().to_owned()
+    problem
+        .get("reason")
+        .and_then(Value::as_str)
+        .unwrap_or_default()
+        .to_owned()
 }
 
 /// Reads server-sent events until the stream ends.
--- a/tests/all/plan.rs
+++ b/tests/all/plan.rs
@@ -3,9 +3,8 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 
-use agatemill_core::Digest;
-
 use crate::network::Network;
+use agatemill_core::Digest;
 
 /// Halves of every document.
 pub const HALVES: [&str; 2] = ["kadunaledger", "toponymie"];
@@ -79,7 +78,10 @@
                 }
             }
         }
-        let server = |number| Server { name: format!("p{number}"), address: network.backend(100 + number) };
+        let server = |number| Server {
+            name: format!("p{number}"),
+            address: network.backend(100 + number),
+        };
         Self {
             engines,
             servers: (0..servers).map(server).collect(),
@@ -102,7 +104,10 @@
 
     /// The document in TOML, without the engines and servers named in `without`.
     pub fn document(&self, without: &[String]) -> String {
-        let mut text = format!("halves = [\"{}\", \"{}\"]\n\n[settings]\n{}\n", HALVES[0], HALVES[1], self.settings);
+        let mut text = format!(
+            "halves = [\"{}\", \"{}\"]\n\n[settings]\n{}\n",
+            HALVES[0], HALVES[1], self.settings
+        );
         for zone in ZONES {
             writeln!(text, "[[zone]]\nname = \"{zone}\"\nregion = \"r\"\n").expect("text grows");
         }
@@ -112,7 +117,11 @@
             "[[model]]\nname = \"{MODEL}\"\nversion = \"1\"\nlayers = {layers}\nactivation = \"8KiB\"\n"
         )
         .expect("text grows");
-        for engine in self.engines.iter().filter(|engine| !without.contains(&engine.name)) {
+        for engine in self
+            .engines
+            .iter()
+            .filter(|engine| !without.contains(&engine.name))
+        {
             self.write_engine(&mut text, engine);
         }
         self.write_service(&mut text, without);
@@ -121,7 +130,14 @@
     }
 
     fn write_engine(&self, text: &mut String, engine: &Engine) {
-        let Engine { name, address, layers, half, zone, fencing } = engine;
+        let Engine {
+            name,
+            address,
+            layers,
+            half,
+            zone,
+            fencing,
+        } = engine;
         let throughput = self.throughput;
         writeln!(
             text,
@@ -137,11 +153,23 @@
         if self.servers.is_empty() {
             return;
         }
-        writeln!(text, "[[service]]\nname = \"payments\"\nhalf = \"{}\"\n", HALVES[0]).expect("text grows");
-        for server in self.servers.iter().filter(|server| !without.contains(&server.name)) {
+        writeln!(
+            text,
+            "[[service]]\nname = \"payments\"\nhalf = \"{}\"\n",
+            HALVES[0]
+        )
+        .expect("text grows");
+        for server in self
+            .servers
+            .iter()
+            .filter(|server| !without.contains(&server.name))
+        {
             let Server { name, address } = server;
-            writeln!(text, "[[service.server]]\nname = \"{name}\"\naddress = \"{address}\"\nzone = \"a\"\n")
-                .expect("text grows");
+            writeln!(
+                text,
+                "[[service.server]]\nname = \"{name}\"\naddress = \"{address}\"\nzone = \"a\"\n"
+            )
+            .expect("text grows");
         }
         for (method, path, idempotent) in [("POST", "/pay", false), ("GET", "/*", true)] {
             writeln!(
@@ -153,11 +181,20 @@
     }
 
     fn write_organisations(&self, text: &mut String) {
-        let halves = 1 + self.engines.iter().map(|engine| engine.half).max().unwrap_or(0);
+        let halves = 1 + self
+            .engines
+            .iter()
+            .map(|engine| engine.half)
+            .max()
+            .unwrap_or(0);
         let (rate, concurrency) = &self.limits;
         for (index, half) in HALVES.iter().enumerate().take(halves) {
             let digest = Digest::of(Self::token(index).as_bytes());
-            let services = if index == 0 && !self.servers.is_empty() { "\"payments\"" } else { "" };
+            let services = if index == 0 && !self.servers.is_empty() {
+                "\"payments\""
+            } else {
+                ""
+            };
             writeln!(
                 text,
                 "[[organisation]]\nname = \"org-{half}\"\nhalf = \"{half}\"\ntokens = [\"{digest}\"]\n\
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -30,16 +30,28 @@
     /// Starts a program; its log lines go to a file in `directory`.
     pub fn start(name: &str, program: &Path, arguments: &[String], directory: &Path) -> Self {
         let log = directory.join(format!("{name}.log"));
-        let file = File::options().create(true).append(true).open(&log).expect("log file");
+        let file = File::options()
+            .create(true)
+            .append(true)
+            .open(&log)
+            .expect("log file");
         let child = Command::new(program)
             .args(arguments)
-            .env("RUST_LOG", std::env::var("RUST_LOG").unwrap_or_else(|_| "info".to_owned()))
+            .env(
+                "RUST_LOG",
+                std::env::var("RUST_LOG").unwrap_or_else(|_| "info".to_owned()),
+            )
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(file)
             .spawn()
             .unwrap_or_else(|error| panic!("{} cannot be started: {error}", program.display()));
-        Self { name: name.to_owned(), child, log, paused: false }
+        Self {
+            name: name.to_owned(),
+            child,
+            log,
+            paused: false,
+        }
     }
 
     /// Waits for the line `listening on ADDR` and returns the address.
@@ -48,11 +60,18 @@
         let mut lines = BufReader::new(stdout).lines();
         let found = lines.find_map(|line| {
             let line = line.ok()?;
-            line.strip_prefix("listening on ").and_then(|address| address.trim().parse().ok())
+            line.strip_prefix("listening on ")
+                .and_then(|address| address.trim().parse().ok())
         });
         // The pipe stays open and is drained, so that the process never blocks on it.
         std::thread::spawn(move || lines.for_each(drop));
-        found.unwrap_or_else(|| panic!("{} ended before it listened:\n{}", self.name, self.log_text()))
+        found.unwrap_or_else(|| {
+            panic!(
+                "{} ended before it listened:\n{}",
+                self.name,
+                self.log_text()
+            )
+        })
     }
 
     /// The log so far.
--- /dev/null
+++ b/tests/all/verdict.rs
@@ -0,0 +1,93 @@
+//! Verdicts on what the stand-ins executed.
+
+use std::collections::BTreeMap;
+
+use serde_json::Value;
+
+use crate::caller::Answer;
+use crate::plan::MODEL;
+use crate::world::World;
+use agatemill_fake::model;
+
+/// The prompt as engines see it.
+fn prompt(content: &str) -> String {
+    format!("user: {content}\nassistant: ")
+}
+
+/// Compares an answer with the only right one.
+pub fn chat(world: &World, content: &str, answer: &Answer) -> String {
+    if answer.status != 200 {
+        return answer.summary();
+    }
+    let tokens = model::expected(MODEL, world.plan.layers(), &prompt(content), usize::MAX);
+    let text: String = tokens.iter().map(|(_, text)| text.as_str()).collect();
+    let mut words = vec![answer.summary()];
+    words.push(match (answer.body == text, answer.finished) {
+        (true, true) => "whole".to_owned(),
+        (true, false) => "whole but without its end".to_owned(),
+        _ if text.starts_with(&answer.body) => format!("cut after {} bytes", answer.body.len()),
+        _ => format!("WRONG: {:?} instead of {text:?}", answer.body),
+    });
+    words.join(" ")
+}
+
+/// Checks that in each session each layer range ran each position exactly once and in order.
+pub fn layers(world: &World) -> String {
+    let mut sessions = 0;
+    for engine in &world.plan.engines {
+        let Some(executions) = world.executions(&engine.name) else {
+            continue;
+        };
+        let mut next: BTreeMap<(String, String), u64> = BTreeMap::new();
+        for execution in &executions {
+            let key = (
+                execution["session"].to_string(),
+                execution["layers"].to_string(),
+            );
+            let position = execution["position"].as_u64().expect("a position");
+            let count = execution["count"].as_u64().expect("a count");
+            let expected = next.entry(key.clone()).or_default();
+            if position != *expected {
+                return format!(
+                    "{} ran {key:?} position {position} instead of {expected}",
+                    engine.name
+                );
+            }
+            *expected += count;
+        }
+        sessions += next.len();
+    }
+    if sessions == 0 {
+        "nothing ran".to_owned()
+    } else {
+        "each layer ran once for each token, in order".to_owned()
+    }
+}
+
+/// How often each idempotency key was executed by the servers of the service, whoever still answers.
+pub fn calls(world: &World) -> String {
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for server in &world.plan.servers {
+        for execution in world.executions(&server.name).unwrap_or_default() {
+            let key = execution["key"]
+                .as_str()
+                .unwrap_or("without key")
+                .to_owned();
+            *counts.entry(key).or_default() += 1;
+        }
+    }
+    let lines: Vec<String> = counts
+        .iter()
+        .map(|(key, count)| format!("{key}: {count}"))
+        .collect();
+    if lines.is_empty() {
+        "none".to_owned()
+    } else {
+        lines.join("\n")
+    }
+}
+
+/// Number of executions of a kind in a list.
+pub fn count(executions: &[Value]) -> usize {
+    executions.len()
+}
