Add the control process without planning

Cause: entries need a configuration, a directory and an instruction from the control on their host, and controls have to keep these in step with each other while the platform is out.

Change: crates/control runs in process by run(settings). It serves the local, peer and operator services, gossips over UDP, joins by peers and by platform keys, spreads configurations by push, pull and long poll, holds the platform watch in two members of each zone, and builds the directory.

A killed host leaves the directory of four others within 2 s.

--- /dev/null
+++ b/crates/control/src/control.rs
@@ -0,0 +1,175 @@
+//! A running control.
+
+use core::net::SocketAddr;
+use core::sync::atomic::AtomicBool;
+use core::sync::atomic::AtomicU64;
+use core::time::Duration;
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::SystemTime;
+
+use smol::net::TcpListener;
+use smol::net::UdpSocket;
+
+use crate::Error;
+use crate::Settings;
+use crate::configuration::Configuration;
+use crate::entry::Entry;
+use crate::gossip;
+use crate::hosts::Hosts;
+use crate::platform;
+use crate::serve;
+use crate::shared::Shared;
+use crate::spread;
+use crate::tasks::Tasks;
+use agatemill_core::number::Generation;
+use agatemill_core::number::Incarnation;
+use agatemill_membership::Machine;
+use agatemill_membership::Member;
+use agatemill_membership::Profile;
+use agatemill_membership::Service;
+use agatemill_membership::State;
+
+/// Pulls that may wait; more addresses than that add nothing.
+const PULL_QUEUE: usize = 8;
+
+/// Time between two looks at whether the entry has disconnected.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// A running control. Dropping it ends it at once, as a crash does; [`Control::close`] ends it in order.
+pub struct Control {
+    shared: Arc<Shared>,
+}
+
+/// Starts a control within this process.
+///
+/// # Errors
+///
+/// [`Error::Settings`] when the settings are not valid, and [`Error::Listen`] when an address is taken.
+pub async fn run(settings: Settings) -> Result<Control, Error> {
+    settings.check().map_err(Error::Settings)?;
+    agatemill_runtime::start(settings.threads);
+    let listener = TcpListener::bind(settings.listen)
+        .await
+        .map_err(|source| listen(settings.listen, source))?;
+    let socket = UdpSocket::bind(settings.gossip)
+        .await
+        .map_err(|source| listen(settings.gossip, source))?;
+    let control = match settings.advertise_control {
+        Some(address) => address,
+        None => listener
+            .local_addr()
+            .map_err(|source| listen(settings.listen, source))?,
+    };
+    let gossip = match settings.advertise_gossip {
+        Some(address) => address,
+        None => socket
+            .local_addr()
+            .map_err(|source| listen(settings.gossip, source))?,
+    };
+    let (pulls, addresses) = smol::channel::bounded(PULL_QUEUE);
+    let machine = machine(&settings, control, gossip);
+    let shared = Arc::new(Shared {
+        control,
+        gossip,
+        socket,
+        machine: Mutex::new(machine),
+        configuration: Configuration::default(),
+        entry: Entry::default(),
+        hosts: Hosts::default(),
+        drain: AtomicBool::new(false),
+        connections: AtomicU64::new(0),
+        pulls,
+        tasks: Tasks::open(),
+        settings,
+    });
+    let tasks = &shared.tasks;
+    tasks.spawn(serve::accept(Arc::clone(&shared), listener));
+    tasks.spawn(gossip::receive(Arc::clone(&shared)));
+    tasks.spawn(gossip::tick(Arc::clone(&shared)));
+    tasks.spawn(spread::pull_newer(Arc::clone(&shared), addresses));
+    tasks.spawn(spread::sync(Arc::clone(&shared)));
+    platform::start(&shared);
+    log::info!(host:% = shared.settings.host, control:%, gossip:%; "members: control started");
+    Ok(Control { shared })
+}
+
+impl Control {
+    /// Where entry, operators and other controls connect.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.shared.control
+    }
+
+    /// Where other controls send datagrams.
+    #[must_use]
+    pub fn gossip(&self) -> SocketAddr {
+        self.shared.gossip
+    }
+
+    /// The generation held; 0 for none.
+    #[must_use]
+    pub fn generation(&self) -> Generation {
+        self.shared.configuration.generation()
+    }
+
+    /// Stops in order: tells several members that this host leaves, serves the entry until it has
+    /// disconnected or `stop_limit` has passed, and ends.
+    pub async fn close(self) {
+        let out = self.shared.machine().leave();
+        gossip::send(&self.shared, out).await;
+        log::info!("members: this host leaves");
+        let timings = &self.shared.settings.timings;
+        let report_limit = timings.report_limit.to_duration();
+        let start = agatemill_runtime::now();
+        let end = start + timings.stop_limit.to_duration();
+        loop {
+            let now = agatemill_runtime::now();
+            let entry = self.shared.entry.offer(now, report_limit).address;
+            if entry.is_none() || now >= end {
+                return;
+            }
+            agatemill_runtime::sleep(STOP_POLL).await;
+        }
+    }
+}
+
+impl Drop for Control {
+    fn drop(&mut self) {
+        // Tasks hold references to the shared state, which holds the tasks.
+        self.shared.tasks.close();
+    }
+}
+
+fn machine(settings: &Settings, control: SocketAddr, gossip: SocketAddr) -> Machine {
+    let own = Member {
+        host: settings.host.clone(),
+        run: run_id(),
+        incarnation: Incarnation(0),
+        state: State::Alive,
+        revision: 0,
+        profile: Profile {
+            zone: settings.zone.clone(),
+            control,
+            gossip,
+            entry: None,
+            service: Service::Absent,
+            generation: Generation(0),
+        },
+    };
+    let now = agatemill_runtime::now();
+    Machine::new(settings.timings.membership(), own, fastrand::u64(..), now)
+}
+
+/// Microseconds of the wall clock, which rise from run to run; when the clock goes back, the machine
+/// raises the number as soon as it hears of its past.
+fn run_id() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let since = since.unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn listen(address: SocketAddr, source: io::Error) -> Error {
+    Error::Listen { address, source }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,28 @@
-//! The control process: membership, configuration spreading and planning.
+//! The control process: membership, configuration spreading and the directory of entry addresses.
+//!
+//! [`run`] starts a control within the current process. Its parts keep their state under their own
+//! locks, in [`shared::Shared`]; each part runs as one or more tasks that end with the [`Control`].
+
+pub mod command;
+pub mod configuration;
+pub mod control;
+pub mod directory;
+pub mod document;
+pub mod entry;
+pub mod error;
+mod gossip;
+mod hosts;
+pub mod placement;
+mod platform;
+pub mod record;
+mod remote;
+mod serve;
+pub mod settings;
+mod shared;
+mod spread;
+mod tasks;
+
+pub use control::Control;
+pub use control::run;
+pub use error::Error;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/control/src/platform/members.rs
@@ -0,0 +1,100 @@
+//! Entries of members in the platform, by which hosts find each other.
+
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::shared::Shared;
+use crate::spread;
+use agatemill_core::number::Revision;
+use agatemill_platform::Client;
+use agatemill_platform::Error;
+use agatemill_platform::Lease;
+use agatemill_platform::Swap;
+
+/// Time after which the entry of a host that is gone vanishes.
+const LEASE: Duration = Duration::from_mins(1);
+
+/// Time between two renewals; two may be lost before the lease lapses.
+const RENEWAL: Duration = Duration::from_secs(20);
+
+/// Time until the next attempt after an error.
+const RETRY: Duration = Duration::from_secs(2);
+
+/// Value of a member's key.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Contact {
+    control: SocketAddr,
+}
+
+/// Keeps the entry of this host, and meets the others that are listed.
+pub(crate) async fn keep(shared: Arc<Shared>, client: Client) {
+    let mut lease = None;
+    loop {
+        let wait = match visit(&shared, &client, &mut lease).await {
+            Ok(()) => RENEWAL,
+            Err(error) => {
+                log::debug!(error:%; "platform: cannot keep the entry of this host");
+                lease = lease.filter(|_| error != Error::LeaseLapsed);
+                RETRY
+            }
+        };
+        agatemill_runtime::sleep(wait).await;
+    }
+}
+
+async fn visit(
+    shared: &Arc<Shared>,
+    client: &Client,
+    lease: &mut Option<Lease>,
+) -> Result<(), Error> {
+    if let Some(lease) = *lease {
+        return client.renew(lease).await;
+    }
+    let prefix = format!("/agatemill/{}/members/", shared.settings.environment);
+    meet(shared, client, &prefix).await?;
+    let granted = client.grant(LEASE).await?;
+    let key = format!("{prefix}{}", shared.settings.host);
+    write(shared, client, &key, granted).await?;
+    *lease = Some(granted);
+    Ok(())
+}
+
+/// Exchanges members with the listed hosts until one has answered.
+async fn meet(shared: &Arc<Shared>, client: &Client, prefix: &str) -> Result<(), Error> {
+    let mut listed = client.list(prefix).await?;
+    fastrand::shuffle(&mut listed);
+    for entry in listed {
+        let Ok(contact) = serde_json::from_slice::<Contact>(&entry.value) else {
+            log::warn!(key = entry.key; "platform: malformed entry of a member");
+            continue;
+        };
+        if contact.control == shared.control {
+            continue;
+        }
+        if spread::exchange(shared, contact.control).await.is_ok() {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+/// Writes the entry of this host over whatever an earlier run left.
+async fn write(shared: &Shared, client: &Client, key: &str, lease: Lease) -> Result<(), Error> {
+    let contact = Contact {
+        control: shared.control,
+    };
+    let value =
+        serde_json::to_vec(&contact).map_err(|error| Error::Malformed(error.to_string()))?;
+    let found = client.get(key).await?;
+    let revision = found.map_or(Revision(0), |entry| entry.revision);
+    match client.swap(key, &value, revision, Some(lease)).await? {
+        Swap::Done(_) => Ok(()),
+        Swap::Conflict(_) => Err(Error::Unavailable(
+            "another process wrote the entry of this host".to_owned(),
+        )),
+    }
+}
--- /dev/null
+++ b/crates/control/src/serve.rs
@@ -0,0 +1,93 @@
+//! The tarpc server.
+
+use core::sync::atomic::Ordering;
+use core::time::Duration;
+use std::sync::Arc;
+
+use async_compat::CompatExt;
+use futures::StreamExt;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+
+use crate::shared::Shared;
+use agatemill_wire::local::Local as _;
+use agatemill_wire::operator::Operator as _;
+use agatemill_wire::peer::Peer as _;
+use agatemill_wire::transport;
+use agatemill_wire::transport::Service;
+
+mod local;
+mod operator;
+mod peer;
+
+/// How long to wait after an error of the listener, such as too many open files.
+const ERROR_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long a new connection may take to name its service.
+const ACCEPT_LIMIT: Duration = Duration::from_secs(5);
+
+/// Accepts connections and serves each in a task of its own.
+pub(crate) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let connection = shared.connections.fetch_add(1, Ordering::Relaxed);
+                shared
+                    .tasks
+                    .spawn(serve(Arc::clone(&shared), stream, connection));
+            }
+            Err(error) => {
+                log::warn!(error:%; "members: cannot accept a connection");
+                agatemill_runtime::sleep(ERROR_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(shared: Arc<Shared>, mut stream: TcpStream, connection: u64) {
+    let service = agatemill_runtime::timeout(ACCEPT_LIMIT, transport::accept(&mut stream)).await;
+    match service {
+        Some(Ok(Service::Local)) => serve_local(shared, stream, connection).await,
+        Some(Ok(Service::Peer)) => serve_peer(shared, stream).await,
+        Some(Ok(Service::Operator)) => serve_operator(shared, stream).await,
+        Some(Err(error)) => log::debug!(error:%; "members: a connection named no service"),
+        None => log::debug!("members: a connection named no service in time"),
+    }
+}
+
+async fn serve_local(shared: Arc<Shared>, stream: TcpStream, connection: u64) {
+    let local = local::Local {
+        shared: Arc::clone(&shared),
+        connection,
+    };
+    let channel = BaseChannel::with_defaults(transport::frame(stream));
+    let requests = channel.execute(local.serve());
+    requests
+        .for_each_concurrent(None, |request| request)
+        .compat()
+        .await;
+    if shared.entry.closed(connection) {
+        log::warn!("members: the entry on this host has disconnected");
+        shared.refresh(agatemill_runtime::now());
+    }
+}
+
+async fn serve_peer(shared: Arc<Shared>, stream: TcpStream) {
+    let channel = BaseChannel::with_defaults(transport::frame(stream));
+    let requests = channel.execute(peer::Peer { shared }.serve());
+    requests
+        .for_each_concurrent(None, |request| request)
+        .compat()
+        .await;
+}
+
+async fn serve_operator(shared: Arc<Shared>, stream: TcpStream) {
+    let channel = BaseChannel::with_defaults(transport::frame(stream));
+    let requests = channel.execute(operator::Operator { shared }.serve());
+    requests
+        .for_each_concurrent(None, |request| request)
+        .compat()
+        .await;
+}
--- /dev/null
+++ b/crates/control/src/serve/operator.rs
@@ -0,0 +1,56 @@
+//! Service for `agatemillctl`.
+
+use core::sync::atomic::Ordering;
+use std::sync::Arc;
+
+use tarpc::context::Context;
+
+use crate::record;
+use crate::remote;
+use crate::shared::Shared;
+use crate::spread;
+use agatemill_core::id;
+use agatemill_wire::Overview;
+use agatemill_wire::operator;
+
+/// Service for `agatemillctl`.
+#[derive(Clone)]
+pub(crate) struct Operator {
+    pub(crate) shared: Arc<Shared>,
+}
+
+impl operator::Operator for Operator {
+    async fn overview(self, _: Context) -> Overview {
+        let shared = &self.shared;
+        let held = shared.configuration.envelope();
+        let age = shared.configuration.age(agatemill_runtime::now());
+        Overview {
+            host: shared.settings.host.clone(),
+            environment: shared.settings.environment.clone(),
+            generation: held.as_ref().map_or(0, |held| held.generation.0),
+            digest: held.map_or_else(String::new, |held| held.digest.to_string()),
+            confirmed_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            planner: false,
+            members: record::to_wire(shared.machine().members()),
+        }
+    }
+
+    async fn drain(self, context: Context, host: id::Host) -> bool {
+        if host == self.shared.settings.host {
+            log::info!("members: an operator asks this host to leave");
+            self.shared.drain.store(true, Ordering::Relaxed);
+            return true;
+        }
+        let Some(address) = spread::address_of(&self.shared, &host) else {
+            return false;
+        };
+        let limit = self.shared.settings.timings.call_timeout.to_duration();
+        match remote::operator(address, limit).await {
+            Ok(client) => client.drain(context, host).await.unwrap_or(false),
+            Err(error) => {
+                log::warn!(host:%, error:%; "members: cannot forward a drain request");
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/settings.rs
@@ -0,0 +1,135 @@
+//! Settings of a control process.
+
+use core::net::SocketAddr;
+use std::fs;
+use std::path::Path;
+
+use compact_str::CompactString;
+use derive_more::Display;
+use derive_more::Error;
+use serde::Deserialize;
+use serde::Serialize;
+
+use agatemill_core::id;
+
+pub mod timings;
+
+pub use timings::Timings;
+
+/// Settings of a control process, in TOML. Unknown keys are refused.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this host; unique within the environment.
+    pub host: id::Host,
+    /// Zone of this host.
+    pub zone: id::Zone,
+    /// Environment that this process serves.
+    pub environment: id::Environment,
+    /// TCP address for entry, other controls and operators; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// UDP address for gossip; port 0 takes a free one.
+    pub gossip: SocketAddr,
+    /// Address that others use instead of `listen`.
+    #[serde(default)]
+    pub advertise_control: Option<SocketAddr>,
+    /// Address that others use instead of `gossip`.
+    #[serde(default)]
+    pub advertise_gossip: Option<SocketAddr>,
+    /// Addresses of the platform's key-value service; without any, the process runs without it.
+    #[serde(default)]
+    pub platform: Vec<SocketAddr>,
+    /// Control addresses of some other hosts.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// Threads that run tasks, at least 1.
+    #[serde(default = "default_threads")]
+    pub threads: usize,
+    /// Timings.
+    #[serde(default)]
+    pub timings: Timings,
+}
+
+/// Settings that cannot be used.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum Invalid {
+    /// The file cannot be read.
+    #[display("cannot read {path}: {text}")]
+    Unreadable {
+        /// The file.
+        path: CompactString,
+        /// The system's error.
+        text: CompactString,
+    },
+    /// The file is not TOML, has an unknown key or a value of the wrong form.
+    #[display("{_0}")]
+    Syntax(#[error(not(source))] CompactString),
+    /// A value is outside its range.
+    #[display("{key}: {expected}")]
+    Value {
+        /// Key of the value.
+        key: CompactString,
+        /// What is expected.
+        expected: CompactString,
+    },
+}
+
+fn default_threads() -> usize {
+    2
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// [`Invalid`] when the file cannot be read or used.
+    pub fn load(path: &Path) -> Result<Self, Invalid> {
+        let text = fs::read_to_string(path).map_err(|error| Invalid::Unreadable {
+            path: compact_str::format_compact!("{}", path.display()),
+            text: compact_str::format_compact!("{error}"),
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Parses and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// [`Invalid`] when they cannot be used.
+    pub fn parse(text: &str) -> Result<Self, Invalid> {
+        let settings: Self = toml::from_str(text)
+            .map_err(|error| Invalid::Syntax(compact_str::format_compact!("{error}")))?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Checks what the types do not.
+    ///
+    /// # Errors
+    ///
+    /// [`Invalid::Value`] for the first value outside its range.
+    pub fn check(&self) -> Result<(), Invalid> {
+        if self.threads == 0 {
+            return Err(expected("threads", "at least 1 thread"));
+        }
+        let addresses = [
+            ("listen", self.listen, self.advertise_control),
+            ("gossip", self.gossip, self.advertise_gossip),
+        ];
+        for (key, address, advertised) in addresses {
+            if address.ip().is_unspecified() && advertised.is_none() {
+                let text = "an address that others can reach, or an advertise address beside it";
+                return Err(expected(key, text));
+            }
+        }
+        self.timings.check()
+    }
+}
+
+pub(crate) fn expected(key: &str, text: &str) -> Invalid {
+    Invalid::Value {
+        key: key.into(),
+        expected: text.into(),
+    }
+}
--- /dev/null
+++ b/crates/control/src/shared.rs
@@ -0,0 +1,115 @@
+//! State that the parts of one control share; each piece has its own lock.
+
+use core::net::SocketAddr;
+use core::sync::atomic::AtomicBool;
+use core::sync::atomic::AtomicU64;
+use core::sync::atomic::Ordering;
+use core::time::Duration;
+use std::collections::BTreeSet;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use smol::channel::Sender;
+use smol::net::UdpSocket;
+
+use crate::Settings;
+use crate::configuration::Configuration;
+use crate::directory;
+use crate::entry::Entry;
+use crate::hosts::Hosts;
+use crate::tasks::Tasks;
+use agatemill_core::id;
+use agatemill_membership::Machine;
+use agatemill_membership::Member;
+use agatemill_membership::Profile;
+use agatemill_membership::State;
+use agatemill_membership::freshness;
+use agatemill_wire::Directory;
+use agatemill_wire::Instruction;
+
+/// State that the parts of one control share.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    /// Addresses that others use.
+    pub(crate) control: SocketAddr,
+    pub(crate) gossip: SocketAddr,
+    pub(crate) socket: UdpSocket,
+    pub(crate) machine: Mutex<Machine>,
+    pub(crate) configuration: Configuration,
+    pub(crate) entry: Entry,
+    pub(crate) hosts: Hosts,
+    /// Set when an operator asks this host to leave; never cleared.
+    pub(crate) drain: AtomicBool,
+    /// Number of the next accepted connection.
+    pub(crate) connections: AtomicU64,
+    /// Control addresses of members that hold a newer generation.
+    pub(crate) pulls: Sender<SocketAddr>,
+    pub(crate) tasks: Tasks,
+}
+
+impl Shared {
+    pub(crate) fn machine(&self) -> MutexGuard<'_, Machine> {
+        self.machine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells the failure detector what this host now says of itself.
+    pub(crate) fn refresh(&self, now: Duration) {
+        let limit = self.settings.timings.report_limit.to_duration();
+        let offer = self.entry.offer(now, limit);
+        let held = self.configuration.generation();
+        self.machine().describe(Profile {
+            zone: self.settings.zone.clone(),
+            control: self.control,
+            gossip: self.gossip,
+            entry: offer.address,
+            service: offer.service,
+            generation: offer.generation.unwrap_or(held),
+        });
+    }
+
+    /// Control addresses of the other members that are alive.
+    pub(crate) fn live_controls(&self) -> Vec<SocketAddr> {
+        let machine = self.machine();
+        let alive = machine
+            .others()
+            .filter(|member| member.state == State::Alive);
+        alive.map(|member| member.profile.control).collect()
+    }
+
+    pub(crate) fn directory(&self) -> Directory {
+        let leaving = self.hosts.leaving();
+        let names: BTreeSet<id::Host> = leaving.iter().map(|host| host.name.clone()).collect();
+        Directory {
+            places: directory::choose(self.machine().members(), &names),
+            leaving: leaving.into_iter().map(|host| host.address).collect(),
+        }
+    }
+
+    pub(crate) fn instruction(&self, now: Duration) -> Instruction {
+        let places = self.directory().places.len();
+        let leaving = self.hosts.leaving();
+        let listed = leaving.iter().any(|host| host.name == self.settings.host);
+        Instruction {
+            drain: listed || self.drain.load(Ordering::Relaxed),
+            fresh: self.is_fresh(now),
+            entries: u32::try_from(places).unwrap_or(u32::MAX).max(1),
+        }
+    }
+
+    fn is_fresh(&self, now: Duration) -> bool {
+        let peer = |member: &Member| freshness::Peer {
+            host: member.host.clone(),
+            reachable: member.state == State::Alive,
+        };
+        let peers: Vec<_> = self
+            .machine()
+            .others()
+            .filter(|member| member.state != State::Left)
+            .map(peer)
+            .collect();
+        let age = self.configuration.age(now);
+        let limit = self.configuration.freshness_limit();
+        freshness::decide(&self.settings.host, &peers, age, limit) == freshness::Decision::Serve
+    }
+}
--- /dev/null
+++ b/crates/control/tests/clusters.rs
@@ -0,0 +1,174 @@
+//! Controls on loopback: spreading of the configuration, the directory, restarts and stops.
+
+use core::time::Duration;
+
+use crate::cluster::SECOND;
+
+mod cluster;
+
+/// Guards against a configuration that reaches only the control that it was given to.
+#[test]
+fn a_configuration_pushed_to_one_appears_at_all() {
+    smol::block_on(async {
+        let controls = cluster::cluster(8).await;
+        assert_eq!(
+            cluster::push(&controls[3], cluster::envelope(1, "ada")).await,
+            1
+        );
+        for control in &controls {
+            let held = async || control.generation().0 == 1;
+            assert!(cluster::within(3 * SECOND, held).await.is_some());
+        }
+        // A lower generation never replaces a higher one.
+        cluster::push(&controls[3], cluster::envelope(5, "ada")).await;
+        assert_eq!(
+            cluster::push(&controls[3], cluster::envelope(4, "ada")).await,
+            5
+        );
+    });
+}
+
+/// Guards against a host that waits for its whole polling time although a new generation is there.
+#[test]
+fn follow_answers_at_once_with_the_next_generation() {
+    smol::block_on(async {
+        let controls = cluster::cluster(2).await;
+        let client = cluster::local(&controls[1]).await;
+        let start = agatemill_runtime::now();
+        let waiting = agatemill_runtime::spawn(async move {
+            let wait = Duration::from_secs(8);
+            client.follow(tarpc::context::current(), 0, wait).await
+        });
+        agatemill_runtime::sleep(SECOND / 5).await;
+        cluster::push(&controls[0], cluster::envelope(1, "ada")).await;
+        let found = waiting.await.expect("it answers");
+        assert_eq!(found, Some(cluster::envelope(1, "ada")));
+        assert!(agatemill_runtime::now().saturating_sub(start) < 4 * SECOND);
+    });
+}
+
+/// Guards against callers that are sent to a dead host.
+#[test]
+fn a_killed_host_leaves_the_directory_within_two_seconds() {
+    smol::block_on(async {
+        let mut controls = cluster::cluster(5).await;
+        let mut entries = Vec::new();
+        for (index, control) in controls.iter().enumerate() {
+            let port = 9_000 + u16::try_from(index).expect("small");
+            entries.push(cluster::entry(control, port).await);
+        }
+        for control in &controls {
+            let full = async || cluster::directory(control).await.len() == 5;
+            assert!(cluster::within(3 * SECOND, full).await.is_some());
+        }
+        // The control goes first, so that it cannot tell the others that its entry has disconnected.
+        drop(controls.remove(4));
+        drop(entries.remove(4));
+        let gone = async || {
+            for control in &controls {
+                if cluster::directory(control)
+                    .await
+                    .contains(&"host-4".to_owned())
+                {
+                    return false;
+                }
+            }
+            true
+        };
+        let took = cluster::within(2 * SECOND, gone).await;
+        assert!(took.is_some(), "still listed after 2 s");
+    });
+}
+
+/// Guards against an entry that stays in the directory after it died: its closed connection counts at
+/// once, before the 1.5 s limit of its reports.
+#[test]
+fn a_closed_connection_makes_the_entry_absent_everywhere() {
+    smol::block_on(async {
+        let controls = cluster::cluster(3).await;
+        let entry = cluster::entry(&controls[0], 9_100).await;
+        let listed = async || cluster::directory(&controls[2]).await == ["host-0"];
+        assert!(cluster::within(3 * SECOND, listed).await.is_some());
+        drop(entry);
+        let gone = async || cluster::directory(&controls[2]).await.is_empty();
+        assert!(cluster::within(SECOND, gone).await.is_some());
+    });
+}
+
+/// Guards against an entry that hangs and stays in the directory because its connection is open.
+#[test]
+fn an_entry_without_reports_becomes_absent() {
+    smol::block_on(async {
+        let controls = cluster::cluster(2).await;
+        let client = cluster::local(&controls[0]).await;
+        cluster::report(&client, 9_200).await;
+        let listed = async || cluster::directory(&controls[1]).await == ["host-0"];
+        assert!(cluster::within(SECOND, listed).await.is_some());
+        let gone = async || cluster::directory(&controls[1]).await.is_empty();
+        assert!(cluster::within(5 * SECOND / 2, gone).await.is_some());
+        drop(client);
+    });
+}
+
+/// Guards against a restarted control that serves nothing, or an old document, while the platform is
+/// out.
+#[test]
+fn a_restarted_control_takes_the_newest_generation_from_its_peers() {
+    smol::block_on(async {
+        let mut controls = cluster::cluster(3).await;
+        cluster::push(&controls[0], cluster::envelope(7, "ada")).await;
+        drop(controls.remove(2));
+        let peers = vec![controls[1].address()];
+        let restarted = cluster::start(2, peers).await;
+        let held = async || restarted.generation().0 == 7;
+        assert!(cluster::within(3 * SECOND, held).await.is_some());
+        let known = async || {
+            let members = cluster::overview(&controls[0]).await.members;
+            let alive = agatemill_wire::member::State::Alive;
+            members
+                .iter()
+                .filter(|member| member.state == alive)
+                .count()
+                == 3
+        };
+        assert!(cluster::within(5 * SECOND, known).await.is_some());
+    });
+}
+
+/// Guards against a drain request that ends at the control that the operator happened to call.
+#[test]
+fn a_drain_request_reaches_its_host() {
+    smol::block_on(async {
+        let controls = cluster::cluster(3).await;
+        let client = cluster::local(&controls[2]).await;
+        assert!(!cluster::report(&client, 9_300).await.drain);
+        let operator = cluster::operator(&controls[0]).await;
+        let drain = async |host: &str| {
+            let host = host.parse().expect("a valid id");
+            operator.drain(tarpc::context::current(), host).await
+        };
+        assert!(drain("host-2").await.expect("it answers"));
+        assert!(!drain("host-9").await.expect("it answers"));
+        assert!(cluster::report(&client, 9_300).await.drain);
+    });
+}
+
+/// Guards against a planned stop that others take for a failure.
+#[test]
+fn a_stopped_control_has_left() {
+    smol::block_on(async {
+        let mut controls = cluster::cluster(4).await;
+        controls.remove(3).close().await;
+        let left = agatemill_wire::member::State::Left;
+        for control in &controls {
+            let seen = async || {
+                let members = cluster::overview(control).await.members;
+                let found = members
+                    .iter()
+                    .find(|member| member.host.as_str() == "host-3");
+                found.is_some_and(|member| member.state == left)
+            };
+            assert!(cluster::within(2 * SECOND, seen).await.is_some());
+        }
+    });
+}
--- a/src/bin/agatemill-control.rs
+++ b/src/bin/agatemill-control.rs
@@ -1,2 +1,7 @@
-//! agatemill-control
-fn main() {}
+//! The control process of an entry host.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    agatemill_control::command::main()
+}
