--- /dev/null
+++ b/crates/ledger/src/call.rs
@@ -0,0 +1,25 @@
+//! Calls to record.
+
+use core::time::Duration;
+
+use compact_str::CompactString;
+
+use agatemill_core::Digest;
+use agatemill_core::id;
+
+/// A non-idempotent call of a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// The half that the caller belongs to.
+    pub half: id::Half,
+    /// The caller's organisation.
+    pub organisation: id::Organisation,
+    /// The idempotency key, as the caller sent it.
+    pub key: CompactString,
+    /// Digest of the request.
+    pub body: Digest,
+    /// Process time after which the call is not sent.
+    pub deadline: Duration,
+    /// How long the record is kept.
+    pub retention: Duration,
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -61,6 +61,12 @@
         }
     }
 
+    /// Longest duration of a call.
+    #[must_use]
+    pub fn timeout(&self) -> Duration {
+        self.timeout
+    }
+
     /// Reads a key; `None` when it is absent.
     ///
     /// # Errors
