--- a/crates/demo/src/calls.rs
+++ b/crates/demo/src/calls.rs
@@ -25,7 +25,10 @@
 const READY_INTERVAL: Duration = Duration::from_millis(100);
 
 fn agent() -> Agent {
-    Agent::config_builder().http_status_as_error(false).build().into()
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .build()
+        .into()
 }
 
 /// Waits until the entry has a configuration and serves.
@@ -64,20 +67,35 @@
         }
     }
     println!();
-    if finished { Ok(()) } else { Err("the stream ended without its final marker".into()) }
+    if finished {
+        Ok(())
+    } else {
+        Err("the stream ended without its final marker".into())
+    }
 }
 
 /// Makes a payment and repeats it with the same key.
 pub fn pay_twice(entry: SocketAddr) -> Outcome<()> {
     let body = json!({"claim": "KD-2041", "amount": 4500});
     for attempt in ["payment", "repeat"] {
-        let answer = post(entry, "/v1/services/payments/pay", Some("demo-payment-1"), &body)?;
+        let answer = post(
+            entry,
+            "/v1/services/payments/pay",
+            Some("demo-payment-1"),
+            &body,
+        )?;
         let header = |name: &str| {
-            let value = answer.headers().get(name).and_then(|value| value.to_str().ok());
+            let value = answer
+                .headers()
+                .get(name)
+                .and_then(|value| value.to_str().ok());
             value.unwrap_or("-").to_owned()
         };
         let (outcome, replayed) = (header("agatemill-outcome"), header("agatemill-replayed"));
-        println!("{attempt}: {}, outcome {outcome}, replayed {replayed}", answer.status());
+        println!(
+            "{attempt}: {}, outcome {outcome}, replayed {replayed}",
+            answer.status()
+        );
     }
     Ok(())
 }
@@ -95,7 +113,11 @@
         return Ok(answer);
     }
     let status = answer.status();
-    Err(format!("{path} answered {status}: {}", answer.into_body().read_to_string()?).into())
+    Err(format!(
+        "{path} answered {status}: {}",
+        answer.into_body().read_to_string()?
+    )
+    .into())
 }
 
 /// A command line that streams another answer.
--- a/crates/demo/src/document.rs
+++ b/crates/demo/src/document.rs
@@ -30,13 +30,20 @@
 
 /// Writes the document for running stand-ins.
 pub fn write(engines: &[Engine], payments: SocketAddr) -> Result<String, core::fmt::Error> {
-    let mut text = String::from("halves = [\"kadunaledger\"]\n\n[[zone]]\nname = \"a\"\nregion = \"demo\"\n\n");
+    let mut text = String::from(
+        "halves = [\"kadunaledger\"]\n\n[settings]\naddress_lifetime = \"1s\"\n\n[[zone]]\nname = \"a\"\nregion = \"demo\"\n\n",
+    );
     let layers = STAGES * STAGE_LAYERS;
     writeln!(
         text,
         "[[model]]\nname = \"{MODEL}\"\nversion = \"1\"\nlayers = {layers}\nactivation = \"8KiB\"\n"
     )?;
-    for Engine { name, address, stage } in engines {
+    for Engine {
+        name,
+        address,
+        stage,
+    } in engines
+    {
         let (start, end) = (stage * STAGE_LAYERS, (stage + 1) * STAGE_LAYERS);
         writeln!(
             text,
--- a/tests/all/script.rs
+++ b/tests/all/script.rs
@@ -111,6 +111,7 @@
             stages: argument(case, "stages", 3),
             replicas: argument(case, "replicas", 2),
             servers: argument(case, "servers", 0),
+            throughput: argument(case, "throughput", 2_000),
             engine_arguments: take("engines")
                 .iter()
                 .flat_map(|line| words(line))
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -40,6 +40,8 @@
     pub replicas: u8,
     /// Servers of the service `payments`.
     pub servers: u8,
+    /// Token positions that each engine runs in a second.
+    pub throughput: u32,
     /// Further arguments for all engines.
     pub engine_arguments: Vec<String>,
     /// Lines of `[settings]` in the document.
@@ -76,6 +78,7 @@
             size.servers,
         );
         plan.settings.clone_from(&size.settings);
+        plan.throughput = size.throughput;
         let mut world = Self {
             network,
             plan,
