ctl: change, promote and show the configuration

Cause: operators need to put documents in force without overwriting each other, and to know whether a change whose answer was lost has happened.

Change: the decisions of apply and promote are plain functions and a small state machine; the store and the control client carry them out. A platform whose generation is below that of the members does not count as what is in force.

The commands were run without a platform only; the tests against the stand-in are still to be written.

Conclusion: check and diff work; apply and promote have not met a platform yet.

--- /dev/null
+++ b/crates/ctl/src/command.rs
@@ -0,0 +1,263 @@
+//! The commands.
+
+use core::time::Duration;
+use std::fs;
+use std::path::Path;
+
+use crate::apply::End;
+use crate::apply::Request;
+use crate::arguments;
+use crate::arguments::Arguments;
+use crate::arguments::Command;
+use crate::arguments::Config;
+use crate::control::Control;
+use crate::error::Error;
+use crate::exit::Exit;
+use crate::progress;
+use crate::promote;
+use crate::store::Store;
+use crate::store::Written;
+use agatemill_config::Document;
+use agatemill_core::id;
+use agatemill_core::number::Generation;
+
+/// Pause between two questions for the members' generations.
+const POLL: Duration = Duration::from_millis(250);
+
+/// Runs a command and prints its result.
+///
+/// # Errors
+///
+/// Any error that ends the command.
+pub async fn run(arguments: Arguments) -> Result<Exit, Error> {
+    match arguments.command {
+        Command::Config(Config::Check { file }) => check(&file),
+        Command::Config(Config::Diff(arguments)) => diff(&arguments).await,
+        Command::Config(Config::Apply(arguments)) => apply(&arguments).await,
+        Command::Config(Config::Promote(arguments)) => promote(&arguments).await,
+        Command::Config(Config::Status(arguments)) => in_force(&arguments).await,
+        Command::Status(arguments) => status(&arguments).await,
+        Command::Drain(arguments) => drain(arguments).await,
+    }
+}
+
+fn check(file: &Path) -> Result<Exit, Error> {
+    let text = read(file)?;
+    let document = parse(&file.display().to_string(), &text)?;
+    println!(
+        "{}: {} bytes, digest {}, {} engines, {} services, {} organisations, no faults",
+        file.display(),
+        text.len(),
+        Document::digest(&text),
+        document.engines.len(),
+        document.services.len(),
+        document.organisations.len(),
+    );
+    Ok(Exit::Done)
+}
+
+async fn diff(arguments: &arguments::Diff) -> Result<Exit, Error> {
+    let new = parse(
+        &arguments.file.display().to_string(),
+        &read(&arguments.file)?,
+    )?;
+    let old = match (&arguments.against, &arguments.environment) {
+        (Some(file), _) => parse(&file.display().to_string(), &read(file)?)?,
+        (None, Some(environment)) => {
+            let current = Store::new(&arguments.platform, environment).read().await?;
+            let envelope = current.envelope;
+            let text = envelope.map(|envelope| envelope.text);
+            text.map_or(Ok(Document::default()), |text| {
+                parse(environment.as_str(), &text)
+            })?
+        }
+        (None, None) => Document::default(),
+    };
+    for change in agatemill_config::diff(&old, &new) {
+        println!("{change}");
+    }
+    Ok(Exit::Done)
+}
+
+async fn apply(arguments: &arguments::Apply) -> Result<Exit, Error> {
+    let text = read(&arguments.file)?;
+    parse(&arguments.file.display().to_string(), &text)?;
+    let target = &arguments.target;
+    let control = connect(target, &arguments.environment).await?;
+    let store = Store::new(&target.platform, &arguments.environment);
+    let current = store.read().await?;
+    let request = request(text, target, control.as_ref()).await?;
+    let written = store.apply(request, &current).await?;
+    finish(&written, target, control.as_ref()).await
+}
+
+async fn promote(arguments: &arguments::Promote) -> Result<Exit, Error> {
+    let target = &arguments.target;
+    let control = connect(target, &arguments.to).await?;
+    let source = Store::new(&target.platform, &arguments.from);
+    let store = Store::new(&target.platform, &arguments.to);
+    let current = store.read().await?;
+    let before = source.read().await?;
+    let empty = || Error::Empty(arguments.from.clone());
+    let text = before.envelope.clone().ok_or_else(empty)?.text;
+    parse(arguments.from.as_str(), &text)?;
+    println!("{}: digest {}", arguments.from, Document::digest(&text));
+    let request = request(text, target, control.as_ref()).await?;
+    if source.read().await?.revision != before.revision {
+        println!(
+            "conflict: {} changed meanwhile; nothing was written",
+            arguments.from
+        );
+        return Ok(Exit::Conflict);
+    }
+    let written = store.apply(request, &current).await?;
+    // Read at once: the longer the source is left, the less its revision says about the write.
+    let after = source.read().await;
+    let end = finish(&written, target, control.as_ref()).await?;
+    if !matches!(written.end, End::Accepted(_)) {
+        return Ok(end);
+    }
+    let after = after?;
+    if promote::judge(&before, &after, written.revision) == promote::Source::Moved {
+        println!(
+            "conflict: {} changed during the promotion; {} may have an older document than {}",
+            arguments.from, arguments.to, arguments.from,
+        );
+        return Ok(Exit::Conflict);
+    }
+    Ok(end)
+}
+
+async fn in_force(arguments: &arguments::InForce) -> Result<Exit, Error> {
+    let store = Store::new(&arguments.platform, &arguments.environment);
+    let current = store.read().await?;
+    let empty = || Error::Empty(arguments.environment.clone());
+    let envelope = current.envelope.ok_or_else(empty)?;
+    println!("environment  {}", arguments.environment);
+    println!("generation   {}", envelope.generation);
+    println!("digest       {}", envelope.digest);
+    println!("author       {}", envelope.author);
+    println!("write        {}", envelope.write);
+    println!("bytes        {}", envelope.text.len());
+    println!("revision     {}", current.revision);
+    Ok(Exit::Done)
+}
+
+async fn status(arguments: &arguments::Status) -> Result<Exit, Error> {
+    let overview = Control::connect(arguments.control)
+        .await?
+        .overview()
+        .await?;
+    if arguments.json {
+        let text = serde_json::to_string_pretty(&overview).expect("an overview has a JSON form");
+        println!("{text}");
+    } else {
+        print!("{}", progress::table(&overview));
+    }
+    Ok(Exit::Done)
+}
+
+async fn drain(arguments: arguments::Drain) -> Result<Exit, Error> {
+    let control = Control::connect(arguments.control).await?;
+    if control.drain(arguments.host.clone()).await? {
+        println!("{} drains", arguments.host);
+        Ok(Exit::Done)
+    } else {
+        println!(
+            "{} does not know host {}",
+            arguments.control, arguments.host
+        );
+        Ok(Exit::Failed)
+    }
+}
+
+fn read(file: &Path) -> Result<String, Error> {
+    fs::read_to_string(file).map_err(|source| Error::Read {
+        path: file.to_owned(),
+        source,
+    })
+}
+
+fn parse(name: &str, text: &str) -> Result<Document, Error> {
+    Document::parse(text).map_err(|faults| Error::Faults {
+        name: name.to_owned(),
+        faults,
+    })
+}
+
+async fn connect(
+    target: &arguments::Target,
+    environment: &id::Environment,
+) -> Result<Option<Control>, Error> {
+    let Some(address) = target.control else {
+        return Ok(None);
+    };
+    let control = Control::connect(address).await?;
+    let found = control.overview().await?.environment;
+    if found == *environment {
+        return Ok(Some(control));
+    }
+    let expected = environment.clone();
+    Err(Error::Environment { found, expected })
+}
+
+async fn request(
+    text: String,
+    target: &arguments::Target,
+    control: Option<&Control>,
+) -> Result<Request, Error> {
+    let cluster = match control {
+        Some(control) => progress::highest(&control.overview().await?),
+        None => Generation(0),
+    };
+    Ok(Request {
+        text,
+        author: target.author.clone(),
+        write: compact_str::format_compact!("{:032x}", fastrand::u128(..)),
+        expect: target.expect,
+        cluster,
+    })
+}
+
+/// Reports how a change ended and waits until all live members have it in force.
+async fn finish(
+    written: &Written,
+    target: &arguments::Target,
+    control: Option<&Control>,
+) -> Result<Exit, Error> {
+    println!("{}", written.end);
+    let generation = match written.end {
+        End::Accepted(generation) | End::Unchanged(generation) => generation,
+        End::Unexpected { .. } | End::Overtaken { .. } | End::Removed => return Ok(Exit::Conflict),
+        End::TooLarge { .. } | End::Uncertain => return Ok(Exit::Failed),
+    };
+    match control {
+        Some(control) => wait(control, generation, Duration::from_secs(target.wait)).await,
+        None => Ok(Exit::Done),
+    }
+}
+
+async fn wait(control: &Control, generation: Generation, limit: Duration) -> Result<Exit, Error> {
+    let end = agatemill_runtime::now() + limit;
+    loop {
+        // The change is accepted whatever happens to the control, so an error is not a failed change.
+        let answer = control.overview().await;
+        let behind = answer
+            .as_ref()
+            .map(|found| progress::behind(found, generation));
+        if behind.as_ref().is_ok_and(Vec::is_empty) {
+            println!("generation {generation} is in force on all live members");
+            return Ok(Exit::Done);
+        }
+        if agatemill_runtime::now() >= end {
+            match behind {
+                Ok(members) => members.iter().for_each(|member| {
+                    println!("{} still has generation {}", member.host, member.generation);
+                }),
+                Err(error) => println!("{error}"),
+            }
+            return Ok(Exit::Pending);
+        }
+        agatemill_runtime::sleep(POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/control.rs
@@ -0,0 +1,78 @@
+//! Calls to a control.
+
+use core::fmt::Display;
+use core::net::SocketAddr;
+use core::time::Duration;
+
+use async_compat::CompatExt;
+use tarpc::client;
+use tarpc::context;
+
+use crate::error::Error;
+use agatemill_core::id;
+use agatemill_wire::Overview;
+use agatemill_wire::operator::OperatorClient;
+use agatemill_wire::transport;
+use agatemill_wire::transport::Service;
+
+/// Longest wait for a connection to a control; its calls have the deadline of tarpc, 10 s.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A connection to a control.
+#[derive(Debug)]
+pub struct Control {
+    address: SocketAddr,
+    client: OperatorClient,
+}
+
+impl Control {
+    /// Connects to the control at `address`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Control`].
+    pub async fn connect(address: SocketAddr) -> Result<Self, Error> {
+        let connecting = transport::connect(address, Service::Operator);
+        let connected = agatemill_runtime::timeout(CONNECT_TIMEOUT, connecting).await;
+        let connected = connected.ok_or_else(|| failed(address, &"no connection in time"))?;
+        let transport = connected.map_err(|error| failed(address, &error))?;
+        let new = OperatorClient::new(client::Config::default(), transport);
+        let dispatch = new.dispatch;
+        let run = async move {
+            // An error of the connection reaches the callers as an error of their calls.
+            let _ = dispatch.await;
+        };
+        agatemill_runtime::spawn(run.compat()).detach();
+        let client = new.client;
+        Ok(Self { address, client })
+    }
+
+    /// State of the system as this control sees it.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Control`].
+    pub async fn overview(&self) -> Result<Overview, Error> {
+        let call = self.client.overview(context::current());
+        let answer = call.compat().await;
+        answer.map_err(|error| failed(self.address, &error))
+    }
+
+    /// Asks a host to leave; false when the control does not know it.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Control`].
+    pub async fn drain(&self, host: id::Host) -> Result<bool, Error> {
+        let call = self.client.drain(context::current(), host);
+        let answer = call.compat().await;
+        answer.map_err(|error| failed(self.address, &error))
+    }
+}
+
+fn failed(address: SocketAddr, reason: &dyn Display) -> Error {
+    Error::Control {
+        address,
+        reason: reason.to_string(),
+    }
+}
--- a/src/bin/agatemillctl.rs
+++ b/src/bin/agatemillctl.rs
@@ -1,2 +1,7 @@
-//! agatemillctl
-fn main() {}
+//! The operators' command line.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    agatemill_ctl::main()
+}
