Keep empty outputs empty in scenario scripts

Cause: every directive without output failed, because an empty output became an empty line.

Change: a line end is added only to text. Logs of tarpc are left out below warnings.

--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -39,7 +39,7 @@
             .args(arguments)
             .env(
                 "RUST_LOG",
-                std::env::var("RUST_LOG").unwrap_or_else(|_| "info".to_owned()),
+                std::env::var("RUST_LOG").unwrap_or_else(|_| "info,tarpc=warn".to_owned()),
             )
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
--- a/tests/all/script.rs
+++ b/tests/all/script.rs
@@ -67,7 +67,7 @@
             other => panic!("unknown directive {other}"),
         };
         case.expect_empty().expect("unknown argument");
-        if !text.ends_with('\n') {
+        if !text.is_empty() && !text.ends_with('\n') {
             text.push('\n');
         }
         text
