--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -92,6 +92,16 @@
         for index in 0..size.hosts {
             world.start_host(index);
         }
+        let controls: Vec<_> = (0..size.hosts)
+            .map(|index| network.control(index))
+            .collect();
+        let listening =
+            |control: &std::net::SocketAddr| std::net::TcpStream::connect(control).is_ok();
+        assert!(
+            world.until(|_| controls.iter().all(listening)),
+            "a control does not listen\n{}",
+            world.logs()
+        );
         let applied = world.apply(&[]);
         assert_eq!(
             applied.0,
