--- /dev/null
+++ b/crates/entry/tests/limits.rs
@@ -0,0 +1,182 @@
+//! Limits on heads and bodies, authentication and admission of a running entry.
+
+use core::time::Duration;
+use std::io::Write;
+
+use agatemill_core::quantity::Size;
+use agatemill_core::quantity::Time;
+use agatemill_entry::settings::Limits;
+
+use crate::support::CHAT;
+use crate::support::System;
+use crate::support::TOKEN;
+use crate::support::agent;
+use crate::support::chat;
+use crate::support::read;
+
+mod support;
+
+fn small() -> Limits {
+    Limits {
+        body: Size(1_000),
+        headers: Size(8 << 10),
+        header_time: Time::from_millis(300),
+        body_time: Time::from_millis(300),
+        ..Limits::default()
+    }
+}
+
+fn assert_problem(answer: &str, status: u16, reason: &str) {
+    let head = format!("HTTP/1.1 {status} ");
+    assert!(answer.starts_with(&head), "expected {status}: {answer}");
+    assert!(answer.contains("agatemill-outcome: not-run"), "{answer}");
+    assert!(answer.contains("agatemill-request: "), "{answer}");
+    assert!(answer.contains("application/problem+json"), "{answer}");
+    assert!(
+        answer.contains(&format!(r#""reason":"{reason}""#)),
+        "{answer}"
+    );
+}
+
+fn post(headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+         authorization: Bearer {TOKEN}\r\ncontent-length: {length}\r\n{headers}\r\n{body}"
+    )
+}
+
+/// Guards against bodies that fill the memory, announced or not.
+#[test]
+fn a_large_body_is_refused() {
+    let system = System::with(small(), "");
+    let large = "x".repeat(5_000);
+    assert_problem(
+        &system.raw(post("", &large).as_bytes()),
+        413,
+        "body_too_large",
+    );
+    let chunked = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+         authorization: Bearer {TOKEN}\r\ntransfer-encoding: chunked\r\n\r\n1388\r\n{large}\r\n0\r\n\r\n"
+    );
+    assert_problem(&system.raw(chunked.as_bytes()), 413, "body_too_large");
+}
+
+/// Guards against heads that fill the memory, and against an answer without outcome.
+#[test]
+fn a_large_head_is_refused() {
+    let system = System::with(small(), "");
+    let header = format!("x-filler: {}\r\n", "y".repeat(20_000));
+    let answer = system.raw(post(&header, "{}").as_bytes());
+    assert_problem(&answer, 431, "headers_too_large");
+}
+
+/// Guards against a malformed head that is answered without a problem document.
+#[test]
+fn a_malformed_head_is_refused() {
+    let system = System::start();
+    assert_problem(&system.raw(b"GET\0/ HTTP/1.1\r\n\r\n"), 400, "bad_request");
+}
+
+/// Guards against connections that callers hold open with half a request.
+#[test]
+fn a_slow_request_is_refused() {
+    let system = System::with(small(), "");
+    assert_problem(&system.raw(b"GET /healthz HTT"), 408, "request_timeout");
+    let whole = post("", &"x".repeat(500));
+    let part = &whole.as_bytes()[..whole.len() - 10];
+    assert_problem(&system.raw(part), 408, "request_timeout");
+}
+
+/// Guards against an answer on an idle connection, which the next request would take for its own.
+#[test]
+fn an_idle_connection_is_closed_without_an_answer() {
+    let system = System::with(small(), "");
+    let mut stream = system.connect();
+    stream
+        .write_all(b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n")
+        .unwrap();
+    let answer = read(&mut stream);
+    assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+/// Guards against access without a valid token, and against the use of what was not granted.
+#[test]
+fn only_known_tokens_and_granted_models_pass() {
+    let system = System::start();
+    let status = |authorization: Option<&str>, body: &str| {
+        let mut request = agent().post(system.url("/v1/chat/completions"));
+        if let Some(value) = authorization {
+            request = request.header("Authorization", value);
+        }
+        request.send(body).unwrap().status().as_u16()
+    };
+    let valid = format!("Bearer {TOKEN}");
+    assert_eq!(status(None, &chat("")), 401);
+    assert_eq!(status(Some("Bearer wrong"), &chat("")), 401);
+    assert_eq!(status(Some(&format!("Basic {TOKEN}")), &chat("")), 401);
+    assert_eq!(status(Some(&valid), &chat("")), 200);
+    assert_eq!(status(Some("Bearer other-token"), &chat("")), 403);
+    let unknown = chat("").replace("drafter", "nothing");
+    assert_eq!(status(Some(&valid), &unknown), 404);
+}
+
+/// Guards against an organisation that exceeds its rate, and a refusal that does not say when to come back.
+#[test]
+fn a_rate_is_kept() {
+    let system = System::start();
+    let get = || {
+        agent()
+            .get(system.url("/v1/services/filing/cases/1"))
+            .header("Authorization", "Bearer other-token")
+            .call()
+            .unwrap()
+    };
+    // The organisation may use no service, so it is refused before its rate counts.
+    assert_eq!(get().status(), 403);
+    let text = system.entry.state().force.current().unwrap();
+    let organisations = &text.document.organisations;
+    let kano = organisations
+        .iter()
+        .find(|one| one.name.as_str() == "kano")
+        .unwrap();
+    let deadline = agatemill_runtime::now() + Duration::from_secs(5);
+    let admission = &system.entry.state().admission;
+    let permit = smol::block_on(admission.admit(kano, 1, deadline)).unwrap();
+    let refusal = smol::block_on(admission.admit(kano, 1, deadline)).unwrap_err();
+    assert_eq!(refusal.reason, agatemill_core::Reason::RateLimited);
+    assert!(refusal.retry_after.is_some());
+    drop(permit);
+}
+
+/// Guards against paths that answer callers with something unexpected.
+#[test]
+fn information_is_served() {
+    let system = System::start();
+    let get = |path: &str| {
+        let mut response = agent()
+            .get(system.url(path))
+            .header("Authorization", format!("Bearer {TOKEN}"))
+            .call()
+            .unwrap();
+        let cache = response.headers().get("cache-control").cloned();
+        let text = response.body_mut().read_to_string().unwrap();
+        (response.status().as_u16(), cache, text)
+    };
+    assert_eq!(get("/healthz").0, 200);
+    assert_eq!(get("/readyz").0, 200);
+    let (status, cache, entries) = get("/v1/entries");
+    assert_eq!(status, 200);
+    assert_eq!(cache.unwrap(), "max-age=0");
+    let address = system.entry.address();
+    assert!(
+        entries.contains(&format!(r#""address":"{address}""#)),
+        "{entries}"
+    );
+    assert!(get("/v1/models").2.contains(r#""id":"drafter""#));
+    assert_eq!(get("/nothing").0, 404);
+    assert_eq!(get("/v1/chat/completions").0, 405);
+    assert!(CHAT.contains("drafter"));
+}
