Parse chats, encode events and check callers in the entry

Change: request parsing, server-sent events, problem documents, contracts, authentication and admission.

Conclusion: an intermediate state.

--- /dev/null
+++ b/crates/entry/src/admission.rs
@@ -0,0 +1,111 @@
+//! Admission of requests: rates, then the fair queue of the half.
+
+use core::hash::BuildHasher;
+use core::time::Duration;
+use std::collections::HashMap;
+use std::hash::RandomState;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use crate::gate::Gate;
+use crate::gate::Permit;
+use crate::settings::Limits;
+use agatemill_config::document::Organisation;
+use agatemill_core::Reason;
+use agatemill_core::Refusal;
+use agatemill_core::id;
+use agatemill_limits::Bucket;
+use agatemill_limits::queue::Request;
+use agatemill_limits::share;
+
+/// Shards of the rate buckets, each under its own lock.
+const SHARDS: usize = 16;
+
+/// Rate buckets and fair queues, with the half as part of every key.
+#[derive(Debug)]
+pub struct Admission {
+    slots: u32,
+    waiters: usize,
+    hasher: RandomState,
+    buckets: [Mutex<HashMap<Key, Bucket>>; SHARDS],
+    gates: Mutex<HashMap<id::Half, Arc<Gate>>>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Key {
+    half: id::Half,
+    organisation: id::Organisation,
+}
+
+impl Admission {
+    /// Creates the state of an entry that has admitted nothing yet.
+    #[must_use]
+    pub fn new(limits: &Limits) -> Self {
+        Self {
+            slots: limits.slots,
+            waiters: limits.waiters,
+            hasher: RandomState::new(),
+            buckets: Default::default(),
+            gates: Mutex::default(),
+        }
+    }
+
+    /// Admits a request of an organisation whose limits are shared among `hosts` entry hosts; waits for a
+    /// slot until `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::RateLimited`] and those of [`Gate::enter`], all not run.
+    pub async fn admit(
+        &self,
+        organisation: &Organisation,
+        hosts: u32,
+        deadline: Duration,
+    ) -> Result<Permit, Refusal> {
+        self.take(organisation, hosts)?;
+        let request = Request {
+            organisation: organisation.name.clone(),
+            weight: organisation.weight,
+            priority: organisation.priority,
+            concurrency: share::concurrency(organisation.concurrency, hosts),
+            deadline,
+        };
+        self.gate(&organisation.half).enter(request).await
+    }
+
+    fn take(&self, organisation: &Organisation, hosts: u32) -> Result<(), Refusal> {
+        let now = agatemill_runtime::now();
+        let rate = share::rate(organisation.rate, hosts);
+        let key = Key {
+            half: organisation.half.clone(),
+            organisation: organisation.name.clone(),
+        };
+        let shard = usize::try_from(self.hasher.hash_one(&key)).unwrap_or(usize::MAX) % SHARDS;
+        let mut buckets = self.buckets[shard]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let bucket = buckets
+            .entry(key)
+            .or_insert_with(|| Bucket::new(rate, now));
+        bucket.set_rate(rate, now);
+        bucket.take(now).map_err(rate_limited)
+    }
+
+    fn gate(&self, half: &id::Half) -> Arc<Gate> {
+        let mut gates = self.gates.lock().unwrap_or_else(PoisonError::into_inner);
+        let gate = gates
+            .entry(half.clone())
+            .or_insert_with(|| Arc::new(Gate::new(self.slots, self.waiters)));
+        Arc::clone(gate)
+    }
+}
+
+fn rate_limited(wait: Duration) -> Refusal {
+    let refusal = Refusal::not_run(Reason::RateLimited, "the organisation is over its rate");
+    // A rate of 0 never allows a request, so no time can be named.
+    if wait == Duration::MAX {
+        return refusal;
+    }
+    refusal.retry_after(wait)
+}
--- /dev/null
+++ b/crates/entry/src/chat.rs
@@ -0,0 +1,191 @@
+//! Requests for chat completions.
+
+use compact_str::CompactString;
+use serde::Deserialize;
+
+use agatemill_core::Reason;
+use agatemill_core::Refusal;
+use agatemill_core::id;
+
+/// Most tokens of an answer when the request names no number.
+pub const DEFAULT_TOKENS: u32 = 512;
+
+/// Most tokens of an answer that a request may ask for.
+pub const MAX_TOKENS: u32 = 32_768;
+
+/// Highest temperature that a request may ask for.
+const MAX_TEMPERATURE: f32 = 2.0;
+
+/// A checked request for a chat completion.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Chat {
+    /// Model that is asked for.
+    pub model: id::Model,
+    /// The messages as one prompt.
+    pub prompt: CompactString,
+    /// Most tokens of the answer. Invariant: 1 to [`MAX_TOKENS`].
+    pub max_tokens: u32,
+    /// Sampling temperature. Invariant: finite, 0 to 2.
+    pub temperature: f32,
+    /// Seed of the sampling.
+    pub seed: Option<u64>,
+    /// Whether the answer is a stream of events.
+    pub stream: bool,
+    /// Whether the stream ends with the usage.
+    pub include_usage: bool,
+}
+
+/// The body as callers write it. Fields that are not listed are ignored, because client libraries send
+/// many that change nothing here.
+#[derive(Debug, Deserialize)]
+struct Draft {
+    model: id::Model,
+    messages: Vec<Message>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    temperature: Option<f32>,
+    #[serde(default)]
+    seed: Option<u64>,
+    #[serde(default)]
+    n: Option<u32>,
+    #[serde(default)]
+    stream: Option<bool>,
+    #[serde(default)]
+    stream_options: Option<StreamOptions>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    role: CompactString,
+    content: Content,
+}
+
+/// Text, or a list of parts of which each is a text.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Content {
+    Text(CompactString),
+    Parts(Vec<Part>),
+}
+
+#[derive(Debug, Deserialize)]
+struct Part {
+    #[serde(rename = "type")]
+    kind: CompactString,
+    #[serde(default)]
+    text: Option<CompactString>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
+}
+
+impl Chat {
+    /// Parses and checks a request body.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::BadRequest`] with the field that is wrong.
+    pub fn parse(body: &[u8]) -> Result<Self, Refusal> {
+        let draft: Draft = serde_json::from_slice(body)
+            .map_err(|error| refuse(&format!("the body is not a chat request: {error}")))?;
+        let max_tokens = draft.max_completion_tokens.or(draft.max_tokens);
+        Ok(Self {
+            max_tokens: check_tokens(max_tokens.unwrap_or(DEFAULT_TOKENS))?,
+            temperature: check_temperature(draft.temperature.unwrap_or(1.0))?,
+            prompt: prompt(&draft.messages)?,
+            seed: draft.seed,
+            stream: check_choices(draft.n).map(|()| draft.stream.unwrap_or(false))?,
+            include_usage: draft.stream_options.unwrap_or_default().include_usage,
+            model: draft.model,
+        })
+    }
+
+    /// Whether the same request gives the same tokens again.
+    #[must_use]
+    pub fn is_deterministic(&self) -> bool {
+        self.temperature == 0.0 || self.seed.is_some()
+    }
+}
+
+fn check_tokens(count: u32) -> Result<u32, Refusal> {
+    if (1..=MAX_TOKENS).contains(&count) {
+        return Ok(count);
+    }
+    Err(refuse(&format!(
+        "max_tokens: found {count}, expected 1 to {MAX_TOKENS}"
+    )))
+}
+
+fn check_temperature(value: f32) -> Result<f32, Refusal> {
+    if (0.0..=MAX_TEMPERATURE).contains(&value) {
+        return Ok(value);
+    }
+    Err(refuse(&format!(
+        "temperature: found {value}, expected 0 to {MAX_TEMPERATURE}"
+    )))
+}
+
+fn check_choices(count: Option<u32>) -> Result<(), Refusal> {
+    match count {
+        None | Some(1) => Ok(()),
+        Some(count) => Err(refuse(&format!("n: found {count}, expected 1"))),
+    }
+}
+
+/// Joins the messages, each with its role, so that the same opening messages give the same opening text
+/// and the engines' prefix caches are of use.
+fn prompt(messages: &[Message]) -> Result<CompactString, Refusal> {
+    if messages.is_empty() {
+        return Err(refuse("messages: found none, expected at least one"));
+    }
+    let mut prompt = CompactString::default();
+    for (index, message) in messages.iter().enumerate() {
+        if !matches!(
+            message.role.as_str(),
+            "system" | "developer" | "user" | "assistant" | "tool"
+        ) {
+            let role = &message.role;
+            return Err(refuse(&format!(
+                "messages[{index}].role: found {role:?}, expected system, developer, user, assistant or tool"
+            )));
+        }
+        prompt.push_str(&message.role);
+        prompt.push_str(": ");
+        append(&mut prompt, index, &message.content)?;
+        prompt.push('\n');
+    }
+    prompt.push_str("assistant: ");
+    Ok(prompt)
+}
+
+fn append(prompt: &mut CompactString, index: usize, content: &Content) -> Result<(), Refusal> {
+    let parts = match content {
+        Content::Text(text) => {
+            prompt.push_str(text);
+            return Ok(());
+        }
+        Content::Parts(parts) => parts,
+    };
+    for part in parts {
+        match &part.text {
+            Some(text) if part.kind == "text" => prompt.push_str(text),
+            _ => {
+                let kind = &part.kind;
+                return Err(refuse(&format!(
+                    "messages[{index}].content: found a part of type {kind:?}, expected text"
+                )));
+            }
+        }
+    }
+    Ok(())
+}
+
+fn refuse(detail: &str) -> Refusal {
+    Refusal::not_run(Reason::BadRequest, detail)
+}
--- /dev/null
+++ b/crates/entry/src/connection.rs
@@ -0,0 +1,121 @@
+//! I/O of one caller's connection.
+
+use core::pin::Pin;
+use core::sync::atomic::AtomicU16;
+use core::sync::atomic::AtomicU64;
+use core::sync::atomic::Ordering;
+use core::task::Context;
+use core::task::Poll;
+use core::task::ready;
+use std::io;
+use std::sync::Arc;
+
+use hyper::rt::Read;
+use hyper::rt::ReadBufCursor;
+use hyper::rt::Write;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+
+/// Longest answer that the HTTP library writes on its own.
+const AUTOMATIC_BYTES: usize = 256;
+
+/// What has passed on a connection.
+#[derive(Debug, Default)]
+pub struct Meter {
+    /// Reads from the caller since the last request whose head was whole.
+    reads: AtomicU64,
+    /// Status of an answer of the HTTP library that was held back; 0 for none.
+    held_back: AtomicU16,
+}
+
+/// I/O of one connection. Holds back the bare answers that the HTTP library gives to malformed heads, so
+/// that the entry can answer with a problem document instead.
+pub struct Io {
+    inner: FuturesIo<TcpStream>,
+    meter: Arc<Meter>,
+}
+
+impl Meter {
+    /// Notes that a request's head is whole.
+    pub fn head_arrived(&self) {
+        self.reads.store(0, Ordering::Relaxed);
+    }
+
+    /// Whether part of a head has arrived.
+    #[must_use]
+    pub fn is_within_head(&self) -> bool {
+        self.reads.load(Ordering::Relaxed) > 0
+    }
+
+    /// Status of the answer that was held back.
+    #[must_use]
+    pub fn held_back(&self) -> Option<u16> {
+        Some(self.held_back.load(Ordering::Relaxed)).filter(|status| *status > 0)
+    }
+}
+
+impl Io {
+    /// Wraps a connection.
+    #[must_use]
+    pub fn new(stream: TcpStream, meter: Arc<Meter>) -> Self {
+        Self {
+            inner: FuturesIo::new(stream),
+            meter,
+        }
+    }
+}
+
+/// The status of a write that is exactly one bare error answer of the HTTP library. Answers of the entry
+/// always have `agatemill-request`.
+fn automatic(bytes: &[u8]) -> Option<u16> {
+    if bytes.len() > AUTOMATIC_BYTES {
+        return None;
+    }
+    let text = core::str::from_utf8(bytes).ok()?;
+    let status = text.strip_prefix("HTTP/1.1 4")?.get(..2)?;
+    let is_head = text.find("\r\n\r\n") == Some(text.len() - 4);
+    let is_bare = text.contains("content-length: 0\r\n") && !text.contains("agatemill-request:");
+    let status = status.parse::<u16>().ok()?;
+    (is_head && is_bare).then_some(400 + status)
+}
+
+impl Read for Io {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let room = buf.remaining();
+        ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        if room > 0 {
+            self.meter.reads.fetch_add(1, Ordering::Relaxed);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for Io {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if let Some(status) = automatic(buf).filter(|_| self.meter.is_within_head()) {
+            self.meter.held_back.store(status, Ordering::Relaxed);
+            return Poll::Ready(Ok(buf.len()));
+        }
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The entry may still have to write the answer in place of one that was held back.
+        if self.meter.held_back().is_some() {
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/exchange.rs
@@ -0,0 +1,115 @@
+//! One request of a caller from its arrival to its answer.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+
+use crate::body::Body;
+use crate::header;
+use crate::problem;
+use crate::progress::Work;
+use crate::route;
+use crate::state::State;
+use agatemill_core::Cause;
+use agatemill_core::Outcome;
+use agatemill_core::Phase;
+use agatemill_core::Refusal;
+use agatemill_core::id;
+
+/// One request of a caller. When it is dropped without an end, the caller has left.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Id of the request.
+    pub id: id::Request,
+    /// State of the entry.
+    pub state: Arc<State>,
+    /// When the request arrived.
+    pub arrived: Duration,
+    /// How far it has come.
+    pub phase: Phase,
+    /// Outcome, once it has ended.
+    ended: Option<Outcome>,
+    _work: Work,
+}
+
+impl Exchange {
+    fn new(state: Arc<State>) -> Self {
+        state.metrics.began();
+        Self {
+            id: new_id(),
+            arrived: agatemill_runtime::now(),
+            phase: Phase::Received,
+            ended: None,
+            _work: state.progress.begin(),
+            state,
+        }
+    }
+
+    /// Notes the end of the request.
+    pub fn end(mut self, outcome: Outcome) {
+        self.ended = Some(outcome);
+    }
+
+    /// Notes the end of the request with a refusal or failure.
+    pub fn fail(self, refusal: &Refusal) {
+        self.state.metrics.refused(refusal.reason);
+        log::info!(
+            request:% = self.id, reason:% = refusal.reason, outcome:% = refusal.outcome,
+            detail:% = refusal.detail;
+            "entry: request refused or failed"
+        );
+        self.end(refusal.outcome);
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        let left = || Outcome::resolve(self.phase, Cause::CallerLeft);
+        let outcome = self.ended.unwrap_or_else(left);
+        let time = agatemill_runtime::now().saturating_sub(self.arrived);
+        self.state.metrics.ended(outcome, time);
+    }
+}
+
+/// Answers a request. The answer always has its outcome and the id of the request.
+pub async fn answer(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    let mut exchange = Some(Exchange::new(state));
+    let id = exchange.as_ref().map(|exchange| exchange.id.clone());
+    let result = route::route(&mut exchange, request).await;
+    let mut response = match result {
+        Ok(response) => response,
+        Err(refusal) => {
+            let response = problem::answer(&refusal);
+            if let Some(exchange) = exchange.take() {
+                exchange.fail(&refusal);
+            }
+            response
+        }
+    };
+    let headers = response.headers_mut();
+    let complete = HeaderValue::from_static(Outcome::Complete.as_str());
+    let outcome = headers.entry(header::OUTCOME).or_insert(complete).clone();
+    if let Some(value) = id.and_then(|id| HeaderValue::from_str(id.as_str()).ok()) {
+        headers.insert(header::REQUEST, value);
+    }
+    if let Some(exchange) = exchange {
+        let outcome = outcome.to_str().ok().and_then(|text| text.parse().ok());
+        exchange.end(outcome.unwrap_or(Outcome::Unknown));
+    }
+    response
+}
+
+/// A new id: 128 random bits in hexadecimal.
+///
+/// # Panics
+///
+/// Never: hexadecimal digits are a valid id.
+#[must_use]
+pub fn new_id() -> id::Request {
+    let text = format!("{:032x}", fastrand::u128(..));
+    text.parse().expect("hexadecimal digits are a valid id")
+}
