Serve callers over HTTP in the entry

Cause: the whole path needs a running server.

Change: server, routes, chat and service calls, control link, polling of engines, and shutdown.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -85,9 +85,7 @@
         let mut buckets = self.buckets[shard]
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let bucket = buckets
-            .entry(key)
-            .or_insert_with(|| Bucket::new(rate, now));
+        let bucket = buckets.entry(key).or_insert_with(|| Bucket::new(rate, now));
         bucket.set_rate(rate, now);
         bucket.take(now).map_err(rate_limited)
     }
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -35,7 +35,6 @@
     }
 }
 
-
 impl hyper::body::Body for Body {
     type Data = Bytes;
     type Error = io::Error;
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -140,12 +140,7 @@
         self.json("chat.completion.chunk", none, Some(usage))
     }
 
-    fn json(
-        &self,
-        object: &'static str,
-        choices: impl Serialize,
-        usage: Option<Usage>,
-    ) -> Vec<u8> {
+    fn json(&self, object: &'static str, choices: impl Serialize, usage: Option<Usage>) -> Vec<u8> {
         let id: CompactString = compact_str::format_compact!("chatcmpl-{}", self.id);
         let answer = Answer {
             id: &id,
--- /dev/null
+++ b/crates/entry/src/completions.rs
@@ -0,0 +1,211 @@
+//! `POST /v1/chat/completions`.
+
+use std::sync::Arc;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use smol::channel::Receiver;
+
+use crate::body::Body;
+use crate::chat::Chat;
+use crate::completion::Completion;
+use crate::completion::Usage;
+use crate::exchange::Exchange;
+use crate::force::Configuration;
+use crate::gate::Permit;
+use crate::input;
+use crate::resume;
+use crate::stream;
+use agatemill_config::document::Organisation;
+use agatemill_core::Cause;
+use agatemill_core::Digest;
+use agatemill_core::Phase;
+use agatemill_core::Reason;
+use agatemill_core::Refusal;
+use agatemill_core::id;
+use agatemill_pipeline::Event;
+use agatemill_pipeline::event;
+
+/// Tokens that wait for a slow caller; the generation pauses beyond them.
+const TOKENS: usize = 64;
+
+/// Bytes of the start of a prompt that decide on the engines with a warm prefix cache.
+const PREFIX_BYTES: usize = 256;
+
+/// Events of a generation, in order.
+pub type Events = Receiver<Result<Event, Refusal>>;
+
+/// Handles a chat completion.
+///
+/// # Errors
+///
+/// Refusals of authentication, the body and admission, and failures before the first token.
+pub async fn handle(
+    exchange: &mut Option<Exchange>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Refusal> {
+    let Some(current) = exchange.as_mut() else {
+        return Err(Refusal::not_run(
+            Reason::BadRequest,
+            "the request has ended",
+        ));
+    };
+    let state = Arc::clone(&current.state);
+    let (head, body) = request.into_parts();
+    let configuration = state.configuration()?;
+    let organisation = configuration.tokens.authenticate(&head.headers)?;
+    state.check_open(&configuration)?;
+    let body = input::read(body, &state.settings.limits).await?;
+    let chat = Chat::parse(&body)?;
+    let digest = Digest::of(&body);
+    let last = resume::check(&head.headers, &chat, &digest)?;
+    check_model(&configuration, &organisation, &chat.model)?;
+    let settings = &configuration.document.settings;
+    let deadline = current.arrived + settings.request_deadline.to_duration();
+    let hosts = state.freshness.entries();
+    let permit = state
+        .admission
+        .admit(&organisation, hosts, deadline)
+        .await?;
+    current.phase = Phase::Admitted;
+    let generation = agatemill_pipeline::Request {
+        id: current.id.clone(),
+        half: organisation.half.clone(),
+        model: chat.model.clone(),
+        prompt: chat.prompt.clone(),
+        prefix: Some(prefix(&chat.prompt)),
+        max_tokens: chat.max_tokens,
+        temperature: chat.temperature,
+        seed: chat.seed,
+        priority: organisation.priority,
+        deadline,
+        skip: last.as_ref().map_or(0, |event| event.index + 1),
+    };
+    let events = start(current, generation, permit)?;
+    // From here on steps may have been sent.
+    current.phase = Phase::Sent;
+    if !chat.stream {
+        return whole(events, current.id.clone(), chat.model).await;
+    }
+    // A stream that fails before its first token still gets a status of its own.
+    let first = next(&events).await?;
+    let Some(exchange) = exchange.take() else {
+        return Err(broken());
+    };
+    let origin = last.map_or_else(|| exchange.id.clone(), |event| event.request);
+    let stream = stream::Stream {
+        completion: Completion::new(origin.clone(), chat.model),
+        origin,
+        body: digest,
+        include_usage: chat.include_usage,
+        exchange,
+    };
+    Ok(stream.answer(first, events))
+}
+
+fn check_model(
+    configuration: &Configuration,
+    organisation: &Organisation,
+    model: &id::Model,
+) -> Result<(), Refusal> {
+    if organisation.models.contains(model) {
+        return Ok(());
+    }
+    let models = &configuration.document.models;
+    let known = models.iter().any(|known| known.name == *model);
+    let (reason, detail) = if known {
+        let name = &organisation.name;
+        let detail = compact_str::format_compact!("organisation {name} may not use model {model}");
+        (Reason::Forbidden, detail)
+    } else {
+        let detail = compact_str::format_compact!("there is no model {model}");
+        (Reason::NotFound, detail)
+    };
+    Err(Refusal::not_run(reason, detail))
+}
+
+/// Digest of the start of a prompt, for prefix affinity.
+fn prefix(prompt: &str) -> Digest {
+    let bytes = prompt.as_bytes();
+    Digest::of(&bytes[..bytes.len().min(PREFIX_BYTES)])
+}
+
+/// Starts a generation as a task, which holds its slot in the queue. It ends when the receiver is dropped.
+fn start(
+    exchange: &Exchange,
+    request: agatemill_pipeline::Request,
+    permit: Permit,
+) -> Result<Events, Refusal> {
+    let state = &exchange.state;
+    let generation = state.generators.get(&request.half).ok_or_else(|| {
+        let detail = "the half of the organisation is not configured";
+        Refusal::not_run(Reason::NoChain, detail)
+    })?;
+    let (sender, receiver) = smol::channel::bounded(TOKENS);
+    let work = state.progress.begin();
+    let task = async move {
+        generation.run(&request, &sender).await;
+        drop(permit);
+        drop(work);
+    };
+    agatemill_runtime::spawn(task).detach();
+    Ok(receiver)
+}
+
+/// The next event of a generation.
+///
+/// # Errors
+///
+/// The failure of the generation.
+pub async fn next(events: &Events) -> Result<Event, Refusal> {
+    events.recv().await.unwrap_or_else(|_| Err(broken()))
+}
+
+/// A generation that ends without its end marker has failed.
+fn broken() -> Refusal {
+    Refusal::new(
+        Reason::BackendFailed,
+        Phase::Sent,
+        Cause::ConnectionLost,
+        "the generation ended without its end marker",
+    )
+}
+
+async fn whole(
+    events: Events,
+    id: id::Request,
+    model: id::Model,
+) -> Result<Response<Body>, Refusal> {
+    let mut text = String::new();
+    loop {
+        match next(&events).await? {
+            Event::Token { text: token, .. } => text.push_str(&token),
+            Event::End { reason, usage } => {
+                let completion = Completion::new(id, model);
+                let json = completion.whole(&text, finish_reason(reason), counts(usage));
+                let mut response = Response::new(Body::whole(json));
+                let kind = HeaderValue::from_static("application/json");
+                response.headers_mut().insert(CONTENT_TYPE, kind);
+                return Ok(response);
+            }
+        }
+    }
+}
+
+/// The name of a reason to finish in this API.
+#[must_use]
+pub fn finish_reason(reason: event::Finish) -> &'static str {
+    match reason {
+        event::Finish::Stop => "stop",
+        event::Finish::Length => "length",
+    }
+}
+
+/// Token counts in the shape of this API.
+#[must_use]
+pub fn counts(usage: event::Usage) -> Usage {
+    Usage::new(usage.prompt, usage.generated)
+}
--- a/crates/entry/src/contract.rs
+++ b/crates/entry/src/contract.rs
@@ -13,7 +13,10 @@
 /// contract has the path, and [`Reason::BadRequest`] when the path has more than one reading.
 pub fn find<'a>(service: &'a Service, method: &str, path: &str) -> Result<&'a Call, Refusal> {
     check_normal(path)?;
-    let mut known = service.calls.iter().filter(|call| matches(&call.path, path));
+    let mut known = service
+        .calls
+        .iter()
+        .filter(|call| matches(&call.path, path));
     let mut path_known = false;
     let found = known.find(|call| {
         path_known = true;
--- /dev/null
+++ b/crates/entry/src/error.rs
@@ -0,0 +1,37 @@
+//! Why an entry cannot run.
+
+use core::net::SocketAddr;
+use std::io;
+
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+
+use crate::settings;
+
+/// Why an entry cannot run.
+#[derive(Debug, Display, Error, From)]
+pub enum Error {
+    /// The settings file cannot be read.
+    #[display("{_0}")]
+    File(agatemill_config::settings::Error),
+    /// A setting makes no sense.
+    #[display("settings: {_0}")]
+    Setting(settings::Invalid),
+    /// The address cannot be bound.
+    #[display("cannot listen on {address}: {source}")]
+    #[from(skip)]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// Error of the operating system.
+        source: io::Error,
+    },
+    /// The metrics cannot be set up.
+    #[display("{_0}")]
+    Metrics(agatemill_metrics::registry::Failure),
+    /// The handlers of termination signals cannot be installed.
+    #[display("cannot handle termination signals: {_0}")]
+    #[from(skip)]
+    Signals(io::Error),
+}
--- a/crates/entry/src/force.rs
+++ b/crates/entry/src/force.rs
@@ -101,10 +101,7 @@
     }
 }
 
-fn same(
-    envelope: &Envelope,
-    held: &Configuration,
-) -> Result<Option<Arc<Configuration>>, Refused> {
+fn same(envelope: &Envelope, held: &Configuration) -> Result<Option<Arc<Configuration>>, Refused> {
     if envelope.digest == held.digest {
         return Ok(None);
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,80 @@
 //! The entry process: caller HTTP, admission, routing and at-most-once calls.
+//!
+//! [`run`] starts an entry inside a process and gives a [`Handle`]; [`command::main`] is the program around
+//! it. Requests pass from [`server`] by way of [`exchange`] and [`route`] to a handler, which answers or
+//! returns a [`Refusal`](agatemill_core::Refusal). Everything that requests share is in [`state`].
+
+pub mod admission;
+pub mod body;
+pub mod chat;
+pub mod command;
+pub mod completion;
+pub mod completions;
+pub mod connection;
+pub mod contract;
+pub mod error;
+pub mod exchange;
+pub mod force;
+pub mod forward;
+pub mod freshness;
+pub mod gate;
+pub mod generators;
+pub mod handle;
+pub mod header;
+pub mod identity;
+pub mod information;
+pub mod input;
+pub mod link;
+pub mod once;
+pub mod poll;
+pub mod problem;
+pub mod progress;
+pub mod resume;
+pub mod route;
+pub mod server;
+pub mod service;
+pub mod services;
+pub mod settings;
+pub mod shutdown;
+pub mod sse;
+pub mod state;
+pub mod stream;
+
+pub use error::Error;
+pub use handle::Handle;
+pub use settings::Settings;
+
+use std::sync::Arc;
+
+use smol::net::TcpListener;
+
+use agatemill_metrics::Registry;
+
+/// Starts an entry in this process.
+///
+/// # Errors
+///
+/// [`Error`] when the settings make no sense or the address cannot be bound.
+pub async fn run(settings: Settings) -> Result<Handle, Error> {
+    settings.check()?;
+    agatemill_runtime::start(settings.threads);
+    let bind = |source| Error::Bind {
+        address: settings.listen,
+        source,
+    };
+    let listener = TcpListener::bind(settings.listen).await.map_err(bind)?;
+    let bound = listener.local_addr().map_err(bind)?;
+    let address = settings.advertise.unwrap_or(bound);
+    let control = settings.control;
+    let state = Arc::new(state::State::new(settings, address, Registry::new()?));
+    log::info!(host:% = state.settings.host, address:% = bound; "entry: listening");
+    let server = agatemill_runtime::spawn(server::serve(Arc::clone(&state), listener));
+    let mut tasks = vec![agatemill_runtime::spawn(poll::run(Arc::clone(&state)))];
+    if let Some(control) = control {
+        tasks.push(agatemill_runtime::spawn(link::run(
+            Arc::clone(&state),
+            control,
+        )));
+    }
+    Ok(Handle::new(bound, state, server, tasks))
+}
--- /dev/null
+++ b/crates/entry/src/link.rs
@@ -0,0 +1,147 @@
+//! Link to the control process of this host.
+
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::io;
+use std::sync::Arc;
+
+use async_compat::CompatExt;
+use tarpc::client;
+use tarpc::client::RpcError;
+use tarpc::context;
+
+use crate::state::State;
+use agatemill_config::Envelope;
+use agatemill_wire::Report;
+use agatemill_wire::local::LocalClient;
+use agatemill_wire::transport;
+
+/// How often the state is reported and the directory read.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long an answer may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long the control may wait for a newer configuration before it answers.
+const FOLLOW_WAIT: Duration = Duration::from_secs(10);
+
+/// Pauses before the next try to connect.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// Keeps the link: connects, follows the configuration, reports and reads the directory; connects again
+/// when a call fails.
+pub async fn run(state: Arc<State>, control: SocketAddr) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        match connect(control).await {
+            Ok(client) => {
+                log::info!(control:%; "control: connected");
+                pause = FIRST_PAUSE;
+                let failure = converse(&state, &client).await;
+                log::warn!(control:%, error:% = failure; "control: link lost");
+            }
+            Err(error) => log::warn!(control:%, error:%; "control: not reachable"),
+        }
+        state.metrics.event("control", "failed");
+        agatemill_runtime::sleep(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+async fn connect(control: SocketAddr) -> io::Result<LocalClient> {
+    let connect = transport::connect(control, transport::Service::Local);
+    let transport = agatemill_runtime::timeout(CALL_TIMEOUT, connect)
+        .await
+        .ok_or(io::ErrorKind::TimedOut)??;
+    let new = LocalClient::new(client::Config::default(), transport);
+    agatemill_runtime::spawn(new.dispatch.compat()).detach();
+    Ok(new.client)
+}
+
+/// Works on a connection until a call fails.
+async fn converse(state: &State, client: &LocalClient) -> RpcError {
+    let follow = follow(state, client);
+    let report = report(state, client);
+    let directory = directory(state, client);
+    smol::future::or(follow, smol::future::or(report, directory)).await
+}
+
+async fn follow(state: &State, client: &LocalClient) -> RpcError {
+    loop {
+        let known = state.force.generation().0;
+        let context = context(FOLLOW_WAIT + CALL_TIMEOUT);
+        match client.follow(context, known, FOLLOW_WAIT).compat().await {
+            Ok(Some(envelope)) => {
+                if !accept(state, envelope) {
+                    // The control offers the same document again at once.
+                    agatemill_runtime::sleep(INTERVAL).await;
+                }
+            }
+            Ok(None) => {}
+            Err(error) => return error,
+        }
+    }
+}
+
+fn accept(state: &State, envelope: agatemill_wire::Envelope) -> bool {
+    match Envelope::try_from(envelope) {
+        // `accept` logs what it refuses.
+        Ok(envelope) => state.accept(&envelope).is_ok(),
+        Err(mismatch) => {
+            state.metrics.event("configuration", "refused");
+            log::error!(error:% = mismatch; "config: refused");
+            false
+        }
+    }
+}
+
+async fn report(state: &State, client: &LocalClient) -> RpcError {
+    loop {
+        let asked = agatemill_runtime::now();
+        let draining = state.progress.is_draining();
+        let call = client.report(context(CALL_TIMEOUT), describe(state, draining));
+        match call.compat().await {
+            Ok(instruction) => {
+                state.freshness.instructed(instruction, asked);
+                if instruction.drain && state.progress.drain() {
+                    log::info!("entry: told to drain");
+                }
+            }
+            Err(error) => return error,
+        }
+        let pause = agatemill_runtime::sleep(INTERVAL);
+        if draining {
+            pause.await;
+        } else {
+            // A drain that begins meanwhile is reported at once.
+            smol::future::or(pause, state.progress.draining()).await;
+        }
+    }
+}
+
+fn describe(state: &State, draining: bool) -> Report {
+    Report {
+        address: state.address,
+        ready: state.force.current().is_some() && !draining,
+        draining,
+        in_flight: state.progress.in_flight(),
+        generation: state.force.generation().0,
+    }
+}
+
+async fn directory(state: &State, client: &LocalClient) -> RpcError {
+    loop {
+        match client.directory(context(CALL_TIMEOUT)).compat().await {
+            Ok(directory) => state.set_directory(directory),
+            Err(error) => return error,
+        }
+        agatemill_runtime::sleep(INTERVAL).await;
+    }
+}
+
+fn context(limit: Duration) -> context::Context {
+    let mut context = context::current();
+    context.deadline = std::time::Instant::now() + limit;
+    context
+}
--- /dev/null
+++ b/crates/entry/src/once.rs
@@ -0,0 +1,227 @@
+//! Non-idempotent service calls, which run at most once.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use hyper::HeaderMap;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+
+use crate::body::Body;
+use crate::forward;
+use crate::header;
+use crate::service;
+use crate::service::Call;
+use crate::services::Run;
+use crate::state::State;
+use agatemill_core::Cause;
+use agatemill_core::Digest;
+use agatemill_core::Phase;
+use agatemill_core::Reason;
+use agatemill_core::Refusal;
+use agatemill_core::id;
+use agatemill_http::Error;
+use agatemill_ledger::Answer;
+use agatemill_ledger::Claim;
+use agatemill_ledger::Ticket;
+use agatemill_ledger::answer;
+
+/// Longest idempotency key in bytes.
+const MAX_KEY_BYTES: usize = 255;
+
+/// Largest answer that is read from a service.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// The idempotency key of a request.
+///
+/// # Errors
+///
+/// [`Reason::KeyMissing`] without one and [`Reason::BadRequest`] when it is empty, too long, not ASCII or
+/// given twice.
+pub fn key(headers: &HeaderMap) -> Result<CompactString, Refusal> {
+    let mut values = headers.get_all(header::IDEMPOTENCY_KEY).iter();
+    let value = values.next().ok_or_else(|| {
+        let detail = "this call is not idempotent and needs the header Idempotency-Key";
+        Refusal::not_run(Reason::KeyMissing, detail)
+    })?;
+    let text = value.to_str().unwrap_or_default().trim();
+    if text.is_empty() || text.len() > MAX_KEY_BYTES || values.next().is_some() {
+        let detail = "Idempotency-Key: expected one value of 1 to 255 ASCII characters";
+        return Err(Refusal::not_run(Reason::BadRequest, detail));
+    }
+    Ok(CompactString::new(text))
+}
+
+/// Claims a call and runs it if the claim is won. The work goes on when the caller leaves, so that the
+/// answer is recorded.
+///
+/// # Errors
+///
+/// Refusals of the claim, and the failure of the call.
+pub async fn run(
+    state: &Arc<State>,
+    call: Call,
+    key: CompactString,
+) -> Result<Response<Body>, Refusal> {
+    let (sender, receiver) = smol::channel::bounded(1);
+    let work = state.progress.begin();
+    let state = Arc::clone(state);
+    let task = async move {
+        let result = claim(&state, &call, key).await;
+        // Fails only when the caller has left.
+        let _ = sender.send(result).await;
+        drop(call);
+        drop(work);
+    };
+    agatemill_runtime::spawn(task).detach();
+    let lost = |_| {
+        Err(Refusal::new(
+            Reason::BackendFailed,
+            Phase::Sent,
+            Cause::ConnectionLost,
+            "the call ended without a result",
+        ))
+    };
+    receiver.recv().await.unwrap_or_else(lost)
+}
+
+async fn claim(state: &State, call: &Call, key: CompactString) -> Result<Response<Body>, Refusal> {
+    let ledger = state.ledger.as_ref().ok_or_else(|| {
+        let detail = "this entry has no platform to record the call on";
+        Refusal::not_run(Reason::PlatformUnavailable, detail)
+    })?;
+    let settings = &call.configuration.document.settings;
+    let claim = agatemill_ledger::Call {
+        half: call.organisation.half.clone(),
+        organisation: call.organisation.name.clone(),
+        key,
+        body: digest(call),
+        deadline: call.deadline,
+        retention: settings.call_retention.to_duration(),
+    };
+    match ledger.claim(&claim).await? {
+        Claim::Done(answer) => {
+            state.metrics.event("ledger", "replayed");
+            let mut response = respond(&answer);
+            let replayed = HeaderValue::from_static("true");
+            response.headers_mut().insert(header::REPLAYED, replayed);
+            Ok(response)
+        }
+        Claim::Won(ticket) => send(state, call, *ticket).await,
+    }
+}
+
+/// Digest of all that a repeat has to have in common with the first call.
+fn digest(call: &Call) -> Digest {
+    let name = &call.service.name;
+    let mut text = format!("{} {name}{}\n", call.method, call.target).into_bytes();
+    text.extend_from_slice(&call.body);
+    Digest::of(&text)
+}
+
+/// Sends the call to one server, or to another one while no connection could be opened.
+async fn send(state: &State, call: &Call, mut ticket: Ticket) -> Result<Response<Body>, Refusal> {
+    let Some(pool) = state.services.pool(&call.service) else {
+        ticket.not_run().await;
+        return Err(call.no_server());
+    };
+    let mut tried: Vec<id::Server> = Vec::new();
+    let mut last = call.no_server();
+    while let Some(run) = pool.choose(&tried) {
+        tried.push(run.choice.server.clone());
+        let now = agatemill_runtime::now();
+        let request = match call.request(&run.choice) {
+            Ok(request) => request,
+            Err(refusal) => {
+                last = refusal;
+                break;
+            }
+        };
+        if let Err(refusal) = ticket.may_send(now) {
+            last = refusal;
+            break;
+        }
+        let limit = call.deadline.saturating_sub(now);
+        let result = state
+            .services
+            .fresh
+            .fetch(request, limit, MAX_ANSWER_BYTES)
+            .await;
+        match result {
+            Err(error) if error.is_not_sent() => {
+                state.metrics.retried("service_connect");
+                last = failed(&error);
+            }
+            other => return record(state, ticket, run, other).await,
+        }
+    }
+    ticket.not_run().await;
+    Err(last)
+}
+
+/// Records what is known after the call was sent. Without an answer the ticket is dropped, which leaves
+/// the record `begun`: nobody may send the call again.
+async fn record(
+    state: &State,
+    ticket: Ticket,
+    run: Run,
+    result: Result<Response<bytes::Bytes>, Error>,
+) -> Result<Response<Body>, Refusal> {
+    let response = match result {
+        Ok(response) => response,
+        Err(error) => {
+            state.metrics.event("ledger", "outcome_unknown");
+            return Err(failed(&error));
+        }
+    };
+    run.succeeded();
+    if service::is_rejected(response.headers()) {
+        ticket.not_run().await;
+        return Err(forward::rejected(response.status(), Phase::Admitted));
+    }
+    let answer = keep(&response);
+    ticket.finish(answer.clone()).await;
+    Ok(respond(&answer))
+}
+
+fn failed(error: &Error) -> Refusal {
+    let (phase, cause) = match error {
+        // Nothing has left the process.
+        Error::Connect(_) => (Phase::Admitted, Cause::ConnectFailed),
+        Error::TimedOut => (Phase::Sent, Cause::DeadlinePassed),
+        Error::Lost(_) | Error::TooLarge { .. } => (Phase::Sent, Cause::ConnectionLost),
+    };
+    let detail = compact_str::format_compact!("the service did not answer: {error}");
+    Refusal::new(Reason::BackendFailed, phase, cause, detail)
+}
+
+fn keep(response: &Response<bytes::Bytes>) -> Answer {
+    let headers = header::forwarded(response.headers());
+    let text = |(name, value): (&HeaderName, &HeaderValue)| {
+        let value = value.to_str().ok()?;
+        Some(answer::Header {
+            name: CompactString::new(name.as_str()),
+            value: CompactString::new(value),
+        })
+    };
+    Answer {
+        status: response.status().as_u16(),
+        headers: headers.iter().filter_map(text).collect(),
+        body: response.body().to_vec(),
+    }
+}
+
+fn respond(answer: &Answer) -> Response<Body> {
+    let mut response = Response::new(Body::whole(answer.body.clone()));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for header in &answer.headers {
+        let name = HeaderName::try_from(header.name.as_str());
+        let value = HeaderValue::try_from(header.value.as_str());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
--- a/crates/entry/src/progress.rs
+++ b/crates/entry/src/progress.rs
@@ -19,7 +19,8 @@
     in_flight: AtomicU32,
     /// Open connections.
     connections: AtomicU32,
-    draining: AtomicBool,
+    /// Closed when the entry is leaving; nothing is ever sent.
+    draining: (Sender<()>, Receiver<()>),
     stopped: AtomicBool,
     /// Closed when connections are to end; nothing is ever sent.
     ending: (Sender<()>, Receiver<()>),
@@ -38,7 +39,7 @@
         Self {
             in_flight: AtomicU32::new(0),
             connections: AtomicU32::new(0),
-            draining: AtomicBool::new(false),
+            draining: smol::channel::bounded(1),
             stopped: AtomicBool::new(false),
             ending: smol::channel::bounded(1),
         }
@@ -75,12 +76,18 @@
     /// Whether the entry is leaving: callers are not told its address any longer.
     #[must_use]
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::SeqCst)
+        self.draining.0.is_closed()
     }
 
     /// Marks the entry as leaving; returns whether it was not before.
     pub fn drain(&self) -> bool {
-        !self.draining.swap(true, Ordering::SeqCst)
+        self.draining.0.close()
+    }
+
+    /// Waits until the entry is leaving.
+    pub async fn draining(&self) {
+        // The channel is empty, so this returns only when it is closed.
+        let _ = self.draining.1.recv().await;
     }
 
     /// Whether connections end after their current answer.
--- /dev/null
+++ b/crates/entry/src/route.rs
@@ -0,0 +1,66 @@
+//! Choice of the handler for a request.
+
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use crate::body::Body;
+use crate::completions;
+use crate::exchange::Exchange;
+use crate::information;
+use crate::service;
+use agatemill_core::Reason;
+use agatemill_core::Refusal;
+
+/// Start of the paths of service calls.
+pub const SERVICES: &str = "/v1/services/";
+
+/// Passes a request to its handler. The handler of a stream takes the exchange.
+///
+/// # Errors
+///
+/// Whatever the handler refuses; [`Reason::NotFound`] or [`Reason::MethodNotAllowed`] without a handler.
+pub async fn route(
+    exchange: &mut Option<Exchange>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Refusal> {
+    let Some(current) = exchange.as_ref() else {
+        return Err(Refusal::not_run(
+            Reason::BadRequest,
+            "the request has ended",
+        ));
+    };
+    let state = &*current.state;
+    let headers = request.headers();
+    let path = request.uri().path();
+    if path.starts_with(SERVICES) {
+        return service::handle(exchange, request).await;
+    }
+    let allowed = match path {
+        "/v1/chat/completions" => Method::POST,
+        _ => Method::GET,
+    };
+    let is_allowed = *request.method() == allowed;
+    match path {
+        "/healthz" if is_allowed => Ok(information::health()),
+        "/readyz" if is_allowed => information::ready(state),
+        "/metrics" if is_allowed => information::metrics(state),
+        "/v1/entries" if is_allowed => information::entries(state),
+        "/v1/models" if is_allowed => information::models(state, headers),
+        "/v1/chat/completions" if is_allowed => completions::handle(exchange, request).await,
+        "/healthz"
+        | "/readyz"
+        | "/metrics"
+        | "/v1/entries"
+        | "/v1/models"
+        | "/v1/chat/completions" => Err(Refusal::not_run(
+            Reason::MethodNotAllowed,
+            compact_str::format_compact!("{path} takes only {allowed}"),
+        )),
+        _ => Err(Refusal::not_run(
+            Reason::NotFound,
+            "there is nothing at this path",
+        )),
+    }
+}
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -109,12 +109,11 @@
         None
     };
     let whole = async { Some(connection.as_mut().await) };
-    let result = match smol::future::or(whole, ended).await {
-        Some(result) => result,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.as_mut().await
-        }
+    let result = if let Some(result) = smol::future::or(whole, ended).await {
+        result
+    } else {
+        connection.as_mut().graceful_shutdown();
+        connection.as_mut().await
     };
     if let Err(error) = result {
         log::debug!(error:%; "entry: connection ended");
--- /dev/null
+++ b/crates/entry/src/service.rs
@@ -0,0 +1,200 @@
+//! Calls of plain services.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::Uri;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+
+use crate::body::Body;
+use crate::contract;
+use crate::exchange::Exchange;
+use crate::force::Configuration;
+use crate::forward;
+use crate::gate::Permit;
+use crate::header;
+use crate::input;
+use crate::once;
+use crate::route::SERVICES;
+use agatemill_config::document::Organisation;
+use agatemill_config::document::Service;
+use agatemill_core::Reason;
+use agatemill_core::Refusal;
+use agatemill_core::id;
+use agatemill_routing::server::Choice;
+
+/// A call that was checked and admitted.
+#[derive(Debug)]
+pub struct Call {
+    /// Configuration that the call was checked against.
+    pub configuration: Arc<Configuration>,
+    /// Organisation of the caller.
+    pub organisation: Arc<Organisation>,
+    /// Service that is called.
+    pub service: Service,
+    /// Id of the request.
+    pub request: id::Request,
+    /// Method.
+    pub method: Method,
+    /// Path below the service, with the query.
+    pub target: String,
+    /// Headers to pass on.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// When nobody waits for the answer any longer.
+    pub deadline: Duration,
+    /// Slot in the queue of the half.
+    pub permit: Permit,
+}
+
+/// Handles `/v1/services/{service}/…`.
+///
+/// # Errors
+///
+/// Refusals of authentication, contract and admission, and those of the call itself.
+pub async fn handle(
+    exchange: &mut Option<Exchange>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Refusal> {
+    let Some(current) = exchange.as_ref() else {
+        return Err(Refusal::not_run(
+            Reason::BadRequest,
+            "the request has ended",
+        ));
+    };
+    let state = Arc::clone(&current.state);
+    let (id, arrived) = (current.id.clone(), current.arrived);
+    let (head, body) = request.into_parts();
+    let configuration = state.configuration()?;
+    let organisation = configuration.tokens.authenticate(&head.headers)?;
+    state.check_open(&configuration)?;
+    let (name, path) = split(head.uri.path())?;
+    let service = find(&configuration, &organisation, name)?.clone();
+    let idempotent = contract::find(&service, head.method.as_str(), path)?.idempotent;
+    let key = if idempotent {
+        None
+    } else {
+        Some(once::key(&head.headers)?)
+    };
+    let target = target(path, &head.uri);
+    let body = input::read(body, &state.settings.limits).await?;
+    let settings = &configuration.document.settings;
+    let deadline = arrived + settings.request_deadline.to_duration();
+    let hosts = state.freshness.entries();
+    let permit = state
+        .admission
+        .admit(&organisation, hosts, deadline)
+        .await?;
+    let call = Call {
+        service,
+        request: id,
+        method: head.method,
+        target,
+        headers: header::forwarded(&head.headers),
+        body,
+        deadline,
+        permit,
+        organisation,
+        configuration,
+    };
+    match key {
+        None => forward::run(exchange, call).await,
+        Some(key) => once::run(&state, call, key).await,
+    }
+}
+
+/// The service and the rest of a path, with its leading `/`.
+fn split(path: &str) -> Result<(&str, &str), Refusal> {
+    let rest = path.strip_prefix(SERVICES).unwrap_or_default();
+    let end = rest.find('/').ok_or_else(|| {
+        let detail = "the path names no call, expected /v1/services/{service}/{call}";
+        Refusal::not_run(Reason::NotFound, detail)
+    })?;
+    Ok(rest.split_at(end))
+}
+
+fn target(path: &str, uri: &Uri) -> String {
+    match uri.query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    }
+}
+
+/// The service of the caller's half, if its organisation may use it.
+fn find<'a>(
+    configuration: &'a Configuration,
+    organisation: &Organisation,
+    name: &str,
+) -> Result<&'a Service, Refusal> {
+    let services = &configuration.document.services;
+    let own =
+        |service: &&Service| service.half == organisation.half && service.name.as_str() == name;
+    let service = services.iter().find(own).ok_or_else(|| {
+        Refusal::not_run(
+            Reason::NotFound,
+            compact_str::format_compact!("there is no service {name:?}"),
+        )
+    })?;
+    if organisation.services.contains(&service.name) {
+        return Ok(service);
+    }
+    let detail = compact_str::format_compact!(
+        "organisation {} may not use service {name}",
+        organisation.name
+    );
+    Err(Refusal::not_run(Reason::Forbidden, detail))
+}
+
+impl Call {
+    /// The request to a backend server.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::BadRequest`] when the target is no valid URI.
+    pub fn request(&self, choice: &Choice) -> Result<Request<Full<Bytes>>, Refusal> {
+        let uri = format!("http://{}{}", choice.address, self.target);
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(uri)
+            .body(Full::new(self.body.clone()))
+            .map_err(|error| {
+                let detail = compact_str::format_compact!("the call cannot be forwarded: {error}");
+                Refusal::not_run(Reason::BadRequest, detail)
+            })?;
+        let headers = request.headers_mut();
+        headers.extend(self.headers.clone());
+        // Ids hold only characters that are valid in a header.
+        if let Ok(value) = HeaderValue::from_str(self.organisation.name.as_str()) {
+            headers.insert(header::ORGANISATION, value);
+        }
+        if let Ok(value) = HeaderValue::from_str(self.request.as_str()) {
+            headers.insert(header::REQUEST, value);
+        }
+        Ok(request)
+    }
+
+    /// The refusal when no backend server is usable.
+    #[must_use]
+    pub fn no_server(&self) -> Refusal {
+        let detail =
+            compact_str::format_compact!("service {} has no usable server", self.service.name);
+        Refusal::not_run(Reason::NoServer, detail).retry_after(Duration::from_secs(1))
+    }
+}
+
+/// Whether a backend server says with the header `Agatemill-Outcome: not-run` that it did not run a call.
+#[must_use]
+pub fn is_rejected(headers: &HeaderMap) -> bool {
+    let not_run = agatemill_core::Outcome::NotRun.as_str();
+    headers
+        .get(header::OUTCOME)
+        .is_some_and(|value| value == not_run)
+}
--- /dev/null
+++ b/crates/entry/src/stream.rs
@@ -0,0 +1,132 @@
+//! Streamed chat completions.
+
+use std::io;
+
+use bytes::Bytes;
+use hyper::Response;
+use hyper::header::CACHE_CONTROL;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use smol::channel::Sender;
+
+use crate::body::Body;
+use crate::completion::Completion;
+use crate::completions;
+use crate::completions::Events;
+use crate::exchange::Exchange;
+use crate::header;
+use crate::problem::Problem;
+use crate::sse;
+use crate::sse::EventId;
+use agatemill_core::Cause;
+use agatemill_core::Digest;
+use agatemill_core::Outcome;
+use agatemill_core::Phase;
+use agatemill_core::Reason;
+use agatemill_core::Refusal;
+use agatemill_core::id;
+use agatemill_pipeline::Event;
+
+/// Events that wait for a slow caller.
+const PIECES: usize = 16;
+
+/// A streamed answer.
+#[derive(Debug)]
+pub struct Stream {
+    /// The request.
+    pub exchange: Exchange,
+    /// What all events share.
+    pub completion: Completion,
+    /// Request that began the stream; another one than that of the exchange after a resumption.
+    pub origin: id::Request,
+    /// Digest of the request body.
+    pub body: Digest,
+    /// Whether the stream ends with the usage.
+    pub include_usage: bool,
+}
+
+type Pieces = Sender<io::Result<Bytes>>;
+
+impl Stream {
+    /// Answers with the first event and those that follow.
+    #[must_use]
+    pub fn answer(self, first: Event, events: Events) -> Response<Body> {
+        let (sender, receiver) = smol::channel::bounded(PIECES);
+        let mut response = Response::new(Body::stream(receiver));
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static(sse::MEDIA_TYPE));
+        headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        // Only the end of the stream says that the answer is whole.
+        let unknown = HeaderValue::from_static(Outcome::Unknown.as_str());
+        headers.insert(header::OUTCOME, unknown);
+        let task = async move {
+            let result = self.pump(first, &events, &sender).await;
+            self.end(result, &sender).await;
+        };
+        agatemill_runtime::spawn(task).detach();
+        response
+    }
+
+    async fn pump(&self, first: Event, events: &Events, sender: &Pieces) -> Result<(), Refusal> {
+        let mut event = first;
+        loop {
+            let is_end = matches!(event, Event::End { .. });
+            for piece in self.encode(event) {
+                send(sender, piece).await?;
+            }
+            if is_end {
+                return Ok(());
+            }
+            let left = async {
+                sender.closed().await;
+                Err(caller_left())
+            };
+            event = smol::future::or(completions::next(events), left).await?;
+        }
+    }
+
+    fn encode(&self, event: Event) -> Vec<Bytes> {
+        match event {
+            Event::Token { index, text, .. } => {
+                let id = EventId::new(self.origin.clone(), &self.body, index);
+                let data = self.completion.token(index, &text);
+                vec![sse::event(Some(&id), &data)]
+            }
+            Event::End { reason, usage } => {
+                let finish = self.completion.finish(completions::finish_reason(reason));
+                let mut pieces = vec![sse::event(None, &finish)];
+                if self.include_usage {
+                    let usage = self.completion.usage(completions::counts(usage));
+                    pieces.push(sse::event(None, &usage));
+                }
+                pieces.push(Bytes::from_static(sse::DONE));
+                pieces
+            }
+        }
+    }
+
+    async fn end(self, result: Result<(), Refusal>, sender: &Pieces) {
+        match result {
+            Ok(()) => self.exchange.end(Outcome::Complete),
+            Err(refusal) => {
+                // Fails only when the caller has left.
+                let _ = sender.send(Ok(sse::error(&Problem::from(&refusal)))).await;
+                self.exchange.fail(&refusal);
+            }
+        }
+    }
+}
+
+async fn send(sender: &Pieces, piece: Bytes) -> Result<(), Refusal> {
+    sender.send(Ok(piece)).await.map_err(|_| caller_left())
+}
+
+/// Ends the work on a request whose caller has left; nobody reads it.
+fn caller_left() -> Refusal {
+    Refusal::new(
+        Reason::BackendFailed,
+        Phase::Sent,
+        Cause::CallerLeft,
+        "the caller left",
+    )
+}
