Add the planner

Cause: engines have to be told to load what the document says, by one process at a time.

Change: one of the members that watch the platform holds a lease key, takes a fencing number by compare-and-swap, compares the engines with the document and orders loads through a token bucket, scarcest layers first.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -1,5 +1,7 @@
 //! The configuration that this control holds: the highest generation seen.
 
+use core::sync::atomic::AtomicU64;
+use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -32,6 +34,8 @@
 #[derive(Debug, Default)]
 pub struct Configuration {
     state: Mutex<State>,
+    /// How often the platform was found to hold a lower generation.
+    reverted: AtomicU64,
 }
 
 #[derive(Debug, Default)]
@@ -156,6 +160,19 @@
         Some(now.saturating_sub(confirmed))
     }
 
+    /// Notes that the platform holds a generation lower than the one held here.
+    pub fn note_reverted(&self, platform: Generation) {
+        self.reverted.fetch_add(1, Ordering::Relaxed);
+        log::error!(platform:%, held:% = self.generation();
+            "config: the platform holds a lower generation, the newer one is kept");
+    }
+
+    /// How often the platform was found to hold a lower generation.
+    #[must_use]
+    pub fn reverted(&self) -> u64 {
+        self.reverted.load(Ordering::Relaxed)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -3,6 +3,7 @@
 use core::net::SocketAddr;
 use core::sync::atomic::AtomicBool;
 use core::sync::atomic::AtomicU64;
+use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::io;
 use std::sync::Arc;
@@ -79,6 +80,7 @@
         entry: Entry::default(),
         hosts: Hosts::default(),
         drain: AtomicBool::new(false),
+        planner: AtomicBool::new(false),
         connections: AtomicU64::new(0),
         pulls,
         tasks: Tasks::open(),
@@ -114,6 +116,18 @@
         self.shared.configuration.generation()
     }
 
+    /// How often the platform was found to hold a lower generation.
+    #[must_use]
+    pub fn reverted(&self) -> u64 {
+        self.shared.configuration.reverted()
+    }
+
+    /// Whether this control holds the planner's lease.
+    #[must_use]
+    pub fn is_planner(&self) -> bool {
+        self.shared.planner.load(Ordering::Relaxed)
+    }
+
     /// Stops in order: tells several members that this host leaves, serves the entry until it has
     /// disconnected or `stop_limit` has passed, and ends.
     pub async fn close(self) {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,4 +1,4 @@
-//! The control process: membership, configuration spreading and the directory of entry addresses.
+//! The control process: membership, configuration spreading, the directory of entry addresses, planning.
 //!
 //! [`run`] starts a control within the current process. Its parts keep their state under their own
 //! locks, in [`shared::Shared`]; each part runs as one or more tasks that end with the [`Control`].
@@ -13,6 +13,7 @@
 mod gossip;
 mod hosts;
 pub mod placement;
+pub mod planner;
 mod platform;
 pub mod record;
 mod remote;
--- /dev/null
+++ b/crates/control/src/planner/orders.rs
@@ -0,0 +1,87 @@
+//! Calls to engines.
+
+use core::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use http_body_util::Full;
+use hyper::Request;
+
+use crate::planner::term::ORDER_DEADLINE;
+use agatemill_config::document::Engine;
+use agatemill_core::number::Fence;
+use agatemill_engine::Failure;
+use agatemill_engine::Order;
+use agatemill_engine::Status;
+use agatemill_engine::failure::Code;
+use agatemill_engine::order::Action;
+
+/// How long an engine may take to report its state.
+const STATUS_LIMIT: Duration = Duration::from_millis(500);
+
+/// Largest answer that is read.
+const MAX_BYTES: usize = 64 * 1024;
+
+/// Calls to engines.
+#[derive(Clone, Debug)]
+pub(crate) struct Orders {
+    http: agatemill_http::Client,
+}
+
+/// Why an engine did not take an order.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub(crate) enum Refused {
+    /// The engine has seen a newer fencing number.
+    #[display("the engine has seen a newer fencing number")]
+    Fenced,
+    /// Anything else; the order may have been taken all the same.
+    #[display("{_0}")]
+    Other(#[error(not(source))] String),
+}
+
+impl Default for Orders {
+    fn default() -> Self {
+        Self {
+            http: agatemill_http::Client::new(STATUS_LIMIT),
+        }
+    }
+}
+
+impl Orders {
+    /// State of an engine; `None` when it does not answer in time.
+    pub(crate) async fn status(&self, engine: &Engine) -> Option<Status> {
+        let request = Request::get(format!("http://{}/v1/status", engine.address));
+        let request = request.body(Full::new(Bytes::new())).ok()?;
+        let answer = self.http.fetch(request, STATUS_LIMIT, MAX_BYTES).await;
+        serde_json::from_slice(answer.ok()?.body()).ok()
+    }
+
+    /// Sends an order.
+    pub(crate) async fn send(
+        &self,
+        engine: &Engine,
+        fence: Fence,
+        action: Action,
+    ) -> Result<(), Refused> {
+        let body = serde_json::to_vec(&Order { fence, action }).map_err(other)?;
+        let request = Request::post(format!("http://{}/v1/orders", engine.address))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(other)?;
+        let answer = self.http.fetch(request, ORDER_DEADLINE, MAX_BYTES).await;
+        let answer = answer.map_err(other)?;
+        if answer.status().is_success() {
+            return Ok(());
+        }
+        let failure: Option<Failure> = serde_json::from_slice(answer.body()).ok();
+        if failure.is_some_and(|failure| failure.code == Code::Fenced) {
+            return Err(Refused::Fenced);
+        }
+        Err(other(format!("the engine answered {}", answer.status())))
+    }
+}
+
+fn other(error: impl core::fmt::Display) -> Refused {
+    Refused::Other(error.to_string())
+}
--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -5,6 +5,7 @@
 use crate::configuration::Offer;
 use crate::hosts;
 use crate::placement;
+use crate::planner;
 use crate::shared::Shared;
 use crate::spread;
 use agatemill_config::Envelope;
@@ -23,7 +24,8 @@
     let tasks = &shared.tasks;
     tasks.spawn(members::keep(Arc::clone(shared), client.clone()));
     tasks.spawn(follow_configuration(Arc::clone(shared), client.clone()));
-    tasks.spawn(read_hosts(Arc::clone(shared), client));
+    tasks.spawn(read_hosts(Arc::clone(shared), client.clone()));
+    tasks.spawn(planner::run(Arc::clone(shared), client));
 }
 
 /// Reads the list of hosts now and then.
@@ -98,11 +100,7 @@
     }
     match spread::offer(shared, envelope) {
         Offer::Accepted | Offer::Known => shared.configuration.confirm(generation, at),
-        Offer::Older => {
-            let held = shared.configuration.generation();
-            log::error!(platform:% = generation, held:%;
-                "config: the platform holds a lower generation, the newer one is kept");
-        }
+        Offer::Older => shared.configuration.note_reverted(generation),
         Offer::Conflicting | Offer::Invalid(_) => {}
     }
     Ok(())
--- a/crates/control/src/serve/operator.rs
+++ b/crates/control/src/serve/operator.rs
@@ -30,7 +30,7 @@
             generation: held.as_ref().map_or(0, |held| held.generation.0),
             digest: held.map_or_else(String::new, |held| held.digest.to_string()),
             confirmed_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
-            planner: false,
+            planner: shared.planner.load(Ordering::Relaxed),
             members: record::to_wire(shared.machine().members()),
         }
     }
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -41,6 +41,8 @@
     pub(crate) hosts: Hosts,
     /// Set when an operator asks this host to leave; never cleared.
     pub(crate) drain: AtomicBool,
+    /// Whether this process holds the planner's lease.
+    pub(crate) planner: AtomicBool,
     /// Number of the next accepted connection.
     pub(crate) connections: AtomicU64,
     /// Control addresses of members that hold a newer generation.
