Mend the import groups of the demo and of entry tests

Cause: the import check failed after the merge of the entry.

Change: imports of this workspace stand in one group.

Measured: the import check passes.

Conclusion: none.

--- a/crates/demo/src/system.rs
+++ b/crates/demo/src/system.rs
@@ -4,6 +4,9 @@
 use core::net::SocketAddr;
 use core::time::Duration;
 
+use crate::document;
+use crate::document::STAGE_LAYERS;
+use crate::document::STAGES;
 use agatemill_config::Envelope;
 use agatemill_control::Control;
 use agatemill_core::layer;
@@ -15,10 +18,6 @@
 use agatemill_fake::platform::Platform;
 use agatemill_fake::service;
 
-use crate::document;
-use crate::document::STAGE_LAYERS;
-use crate::document::STAGES;
-
 /// Any free port on loopback.
 const LOOPBACK: SocketAddr = SocketAddr::new(core::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -3,16 +3,15 @@
 use core::time::Duration;
 use std::io::Write;
 
-use agatemill_core::quantity::Size;
-use agatemill_core::quantity::Time;
-use agatemill_entry::settings::Limits;
-
 use crate::support::CHAT;
 use crate::support::System;
 use crate::support::TOKEN;
 use crate::support::agent;
 use crate::support::chat;
 use crate::support::read;
+use agatemill_core::quantity::Size;
+use agatemill_core::quantity::Time;
+use agatemill_entry::settings::Limits;
 
 mod support;
 
