--- a/tests/all/script.rs
+++ b/tests/all/script.rs
@@ -39,6 +39,8 @@
     pending: HashMap<String, Vec<Pending>>,
     /// Last event id of each finished stream, for resuming.
     last_events: HashMap<String, String>,
+    /// Executions of a stand-in at a mark, by mark and name.
+    marks: HashMap<(String, String), usize>,
     /// Stored texts of interrupted streams.
     texts: HashMap<String, String>,
 }
@@ -64,6 +66,10 @@
             "layers" => verdict::layers(self.world()),
             "executions" => self.executions(case),
             "log" => self.log(case),
+            "sleep" => sleep(case),
+            "snapshot" | "restore" => self.snapshot(&name),
+            "race" => self.race(case),
+            "forget" => self.forget(case),
             other => panic!("unknown directive {other}"),
         };
         case.expect_empty().expect("unknown argument");
@@ -172,7 +178,7 @@
         let key: String = argument(case, "key", String::new());
         let count: usize = argument(case, "count", 1);
         let amount: u64 = argument(case, "amount", 100);
-        let path: String = argument(case, "path", "/v1/services/payments/pay".to_owned());
+        let path = path(case, "/v1/services/payments/pay");
         let entries = self.entries(case);
         for index in 0..count {
             let entry = entries[index % entries.len()];
@@ -225,7 +231,7 @@
     }
 
     fn get(&mut self, case: &mut TestCase) -> String {
-        let path: String = case.take_arg("path").expect("path=/…");
+        let path = path(case, "/readyz");
         let entries = self.entries(case);
         World::caller(0).get(entries[0], &path).summary()
     }
@@ -317,19 +323,34 @@
             .try_take_arg::<String>("executed")
             .expect("executed=NAME")
         {
-            self.world().until(|world| {
-                world
-                    .executions(&name)
-                    .is_some_and(|list| verdict::count(&list) > 0)
-            })
-        } else if let Some(status) = case.try_take_arg::<u16>("status").expect("status=CODE") {
-            let path: String = case.take_arg("path").expect("path=/…");
+            self.world()
+                .until(|world| world.executions(&name).is_some_and(|list| !list.is_empty()))
+        } else if let Some(hosts) = case
+            .try_take_args::<String>("ready")
+            .expect("ready=(h0, …)")
+        {
+            let indexes: Vec<u8> = hosts.iter().map(host_index).collect();
+            self.world()
+                .until(|world| indexes.iter().all(|index| world.is_ready(*index)))
+        } else if let Some(generation) = case
+            .try_take_arg::<u64>("generation")
+            .expect("generation=N")
+        {
+            self.world()
+                .until(|world| world.generations().iter().all(|found| *found == generation))
+        } else if let Some(generation) = case
+            .try_take_arg::<u64>("platform-generation")
+            .expect("a number")
+        {
+            self.world()
+                .until(|world| world.platform_generation() == generation)
+        } else if let Some(reason) = case.try_take_arg::<String>("reason").expect("reason=TEXT") {
+            let entries = self.entries(case);
+            self.world().until(|_| chat(entries[0]).reason == reason)
+        } else if let Some(status) = case.try_take_arg::<u16>("chat").expect("chat=CODE") {
             let entries = self.entries(case);
-            self.world().until(|_| {
-                entries
-                    .iter()
-                    .all(|entry| World::caller(0).get(*entry, &path).status == status)
-            })
+            self.world()
+                .until(|_| entries.iter().all(|entry| chat(*entry).status == status))
         } else if let Some(text) = case.try_take_arg::<String>("log").expect("log=TEXT") {
             let target: String = case.take_arg("target").expect("target=NAME");
             let needle = text.replace('_', " ");
@@ -354,17 +375,67 @@
         }
     }
 
-    /// Number of steps or calls that a stand-in ran; `since` stores or compares marks by name.
+    /// Number of steps or calls that a stand-in ran, in all or `since` a mark; `mark` only remembers it.
     fn executions(&mut self, case: &mut TestCase) -> String {
         let targets: Vec<String> = case.take_args("target").expect("target=NAME");
+        let mark: Option<String> = case.try_take_arg("mark").expect("mark=NAME");
+        let since: Option<String> = case.try_take_arg("since").expect("since=NAME");
         let mut text = String::new();
         for target in targets {
-            let list = self.world().executions(&target).unwrap_or_default();
-            writeln!(text, "{target}: {}", verdict::count(&list)).expect("text grows");
+            let count = self.world().executions(&target).unwrap_or_default().len();
+            if let Some(mark) = &mark {
+                self.marks.insert((mark.clone(), target), count);
+                continue;
+            }
+            let before = since
+                .as_ref()
+                .map_or(0, |mark| self.marks[&(mark.clone(), target.clone())]);
+            writeln!(text, "{target}: {}", count - before).expect("text grows");
         }
         text
     }
 
+    /// Makes the platform remember all keys, or go back to those that it remembers.
+    fn snapshot(&mut self, action: &str) -> String {
+        let world = self.world();
+        let answer = World::caller(0).post(
+            world.fake("platform"),
+            &format!("/fake/{action}"),
+            &[],
+            &json!({}),
+        );
+        assert!((200..300).contains(&answer.status), "{answer:?}");
+        String::new()
+    }
+
+    /// Applies a different document from each of several operators at the same moment; prints their exit
+    /// codes, sorted.
+    fn race(&mut self, case: &mut TestCase) -> String {
+        let without: Vec<String> = case.take_args("without").expect("without=(NAME, NAME)");
+        let world = self.world();
+        let mut codes: Vec<i32> = thread::scope(|scope| {
+            let apply = |name: &String| {
+                let name = name.clone();
+                scope.spawn(move || world.apply(&[name]).0)
+            };
+            let handles: Vec<_> = without.iter().map(apply).collect();
+            handles
+                .into_iter()
+                .map(|handle| handle.join().expect("an operator"))
+                .collect()
+        });
+        codes.sort_unstable();
+        let lines: Vec<String> = codes.iter().map(|code| format!("exit {code}")).collect();
+        lines.join("\n")
+    }
+
+    /// Drops requests in progress without looking at their results.
+    fn forget(&mut self, case: &mut TestCase) -> String {
+        let id: String = case.take_arg("id").expect("id=NAME");
+        self.pending.remove(&id);
+        String::new()
+    }
+
     /// Number of log lines of a process with a text (`_` stands for a space).
     fn log(&mut self, case: &mut TestCase) -> String {
         let target: String = case.take_arg("target").expect("target=NAME");
@@ -390,18 +461,42 @@
 
     fn host_indexes(&self, case: &mut TestCase, argument: &str) -> Vec<u8> {
         let names: Option<Vec<String>> = case.try_take_args(argument).expect("host names");
-        let index = |name: &String| {
-            name.trim_start_matches('h')
-                .parse()
-                .expect("a host name such as h0")
-        };
         names.map_or_else(
             || (0..self.world().hosts).collect(),
-            |names| names.iter().map(index).collect(),
+            |names| names.iter().map(host_index).collect(),
         )
     }
 }
 
+/// The path in the input of a directive, which the arguments cannot hold.
+fn path(case: &TestCase, default: &str) -> String {
+    let path = case.input.trim();
+    if path.is_empty() {
+        default.to_owned()
+    } else {
+        path.to_owned()
+    }
+}
+
+fn host_index(name: &String) -> u8 {
+    name.trim_start_matches('h')
+        .parse()
+        .expect("a host name such as h0")
+}
+
+/// A short chat that is not judged.
+fn chat(entry: std::net::SocketAddr) -> Answer {
+    let body = json!({"model": MODEL, "max_tokens": 1, "messages": [{"role": "user", "content": "hello"}]});
+    World::caller(0).post(entry, "/v1/chat/completions", &[], &body)
+}
+
+/// Lets time pass, where a guarantee itself speaks of a time.
+fn sleep(case: &mut TestCase) -> String {
+    let time: u64 = case.take_arg("ms").expect("ms=NUMBER");
+    thread::sleep(Duration::from_millis(time));
+    String::new()
+}
+
 fn argument<T: std::str::FromStr>(case: &mut TestCase, name: &str, default: T) -> T
 where
     T::Err: std::error::Error + Send + Sync + 'static,
--- a/tests/all/verdict.rs
+++ b/tests/all/verdict.rs
@@ -2,8 +2,6 @@
 
 use std::collections::BTreeMap;
 
-use serde_json::Value;
-
 use crate::caller::Answer;
 use crate::plan::MODEL;
 use crate::world::World;
@@ -90,8 +88,3 @@
         lines.join("\n")
     }
 }
-
-/// Number of executions of a kind in a list.
-pub fn count(executions: &[Value]) -> usize {
-    executions.len()
-}
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -265,6 +265,30 @@
         hosts
     }
 
+    /// Generation that each member has in force, as the control of host 0 sees them.
+    pub fn generations(&self) -> Vec<u64> {
+        let (code, text) = self.ctl(&words("status --json"));
+        let overview: Value = serde_json::from_str(&text).unwrap_or_default();
+        let members = overview["members"].as_array().cloned().unwrap_or_default();
+        let generation = |member: &Value| member["generation"].as_u64().unwrap_or_default();
+        if code == 0 {
+            members.iter().map(generation).collect()
+        } else {
+            vec![0]
+        }
+    }
+
+    /// Generation that the platform holds; 0 when it does not answer.
+    pub fn platform_generation(&self) -> u64 {
+        let client = Client::new(&[self.network.platform()], PATIENCE);
+        let key = format!("/agatemill/{ENVIRONMENT}/configuration");
+        let Ok(Some(entry)) = smol::block_on(client.get(&key)) else {
+            return 0;
+        };
+        let envelope: Value = serde_json::from_slice(&entry.value).unwrap_or_default();
+        envelope["generation"].as_u64().unwrap_or_default()
+    }
+
     /// Waits until a condition holds; false when [`PATIENCE`] ends first.
     pub fn until(&self, mut condition: impl FnMut(&Self) -> bool) -> bool {
         let end = Instant::now() + PATIENCE;
