Look whether an engine is alive before a slow step is given up

Cause: the step timeout was ten times the average of the engine, at least 250 ms. When half of the engines left, the others got twice the load, steps took longer than that, and each timeout rebuilt a session on an engine that was as loaded. Ruled out: a lost engine, since the logs show timeouts on every engine that was left.

Change: ten times the average only makes the entry ask for the engine's status.

--- a/crates/pipeline/src/latency.rs
+++ b/crates/pipeline/src/latency.rs
@@ -9,8 +9,11 @@
 /// Weight of the newest time in the moving average.
 const SMOOTHING: f64 = 0.2;
 
-/// A step may take this many times the average of its engine.
-const MULTIPLE: f64 = 10.0;
+/// A step that has taken this many times the average of its engine is suspicious.
+const SUSPICIOUS: f64 = 10.0;
+
+/// A step may take this many times the average of its engine, however long the average is.
+const PATIENCE: f64 = 4.0;
 
 /// Moving averages of the times of decoding steps, by engine.
 #[derive(Clone, Debug, Default)]
@@ -31,19 +34,33 @@
         }
     }
 
-    /// How long a step of this many positions may take. Engines without an average get the longest time.
+    /// How long a step of this many positions may take before its engine is asked whether it is alive.
     #[must_use]
-    pub fn limit(&self, server: &id::Server, positions: u32, settings: &Settings) -> Duration {
-        let average = self.averages.get(server).copied();
-        let adaptive =
-            average.and_then(|average| Duration::try_from_secs_f64(average * MULTIPLE).ok());
+    pub fn suspicious(&self, server: &id::Server, positions: u32, settings: &Settings) -> Duration {
         let floor = settings.step_floor.min(settings.step_timeout);
-        let decode = adaptive
-            .unwrap_or(settings.step_timeout)
-            .clamp(floor, settings.step_timeout);
-        let extra = settings
-            .position_time
-            .saturating_mul(positions.saturating_sub(1));
-        decode.saturating_add(extra)
+        let usual = self
+            .times(server, SUSPICIOUS)
+            .unwrap_or(settings.step_timeout);
+        usual.clamp(floor, settings.step_timeout) + extra(positions, settings)
+    }
+
+    /// How long a step of this many positions may take in all. Grows with the observed times, so that load
+    /// alone does not turn an engine into a lost one.
+    #[must_use]
+    pub fn limit(&self, server: &id::Server, positions: u32, settings: &Settings) -> Duration {
+        let usual = self.times(server, PATIENCE).unwrap_or_default();
+        usual.max(settings.step_timeout) + extra(positions, settings)
+    }
+
+    fn times(&self, server: &id::Server, factor: f64) -> Option<Duration> {
+        let average = self.averages.get(server)?;
+        Duration::try_from_secs_f64(average * factor).ok()
     }
 }
+
+/// Time that a step over a prompt gets on top.
+fn extra(positions: u32, settings: &Settings) -> Duration {
+    settings
+        .position_time
+        .saturating_mul(positions.saturating_sub(1))
+}
--- a/crates/pipeline/src/lib.rs
+++ b/crates/pipeline/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod request;
 mod run;
 pub mod settings;
+mod watchdog;
 
 pub use event::Event;
 pub use generation::Generation;
--- a/crates/pipeline/src/run.rs
+++ b/crates/pipeline/src/run.rs
@@ -19,6 +19,7 @@
 use crate::hold::Past;
 use crate::progress::Loss;
 use crate::progress::Verdict;
+use crate::watchdog;
 use agatemill_core::Cause;
 use agatemill_core::Outcome;
 use agatemill_core::Phase;
@@ -246,12 +247,13 @@
 
     /// Sends a step and checks the reply.
     async fn send(&mut self, stage: &Stage, step: &Step) -> Result<Reply, Break> {
-        let limit = self.limit(stage, step);
-        let remaining = self.remaining()?;
+        let (suspicious, limit) = self.limits(stage, step);
+        let limit = limit.min(self.remaining()?);
         let sent = agatemill_runtime::now();
         self.progress.sending();
         let client = &self.shared.client;
-        let result = client.step(stage.address, step, limit.min(remaining)).await;
+        let frozen = async { Err(watchdog::frozen(client, stage, suspicious).await) };
+        let result = smol::future::or(client.step(stage.address, step, limit), frozen).await;
         let loss = match result {
             Ok(reply) => {
                 let found = Mismatch::find(
@@ -311,8 +313,8 @@
         }
     }
 
-    /// How long a step may take on its engine.
-    fn limit(&self, stage: &Stage, step: &Step) -> Duration {
+    /// How long a step may take on its engine: until the engine is asked whether it is alive, and in all.
+    fn limits(&self, stage: &Stage, step: &Step) -> (Duration, Duration) {
         let guess = self.request.prompt.len() / POSITION_BYTES + self.progress.generated().len();
         let positions = match (self.progress.count(), step.position.0) {
             (Some(count), _) => count,
@@ -320,9 +322,12 @@
             (None, _) => 1,
         };
         let settings = &self.shared.settings;
-        self.shared
-            .latency()
-            .limit(&stage.server, positions, settings)
+        let latency = self.shared.latency();
+        let suspicious = latency.suspicious(&stage.server, positions, settings);
+        (
+            suspicious,
+            latency.limit(&stage.server, positions, settings),
+        )
     }
 
     /// Waits before the next attempt, and for the retry budget where the move needs it.
