--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -17,8 +17,18 @@
 pub enum Body {
     /// Bytes that are known; taken when sent.
     Whole(Option<Bytes>),
-    /// Pieces as they arrive. An error cuts the connection, so that the caller sees a broken answer.
-    Stream(Pin<Box<Receiver<io::Result<Bytes>>>>),
+    /// Pieces as they arrive.
+    Stream(Pin<Box<Receiver<Piece>>>),
+}
+
+/// Part of a streamed body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Piece {
+    /// Some bytes.
+    Data(Bytes),
+    /// The body is whole. A stream that ends without it cuts the connection, so that the caller does not
+    /// take a part for the whole.
+    End,
 }
 
 impl Body {
@@ -30,7 +40,7 @@
 
     /// A body of pieces that a task sends.
     #[must_use]
-    pub fn stream(receiver: Receiver<io::Result<Bytes>>) -> Self {
+    pub fn stream(receiver: Receiver<Piece>) -> Self {
         Self::Stream(Box::pin(receiver))
     }
 }
@@ -48,10 +58,11 @@
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
-            Self::Stream(receiver) => {
-                let piece = ready!(receiver.as_mut().poll_next(cx));
-                Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
-            }
+            Self::Stream(receiver) => match ready!(receiver.as_mut().poll_next(cx)) {
+                Some(Piece::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                Some(Piece::End) => Poll::Ready(None),
+                None => Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into()))),
+            },
         }
     }
 
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -101,6 +101,7 @@
         origin,
         body: digest,
         include_usage: chat.include_usage,
+        deadline,
         exchange,
     };
     Ok(stream.answer(first, events))
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -1,5 +1,6 @@
 //! I/O of one caller's connection.
 
+use core::future::Future;
 use core::pin::Pin;
 use core::sync::atomic::AtomicU16;
 use core::sync::atomic::AtomicU64;
@@ -7,18 +8,24 @@
 use core::task::Context;
 use core::task::Poll;
 use core::task::ready;
+use core::time::Duration;
 use std::io;
 use std::sync::Arc;
 
 use hyper::rt::Read;
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
+use smol::Timer;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
 /// Longest answer that the HTTP library writes on its own.
 const AUTOMATIC_BYTES: usize = 256;
 
+/// How long a caller may read nothing of an answer. Without a limit, callers that stop reading would hold
+/// connections for ever.
+const STALL_LIMIT: Duration = Duration::from_secs(30);
+
 /// What has passed on a connection.
 #[derive(Debug, Default)]
 pub struct Meter {
@@ -33,6 +40,8 @@
 pub struct Io {
     inner: FuturesIo<TcpStream>,
     meter: Arc<Meter>,
+    /// Runs while the caller does not read.
+    stall: Option<Timer>,
 }
 
 impl Meter {
@@ -61,7 +70,26 @@
         Self {
             inner: FuturesIo::new(stream),
             meter,
+            stall: None,
+        }
+    }
+}
+
+impl Io {
+    /// Fails a write that makes no progress for [`STALL_LIMIT`].
+    fn limit_stall(
+        &mut self,
+        cx: &mut Context<'_>,
+        result: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if result.is_ready() {
+            self.stall = None;
+            return result;
         }
+        let stall = self.stall.get_or_insert_with(|| Timer::after(STALL_LIMIT));
+        Pin::new(stall)
+            .poll(cx)
+            .map(|_| Err(io::ErrorKind::TimedOut.into()))
     }
 }
 
@@ -104,7 +132,8 @@
             self.meter.held_back.store(status, Ordering::Relaxed);
             return Poll::Ready(Ok(buf.len()));
         }
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        let result = Pin::new(&mut self.inner).poll_write(cx, buf);
+        self.limit_stall(cx, result)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,10 +1,8 @@
 //! Idempotent service calls.
 
 use core::time::Duration;
-use std::io;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::StatusCode;
@@ -12,6 +10,7 @@
 use smol::channel::Sender;
 
 use crate::body::Body;
+use crate::body::Piece;
 use crate::exchange::Exchange;
 use crate::header;
 use crate::service;
@@ -192,12 +191,7 @@
                 run.succeeded();
                 exchange.end(Outcome::Complete);
             }
-            Err(refusal) => {
-                // Cuts the connection, so that the caller does not take a part for the whole.
-                let error = io::Error::other(refusal.to_string());
-                let _ = sender.send(Err(error)).await;
-                exchange.fail(&refusal);
-            }
+            Err(refusal) => exchange.fail(&refusal),
         }
         drop(call.permit);
     };
@@ -207,7 +201,7 @@
 
 async fn pump(
     mut body: Incoming,
-    sender: &Sender<io::Result<Bytes>>,
+    sender: &Sender<Piece>,
     deadline: Duration,
 ) -> Result<(), Refusal> {
     let broken =
@@ -220,7 +214,7 @@
                 let detail = "the answer of the service broke off";
                 return Err(broken(Cause::ConnectionLost, detail));
             }
-            Some(None) => return Ok(()),
+            Some(None) => break,
             None => {
                 let detail = "the answer of the service did not end in time";
                 return Err(broken(Cause::DeadlinePassed, detail));
@@ -229,8 +223,23 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if sender.send(Ok(data)).await.is_err() {
-            return Err(broken(Cause::CallerLeft, "the caller left"));
+        pass(sender, Piece::Data(data), deadline).await?;
+    }
+    pass(sender, Piece::End, deadline).await
+}
+
+async fn pass(sender: &Sender<Piece>, piece: Piece, deadline: Duration) -> Result<(), Refusal> {
+    let left = deadline.saturating_sub(agatemill_runtime::now());
+    match agatemill_runtime::timeout(left, sender.send(piece)).await {
+        Some(Ok(())) => Ok(()),
+        Some(Err(_)) => Err(broken(Cause::CallerLeft, "the caller left")),
+        None => {
+            let detail = "the deadline passed before the answer was read";
+            Err(broken(Cause::DeadlinePassed, detail))
         }
     }
 }
+
+fn broken(cause: Cause, detail: &'static str) -> Refusal {
+    Refusal::new(Reason::BackendFailed, Phase::Sent, cause, detail)
+}
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -37,7 +37,7 @@
 /// idle connection is answered.
 const IDLE_GRACE: Duration = Duration::from_secs(1);
 
-/// How long the last bytes of a refused connection may take.
+/// How long the last answer may take, and how long a caller may go on sending after it.
 const FAREWELL_LIMIT: Duration = Duration::from_secs(1);
 
 /// Accepts connections until they are to end.
@@ -115,12 +115,12 @@
         connection.as_mut().graceful_shutdown();
         connection.as_mut().await
     };
-    if let Err(error) = result {
+    if let Err(error) = &result {
         log::debug!(error:%; "entry: connection ended");
-        let refusal = refusal(&meter, &error);
-        if let Some(refusal) = refusal {
-            refuse(&state, stream, &refusal).await;
-        }
+    }
+    match result.err().and_then(|error| refusal(&meter, &error)) {
+        Some(refusal) => refuse(&state, stream, &refusal).await,
+        None => linger(stream).await,
     }
 }
 
@@ -162,11 +162,18 @@
     );
     let farewell = async {
         stream.write_all(head.as_bytes()).await?;
-        stream.write_all(&body).await?;
-        stream.shutdown(std::net::Shutdown::Write)?;
-        // Unread input makes the operating system reset the connection, which can destroy the answer.
-        smol::io::copy(&mut stream, &mut smol::io::sink()).await
+        stream.write_all(&body).await
     };
     // The caller may have left; nothing depends on it.
     let _ = agatemill_runtime::timeout(FAREWELL_LIMIT, farewell).await;
+    linger(stream).await;
+}
+
+/// Discards what the caller still sends, for a short time. The operating system resets a connection that
+/// is closed with unread input, which can destroy the last answer on its way.
+async fn linger(stream: TcpStream) {
+    // Fails only on a connection that has ended.
+    let _ = stream.shutdown(std::net::Shutdown::Write);
+    let discard = smol::io::copy(stream, smol::io::sink());
+    let _ = agatemill_runtime::timeout(FAREWELL_LIMIT, discard).await;
 }
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -25,6 +25,7 @@
 use crate::route::SERVICES;
 use agatemill_config::document::Organisation;
 use agatemill_config::document::Service;
+use agatemill_core::Phase;
 use agatemill_core::Reason;
 use agatemill_core::Refusal;
 use agatemill_core::id;
@@ -64,7 +65,7 @@
     exchange: &mut Option<Exchange>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
-    let Some(current) = exchange.as_ref() else {
+    let Some(current) = exchange.as_mut() else {
         return Err(Refusal::not_run(
             Reason::BadRequest,
             "the request has ended",
@@ -107,7 +108,11 @@
     };
     match key {
         None => forward::run(exchange, call).await,
-        Some(key) => once::run(&state, call, key).await,
+        Some(key) => {
+            // The call goes on without its caller, so a departure leaves the outcome open.
+            current.phase = Phase::Sent;
+            once::run(&state, call, key).await
+        }
     }
 }
 
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -1,6 +1,6 @@
 //! Streamed chat completions.
 
-use std::io;
+use core::time::Duration;
 
 use bytes::Bytes;
 use hyper::Response;
@@ -10,6 +10,7 @@
 use smol::channel::Sender;
 
 use crate::body::Body;
+use crate::body::Piece;
 use crate::completion::Completion;
 use crate::completions;
 use crate::completions::Events;
@@ -27,6 +28,9 @@
 use agatemill_core::id;
 use agatemill_pipeline::Event;
 
+/// How long after the deadline the failure of the generation and the last event may take.
+const GRACE: Duration = Duration::from_secs(1);
+
 /// Events that wait for a slow caller.
 const PIECES: usize = 16;
 
@@ -43,9 +47,11 @@
     pub body: Digest,
     /// Whether the stream ends with the usage.
     pub include_usage: bool,
+    /// When the stream is given up, however slowly the caller reads.
+    pub deadline: Duration,
 }
 
-type Pieces = Sender<io::Result<Bytes>>;
+type Pieces = Sender<Piece>;
 
 impl Stream {
     /// Answers with the first event and those that follow.
@@ -60,7 +66,10 @@
         let unknown = HeaderValue::from_static(Outcome::Unknown.as_str());
         headers.insert(header::OUTCOME, unknown);
         let task = async move {
-            let result = self.pump(first, &events, &sender).await;
+            let left = self.deadline.saturating_sub(agatemill_runtime::now());
+            let pump = self.pump(first, &events, &sender);
+            let result = agatemill_runtime::timeout(left + GRACE, pump).await;
+            let result = result.unwrap_or_else(|| Err(too_slow()));
             self.end(result, &sender).await;
         };
         agatemill_runtime::spawn(task).detach();
@@ -72,10 +81,10 @@
         loop {
             let is_end = matches!(event, Event::End { .. });
             for piece in self.encode(event) {
-                send(sender, piece).await?;
+                send(sender, Piece::Data(piece)).await?;
             }
             if is_end {
-                return Ok(());
+                return send(sender, Piece::End).await;
             }
             let left = async {
                 sender.closed().await;
@@ -109,16 +118,31 @@
         match result {
             Ok(()) => self.exchange.end(Outcome::Complete),
             Err(refusal) => {
-                // Fails only when the caller has left.
-                let _ = sender.send(Ok(sse::error(&Problem::from(&refusal)))).await;
+                let last = async {
+                    let error = sse::error(&Problem::from(&refusal));
+                    send(sender, Piece::Data(error)).await?;
+                    send(sender, Piece::End).await
+                };
+                // Fails when the caller has left or does not read.
+                let _ = agatemill_runtime::timeout(GRACE, last).await;
                 self.exchange.fail(&refusal);
             }
         }
     }
 }
 
-async fn send(sender: &Pieces, piece: Bytes) -> Result<(), Refusal> {
-    sender.send(Ok(piece)).await.map_err(|_| caller_left())
+async fn send(sender: &Pieces, piece: Piece) -> Result<(), Refusal> {
+    sender.send(piece).await.map_err(|_| caller_left())
+}
+
+/// The caller did not read the stream in time.
+fn too_slow() -> Refusal {
+    Refusal::new(
+        Reason::DeadlineExceeded,
+        Phase::Sent,
+        Cause::DeadlinePassed,
+        "the deadline passed before the stream was read",
+    )
 }
 
 /// Ends the work on a request whose caller has left; nobody reads it.
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -3,16 +3,15 @@
 use core::time::Duration;
 use std::io::Write;
 
-use agatemill_core::quantity::Size;
-use agatemill_core::quantity::Time;
-use agatemill_entry::settings::Limits;
-
 use crate::support::CHAT;
 use crate::support::System;
 use crate::support::TOKEN;
 use crate::support::agent;
 use crate::support::chat;
 use crate::support::read;
+use agatemill_core::quantity::Size;
+use agatemill_core::quantity::Time;
+use agatemill_entry::settings::Limits;
 
 mod support;
 
@@ -63,6 +62,22 @@
     assert_problem(&system.raw(chunked.as_bytes()), 413, "body_too_large");
 }
 
+/// Guards against a connection that is reset while the caller still sends, before it has read the refusal.
+#[test]
+fn a_refusal_reaches_a_caller_that_still_sends() {
+    let system = System::with(small(), "");
+    let large = "x".repeat(8 << 20);
+    for token in [TOKEN, "wrong"] {
+        let response = agent()
+            .post(system.url("/v1/chat/completions"))
+            .header("Authorization", format!("Bearer {token}"))
+            .send(&large)
+            .unwrap();
+        let expected = if token == TOKEN { 413 } else { 401 };
+        assert_eq!(response.status(), expected);
+    }
+}
+
 /// Guards against heads that fill the memory, and against an answer without outcome.
 #[test]
 fn a_large_head_is_refused() {
--- a/crates/entry/tests/services.rs
+++ b/crates/entry/tests/services.rs
@@ -3,11 +3,10 @@
 use core::time::Duration;
 use std::io::Write;
 
-use agatemill_entry::contract;
-
 use crate::support::System;
 use crate::support::TOKEN;
 use crate::support::agent;
+use agatemill_entry::contract;
 
 mod support;
 
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -22,6 +22,8 @@
 use agatemill_fake::service;
 use agatemill_fake::service::Service;
 
+pub mod control;
+
 pub const TOKEN: &str = "lagos-token";
 pub const CHAT: &str =
     r#"{"model":"drafter","messages":[{"role":"user","content":"Draft a claim"}],"temperature":0"#;
@@ -44,7 +46,7 @@
         control: None,
         platform,
         threads: 4,
-        drain_limit: "10s".parse().unwrap(),
+        drain_limit: "3s".parse().unwrap(),
         limits,
     }
 }
