Read short service answers whole before passing them on

An idempotent call whose answer broke off was cut for the caller although nothing of it had been passed on, and its head already said "complete". Callers that left in the middle of calls counted as failures of the server, so three of them could open its breaker for everybody.

Answers of up to 64 KiB of known length are now read whole and retried on another server when they break off; longer ones say `unknown`. A call that is given up leaves the breaker alone (`routing::server::Servers::abandoned`). The retry counter counts retries and no longer last failures.

Conclusion: none of these faults needs a change of the wire or the document.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -3,10 +3,17 @@
 use core::time::Duration;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::http::response::Parts;
 use smol::channel::Sender;
 
 use crate::body::Body;
@@ -22,6 +29,7 @@
 use agatemill_core::Reason;
 use agatemill_core::Refusal;
 use agatemill_core::id;
+use agatemill_http::Client;
 use agatemill_http::Error;
 
 /// Pieces of an answer that wait for a slow caller.
@@ -31,6 +39,19 @@
 /// not come together.
 const PAUSE_MS: core::ops::Range<u64> = 5..50;
 
+/// Longest answer that is read whole before it is passed on. A server that breaks off a short answer can
+/// then be replaced by another one.
+const WHOLE_BYTES: usize = 64 << 10;
+
+/// Answer of a server.
+#[derive(Debug)]
+enum Reply {
+    /// The whole answer.
+    Whole(Response<Bytes>),
+    /// A long answer, or one of unknown length, of which only the head has arrived.
+    Begun(Response<Incoming>),
+}
+
 /// Why another server is tried.
 #[derive(Debug)]
 struct Failure {
@@ -40,6 +61,22 @@
     refusal: Refusal,
 }
 
+impl Reply {
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::Whole(response) => response.status(),
+            Self::Begun(response) => response.status(),
+        }
+    }
+
+    fn headers(&self) -> &HeaderMap {
+        match self {
+            Self::Whole(response) => response.headers(),
+            Self::Begun(response) => response.headers(),
+        }
+    }
+}
+
 /// Sends a call to one server after another until one answers, within the retry budget and the deadline.
 /// Nothing is tried again once a part of an answer has been passed on.
 ///
@@ -53,7 +90,13 @@
     current.phase = Phase::Admitted;
     let result = attempts(&mut current, &call).await;
     match result {
-        Ok((run, response)) => Ok(pass_on(current, call, run, response)),
+        Ok((run, Reply::Whole(response))) => {
+            run.succeeded();
+            *exchange = Some(current);
+            let (head, body) = response.into_parts();
+            Ok(answer(&head, Body::whole(body)))
+        }
+        Ok((run, Reply::Begun(response))) => Ok(pass_on(current, call, run, response)),
         Err(refusal) => {
             *exchange = Some(current);
             Err(refusal)
@@ -61,10 +104,7 @@
     }
 }
 
-async fn attempts(
-    exchange: &mut Exchange,
-    call: &Call,
-) -> Result<(Run, Response<Incoming>), Refusal> {
+async fn attempts(exchange: &mut Exchange, call: &Call) -> Result<(Run, Reply), Refusal> {
     let state = Arc::clone(&exchange.state);
     let pool = state
         .services
@@ -72,6 +112,7 @@
         .ok_or_else(|| call.no_server())?;
     let mut tried: Vec<id::Server> = Vec::new();
     let mut last = call.no_server();
+    let mut reason = None;
     while let Some(run) = pool.choose(&tried) {
         let left = remaining(call, exchange.phase)?;
         if !tried.is_empty() && !pool.take_retry() {
@@ -83,22 +124,26 @@
             };
             return Err(last);
         }
+        if let Some(reason) = reason {
+            state.metrics.retried(reason);
+        }
         tried.push(run.choice.server.clone());
         // Half of what is left, so that a server that hangs leaves time for another.
         let limit = left / 2;
         let request = call.request(&run.choice)?;
         let before = exchange.phase;
         exchange.phase = Phase::Sent;
-        let result = state.services.pooled.send(request, limit).await;
+        let result = fetch(&state.services.pooled, request, limit).await;
         match check(result, before) {
-            Ok(response) => return Ok((run, response)),
+            Ok(reply) => return Ok((run, reply)),
             Err(failure) => {
                 log::warn!(
                     request:% = exchange.id, server:% = run.choice.server,
                     reason = failure.reason;
                     "service: call failed"
                 );
-                state.metrics.retried(failure.reason);
+                run.failed();
+                reason = Some(failure.reason);
                 // As long as no server can have run the call, "not run" stays true.
                 if failure.refusal.outcome == Outcome::NotRun {
                     exchange.phase = before;
@@ -111,6 +156,27 @@
     Err(last)
 }
 
+/// Sends a request and reads the answer, if it is short, or else its head.
+async fn fetch(
+    client: &Client,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<Reply, Error> {
+    let exchange = async {
+        let response = client.send(request, limit).await?;
+        let length = response.body().size_hint().exact();
+        if length.is_none_or(|length| length > WHOLE_BYTES as u64) {
+            return Ok(Reply::Begun(response));
+        }
+        let (head, body) = response.into_parts();
+        let body = agatemill_http::client::read(body, WHOLE_BYTES).await?;
+        Ok(Reply::Whole(Response::from_parts(head, body)))
+    };
+    agatemill_runtime::timeout(limit, exchange)
+        .await
+        .unwrap_or(Err(Error::TimedOut))
+}
+
 /// What is left of a call's time.
 fn remaining(call: &Call, phase: Phase) -> Result<Duration, Refusal> {
     let left = call.deadline.saturating_sub(agatemill_runtime::now());
@@ -124,10 +190,7 @@
 
 /// Sorts out failures. `before` is the phase before this attempt: "sent" when an earlier attempt may have
 /// run the call.
-fn check(
-    result: Result<Response<Incoming>, Error>,
-    before: Phase,
-) -> Result<Response<Incoming>, Failure> {
+fn check(result: Result<Reply, Error>, before: Phase) -> Result<Reply, Failure> {
     let failure = |reason, phase, cause, error: &Error| Failure {
         reason,
         refusal: Refusal::new(
@@ -138,11 +201,11 @@
         ),
     };
     match result {
-        Ok(response) if service::is_rejected(response.headers()) => Err(Failure {
+        Ok(reply) if service::is_rejected(reply.headers()) => Err(Failure {
             reason: "service_rejected",
-            refusal: rejected(response.status(), before),
+            refusal: rejected(reply.status(), before),
         }),
-        Ok(response) => Ok(response),
+        Ok(reply) => Ok(reply),
         Err(error @ Error::Connect(_)) => {
             let cause = Cause::ConnectFailed;
             Err(failure("service_connect", before, cause, &error))
@@ -172,6 +235,13 @@
     Refusal::new(Reason::BackendFailed, Phase::Sent, cause, detail)
 }
 
+fn answer(head: &Parts, body: Body) -> Response<Body> {
+    let mut answer = Response::new(body);
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = header::forwarded(&head.headers);
+    answer
+}
+
 /// Passes the answer on as it arrives.
 fn pass_on(
     exchange: Exchange,
@@ -181,9 +251,10 @@
 ) -> Response<Body> {
     let (head, body) = response.into_parts();
     let (sender, receiver) = smol::channel::bounded(PIECES);
-    let mut answer = Response::new(Body::stream(receiver));
-    *answer.status_mut() = head.status;
-    *answer.headers_mut() = header::forwarded(&head.headers);
+    let mut answer = answer(&head, Body::stream(receiver));
+    // The head leaves before it is known whether the answer is whole.
+    let unknown = HeaderValue::from_static(Outcome::Unknown.as_str());
+    answer.headers_mut().insert(header::OUTCOME, unknown);
     let task = async move {
         let result = pump(body, &sender, call.deadline).await;
         match result {
@@ -191,7 +262,12 @@
                 run.succeeded();
                 exchange.end(Outcome::Complete);
             }
-            Err(refusal) => exchange.fail(&refusal),
+            Err(Break::Server(refusal)) => {
+                run.failed();
+                exchange.fail(&refusal);
+            }
+            // Nothing is held against the server; dropping the run gives it up.
+            Err(Break::Caller(refusal)) => exchange.fail(&refusal),
         }
         drop(call.permit);
     };
@@ -199,25 +275,27 @@
     answer
 }
 
-async fn pump(
-    mut body: Incoming,
-    sender: &Sender<Piece>,
-    deadline: Duration,
-) -> Result<(), Refusal> {
-    let broken =
-        |cause, detail: &str| Refusal::new(Reason::BackendFailed, Phase::Sent, cause, detail);
+/// Why an answer was not passed on whole.
+enum Break {
+    /// The server did not finish it.
+    Server(Refusal),
+    /// The caller did not take it.
+    Caller(Refusal),
+}
+
+async fn pump(mut body: Incoming, sender: &Sender<Piece>, deadline: Duration) -> Result<(), Break> {
     loop {
         let left = deadline.saturating_sub(agatemill_runtime::now());
         let frame = match agatemill_runtime::timeout(left, body.frame()).await {
             Some(Some(Ok(frame))) => frame,
             Some(Some(Err(_))) => {
                 let detail = "the answer of the service broke off";
-                return Err(broken(Cause::ConnectionLost, detail));
+                return Err(Break::Server(broken(Cause::ConnectionLost, detail)));
             }
             Some(None) => break,
             None => {
                 let detail = "the answer of the service did not end in time";
-                return Err(broken(Cause::DeadlinePassed, detail));
+                return Err(Break::Server(broken(Cause::DeadlinePassed, detail)));
             }
         };
         let Ok(data) = frame.into_data() else {
@@ -228,16 +306,17 @@
     pass(sender, Piece::End, deadline).await
 }
 
-async fn pass(sender: &Sender<Piece>, piece: Piece, deadline: Duration) -> Result<(), Refusal> {
+async fn pass(sender: &Sender<Piece>, piece: Piece, deadline: Duration) -> Result<(), Break> {
     let left = deadline.saturating_sub(agatemill_runtime::now());
-    match agatemill_runtime::timeout(left, sender.send(piece)).await {
-        Some(Ok(())) => Ok(()),
-        Some(Err(_)) => Err(broken(Cause::CallerLeft, "the caller left")),
+    let refusal = match agatemill_runtime::timeout(left, sender.send(piece)).await {
+        Some(Ok(())) => return Ok(()),
+        Some(Err(_)) => broken(Cause::CallerLeft, "the caller left"),
         None => {
             let detail = "the deadline passed before the answer was read";
-            Err(broken(Cause::DeadlinePassed, detail))
+            broken(Cause::DeadlinePassed, detail)
         }
-    }
+    };
+    Err(Break::Caller(refusal))
 }
 
 fn broken(cause: Cause, detail: &'static str) -> Refusal {
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -151,6 +151,7 @@
             .await;
         match result {
             Err(error) if error.is_not_sent() => {
+                run.failed();
                 state.metrics.retried("service_connect");
                 last = failed(&error);
             }
@@ -172,6 +173,7 @@
     let response = match result {
         Ok(response) => response,
         Err(error) => {
+            run.failed();
             state.metrics.event("ledger", "outcome_unknown");
             return Err(failed(&error));
         }
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -49,13 +49,14 @@
     budget: Budget,
 }
 
-/// A call to a backend server in progress. When it is dropped without a result it counts as failed.
+/// A call to a backend server in progress. When it is dropped without a result, it was given up, for
+/// example because the caller left, and nothing is held against the server.
 #[derive(Debug)]
 pub struct Run {
     pool: Arc<Pool>,
     /// The server.
     pub choice: Choice,
-    succeeded: bool,
+    ended: bool,
 }
 
 impl Services {
@@ -130,7 +131,7 @@
         Some(Run {
             pool: Arc::clone(self),
             choice,
-            succeeded: false,
+            ended: false,
         })
     }
 
@@ -149,17 +150,32 @@
 
 impl Run {
     /// Notes that the server answered, whatever it answered.
-    pub fn succeeded(mut self) {
-        self.succeeded = true;
+    pub fn succeeded(self) {
         self.pool.with(|state| state.budget.succeeded());
+        self.end(true);
+    }
+
+    /// Notes that the server did not answer.
+    pub fn failed(self) {
+        self.end(false);
+    }
+
+    fn end(mut self, succeeded: bool) {
+        self.ended = true;
+        let now = agatemill_runtime::now();
+        let server = &self.choice.server;
+        self.pool
+            .with(|state| state.servers.finished(server, succeeded, now));
     }
 }
 
 impl Drop for Run {
     fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
         let now = agatemill_runtime::now();
         let server = &self.choice.server;
-        self.pool
-            .with(|state| state.servers.finished(server, self.succeeded, now));
+        self.pool.with(|state| state.servers.abandoned(server, now));
     }
 }
--- /dev/null
+++ b/crates/entry/tests/gate.rs
@@ -0,0 +1,81 @@
+//! Waiting for a slot.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use smol::block_on;
+
+use agatemill_core::Outcome;
+use agatemill_core::Priority;
+use agatemill_core::Reason;
+use agatemill_entry::gate::Gate;
+use agatemill_limits::queue::Request;
+
+fn request(wait: Duration) -> Request {
+    Request {
+        organisation: "o".parse().unwrap(),
+        weight: 1,
+        priority: Priority::Normal,
+        concurrency: 10,
+        deadline: agatemill_runtime::now() + wait,
+    }
+}
+
+const LONG: Duration = Duration::from_secs(5);
+const SHORT: Duration = Duration::from_millis(50);
+
+/// Guards against a slot that is not handed on, and against a waiting request that never wakes.
+#[test]
+fn a_freed_slot_goes_to_the_waiting_request() {
+    let gate = Arc::new(Gate::new(1, 10));
+    let held = block_on(Arc::clone(&gate).enter(request(LONG))).unwrap();
+    let waiting = agatemill_runtime::spawn(Arc::clone(&gate).enter(request(LONG)));
+    std::thread::sleep(SHORT);
+    assert!(!waiting.is_finished());
+    drop(held);
+    let next = block_on(agatemill_runtime::timeout(LONG, waiting)).unwrap();
+    drop(next.unwrap());
+    block_on(gate.enter(request(LONG))).unwrap();
+}
+
+/// Guards against a place in the line that is kept for a caller that has left or whose deadline passed.
+#[test]
+fn a_request_that_gives_up_frees_its_place() {
+    let gate = Arc::new(Gate::new(1, 1));
+    let held = block_on(Arc::clone(&gate).enter(request(LONG))).unwrap();
+    let late = block_on(Arc::clone(&gate).enter(request(SHORT))).unwrap_err();
+    assert_eq!(late.reason, Reason::DeadlineExceeded);
+    assert_eq!(late.outcome, Outcome::NotRun);
+    let left = agatemill_runtime::spawn(Arc::clone(&gate).enter(request(LONG)));
+    std::thread::sleep(SHORT);
+    let full = block_on(Arc::clone(&gate).enter(request(LONG))).unwrap_err();
+    assert_eq!(full.reason, Reason::Overloaded);
+    block_on(left.cancel());
+    let waiting = agatemill_runtime::spawn(Arc::clone(&gate).enter(request(LONG)));
+    std::thread::sleep(SHORT);
+    drop(held);
+    drop(block_on(waiting).unwrap());
+}
+
+/// Guards against slots that are lost when requests leave at the moment they are admitted.
+#[test]
+fn no_slot_is_lost_in_a_race() {
+    let gate = Arc::new(Gate::new(2, 100));
+    let tasks: Vec<_> = (0..100_u64)
+        .map(|number| {
+            let gate = Arc::clone(&gate);
+            agatemill_runtime::spawn(async move {
+                let wait = Duration::from_millis(number % 7);
+                let permit = agatemill_runtime::timeout(wait, gate.enter(request(LONG))).await;
+                agatemill_runtime::sleep(Duration::from_millis(1)).await;
+                drop(permit);
+            })
+        })
+        .collect();
+    for task in tasks {
+        block_on(task);
+    }
+    let first = block_on(Arc::clone(&gate).enter(request(LONG))).unwrap();
+    let second = block_on(gate.enter(request(LONG))).unwrap();
+    drop((first, second));
+}
--- a/crates/entry/tests/services.rs
+++ b/crates/entry/tests/services.rs
@@ -237,3 +237,26 @@
     let unknown = fetch(&system, "/v1/services/nothing/x");
     assert_eq!((unknown.status, unknown.outcome.as_str()), (404, "not-run"));
 }
+
+/// Guards against callers that leave and so put a healthy server out of use for everybody.
+#[test]
+fn callers_that_leave_do_not_open_a_breaker() {
+    let system = System::start();
+    let state = system.entry.state();
+    let current = state.force.current().unwrap();
+    let pool = state.services.pool(&current.document.services[0]).unwrap();
+    for _ in 0..10 {
+        drop(pool.choose(&[]).unwrap());
+    }
+    let first = pool.choose(&[]).unwrap();
+    let second = pool.choose(&[]).unwrap();
+    assert_ne!(first.choice.server, second.choice.server);
+    drop((first, second));
+    for _ in 0..10 {
+        let run = pool.choose(&["f2".parse().unwrap()]).unwrap();
+        run.failed();
+    }
+    let one = pool.choose(&[]).unwrap();
+    let two = pool.choose(&[]).unwrap();
+    assert_eq!(one.choice.server, two.choice.server);
+}
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -92,6 +92,22 @@
         })
     }
 
+    /// Notes that a call was given up without a result, which says nothing about the server. A trial
+    /// request that is given up opens the breaker again, because nothing else would end the trial.
+    pub fn abandoned(&mut self, server: &id::Server, now: Duration) {
+        let found = self
+            .servers
+            .iter_mut()
+            .find(|other| other.facts.name == *server);
+        let Some(server) = found else {
+            return;
+        };
+        server.in_flight = server.in_flight.saturating_sub(1);
+        if server.breaker.state() == breaker::State::HalfOpen {
+            server.breaker.failed(now);
+        }
+    }
+
     /// Notes the end of a call.
     pub fn finished(&mut self, server: &id::Server, succeeded: bool, now: Duration) {
         let Some(server) = self
