Set the write stall limit in the settings and quiet the entry's log

The stall limit had no test because it was a constant, `tarpc` logged two lines a second at the level "info", and each refusal was logged at "info", which floods the log under overload.

`limits.stall_time` (30 s by default) is a setting with a test. The default log filter keeps `tarpc` at "warn"; refusals that are "not run" are logged at "debug", since they are counted. The header Expect is not forwarded, and a request that waited for a slot is checked for staleness again.

--- a/crates/entry/src/command.rs
+++ b/crates/entry/src/command.rs
@@ -12,6 +12,9 @@
 use agatemill_core::id;
 use agatemill_runtime::signal;
 
+/// Log filter unless `RUST_LOG` is set. `tarpc` logs each call at the level "info".
+const LOG_FILTER: &str = "info,tarpc=warn";
+
 /// Entry of agatemill: takes callers' requests and passes them to model engines and services.
 #[derive(Clone, Debug, Parser)]
 #[command(name = "agatemill-entry", version)]
@@ -81,7 +84,7 @@
 /// Runs the program with the arguments of the process.
 #[must_use]
 pub fn main() -> ExitCode {
-    let default = env_logger::Env::default().default_filter_or("info");
+    let default = env_logger::Env::default().default_filter_or(LOG_FILTER);
     env_logger::Builder::from_env(default).init();
     let options = Options::parse();
     match start(&options) {
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -70,6 +70,8 @@
         .admission
         .admit(&organisation, hosts, deadline)
         .await?;
+    // The wait for a slot may have been long.
+    state.check_open(&configuration)?;
     current.phase = Phase::Admitted;
     let generation = agatemill_pipeline::Request {
         id: current.id.clone(),
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -22,10 +22,6 @@
 /// Longest answer that the HTTP library writes on its own.
 const AUTOMATIC_BYTES: usize = 256;
 
-/// How long a caller may read nothing of an answer. Without a limit, callers that stop reading would hold
-/// connections for ever.
-const STALL_LIMIT: Duration = Duration::from_secs(30);
-
 /// What has passed on a connection.
 #[derive(Debug, Default)]
 pub struct Meter {
@@ -40,6 +36,9 @@
 pub struct Io {
     inner: FuturesIo<TcpStream>,
     meter: Arc<Meter>,
+    /// How long a caller may read nothing of an answer. Without a limit, callers that stop reading would
+    /// hold connections for ever.
+    limit: Duration,
     /// Runs while the caller does not read.
     stall: Option<Timer>,
 }
@@ -64,19 +63,20 @@
 }
 
 impl Io {
-    /// Wraps a connection.
+    /// Wraps a connection whose writes fail when they make no progress for `limit`.
     #[must_use]
-    pub fn new(stream: TcpStream, meter: Arc<Meter>) -> Self {
+    pub fn new(stream: TcpStream, meter: Arc<Meter>, limit: Duration) -> Self {
         Self {
             inner: FuturesIo::new(stream),
             meter,
+            limit,
             stall: None,
         }
     }
 }
 
 impl Io {
-    /// Fails a write that makes no progress for [`STALL_LIMIT`].
+    /// Fails a write that makes no progress within the limit.
     fn limit_stall(
         &mut self,
         cx: &mut Context<'_>,
@@ -86,7 +86,8 @@
             self.stall = None;
             return result;
         }
-        let stall = self.stall.get_or_insert_with(|| Timer::after(STALL_LIMIT));
+        let limit = self.limit;
+        let stall = self.stall.get_or_insert_with(|| Timer::after(limit));
         Pin::new(stall)
             .poll(cx)
             .map(|_| Err(io::ErrorKind::TimedOut.into()))
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -57,8 +57,13 @@
     /// Notes the end of the request with a refusal or failure.
     pub fn fail(self, refusal: &Refusal) {
         self.state.metrics.refused(refusal.reason);
-        log::info!(
-            request:% = self.id, reason:% = refusal.reason, outcome:% = refusal.outcome,
+        // Refusals come in floods under overload and are counted; an unknown outcome may need a person.
+        let level = match refusal.outcome {
+            Outcome::Unknown => log::Level::Info,
+            Outcome::Complete | Outcome::NotRun => log::Level::Debug,
+        };
+        log::log!(
+            level, request:% = self.id, reason:% = refusal.reason, outcome:% = refusal.outcome,
             detail:% = refusal.detail;
             "entry: request refused or failed"
         );
--- a/crates/entry/src/header.rs
+++ b/crates/entry/src/header.rs
@@ -35,7 +35,8 @@
 ];
 
 /// The headers of a message that may be forwarded: without hop-by-hop headers, those that `Connection`
-/// names, and those that the sender sets anew.
+/// names, and those that the sender sets anew or that
+/// have been dealt with.
 #[must_use]
 pub fn forwarded(headers: &HeaderMap) -> HeaderMap {
     let named = connection_options(headers);
@@ -44,6 +45,7 @@
             && !named.contains(name)
             && *name != header::CONTENT_LENGTH
             && *name != header::HOST
+            && *name != header::EXPECT
             && *name != header::AUTHORIZATION
             && !name.as_str().starts_with("agatemill-")
     };
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -96,7 +96,11 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let io = Io::new(stream.clone(), Arc::clone(&meter));
+    let io = Io::new(
+        stream.clone(),
+        Arc::clone(&meter),
+        limits.stall_time.to_duration(),
+    );
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(limits.header_time.to_duration())
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -94,6 +94,8 @@
         .admission
         .admit(&organisation, hosts, deadline)
         .await?;
+    // The wait for a slot may have been long.
+    state.check_open(&configuration)?;
     let call = Call {
         service,
         request: id,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -58,6 +58,8 @@
     pub header_time: Time,
     /// How long the body of a request may take to arrive.
     pub body_time: Time,
+    /// How long a caller may read nothing of an answer that waits for it.
+    pub stall_time: Time,
     /// Requests of each half in progress at once.
     pub slots: u32,
     /// Requests of each half that wait for a slot.
@@ -71,6 +73,7 @@
             headers: Size(16 << 10),
             header_time: Time::from_millis(5_000),
             body_time: Time::from_millis(20_000),
+            stall_time: Time::from_millis(30_000),
             slots: 512,
             waiters: 2_048,
         }
@@ -101,6 +104,7 @@
         at_least_one("limits.body", self.limits.body.0)?;
         at_least_one("limits.header_time", self.limits.header_time.as_millis())?;
         at_least_one("limits.body_time", self.limits.body_time.as_millis())?;
+        at_least_one("limits.stall_time", self.limits.stall_time.as_millis())?;
         at_least_one("limits.slots", u64::from(self.limits.slots))?;
         if self.limits.headers < MIN_HEADERS {
             return Err(Invalid {
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -117,6 +117,31 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
+/// Guards against callers that hold connections for ever by reading nothing.
+#[test]
+fn a_caller_that_does_not_read_is_cut_off() {
+    let limits = Limits {
+        stall_time: Time::from_millis(300),
+        ..Limits::default()
+    };
+    let system = System::with(limits, "");
+    let mut stream = system.connect();
+    stream
+        .set_write_timeout(Some(Duration::from_secs(8)))
+        .unwrap();
+    let request = b"GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n".repeat(100);
+    let error = loop {
+        if let Err(error) = stream.write_all(&request) {
+            break error;
+        }
+    };
+    let ended = [
+        std::io::ErrorKind::ConnectionReset,
+        std::io::ErrorKind::BrokenPipe,
+    ];
+    assert!(ended.contains(&error.kind()), "{error}");
+}
+
 /// Guards against access without a valid token, and against the use of what was not granted.
 #[test]
 fn only_known_tokens_and_granted_models_pass() {
