--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -189,14 +189,16 @@
 }
 
 fn failed(error: &Error) -> Refusal {
-    let (phase, cause) = match error {
+    let (reason, phase, cause) = match error {
         // Nothing has left the process.
-        Error::Connect(_) => (Phase::Admitted, Cause::ConnectFailed),
-        Error::TimedOut => (Phase::Sent, Cause::DeadlinePassed),
-        Error::Lost(_) | Error::TooLarge { .. } => (Phase::Sent, Cause::ConnectionLost),
+        Error::Connect(_) => (Reason::BackendFailed, Phase::Admitted, Cause::ConnectFailed),
+        Error::TimedOut => (Reason::DeadlineExceeded, Phase::Sent, Cause::DeadlinePassed),
+        Error::Lost(_) | Error::TooLarge { .. } => {
+            (Reason::BackendFailed, Phase::Sent, Cause::ConnectionLost)
+        }
     };
     let detail = compact_str::format_compact!("the service did not answer: {error}");
-    Refusal::new(Reason::BackendFailed, phase, cause, detail)
+    Refusal::new(reason, phase, cause, detail)
 }
 
 fn keep(response: &Response<bytes::Bytes>) -> Answer {
--- a/crates/fake/src/platform/server.rs
+++ b/crates/fake/src/platform/server.rs
@@ -85,6 +85,7 @@
     let body = body.collect().await.ok()?.to_bytes();
     match (path.as_str(), get) {
         ("/fake/counts", true) => Some(json(200, &lock(&state).counts())),
+        ("/fake/keys", true) => Some(json(200, &lock(&state).store.keys())),
         (_, true) => Some(json(405, &gateway::invalid("method not allowed"))),
         ("/fake/faults" | "/fake/snapshot" | "/fake/restore", false) => {
             Some(control(&path, &body, &state))
--- a/crates/fake/src/platform/store.rs
+++ b/crates/fake/src/platform/store.rs
@@ -82,6 +82,13 @@
         entries.take_while(|(key, _)| keys.contains(key))
     }
 
+    /// All keys, for tests that must see them while faults are in force.
+    #[must_use]
+    pub fn keys(&self) -> Vec<String> {
+        let text = |key: &Vec<u8>| String::from_utf8_lossy(key).into_owned();
+        self.keys.keys().map(text).collect()
+    }
+
     /// Revision of the last change of a key; 0 when it is absent.
     #[must_use]
     pub fn modified(&self, key: &[u8]) -> u64 {
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -278,6 +278,14 @@
         }
     }
 
+    /// Whether the platform holds a key below a part of the environment's keys.
+    pub fn has_key(&self, part: &str) -> bool {
+        let prefix = format!("/agatemill/{ENVIRONMENT}/{part}/");
+        let answer = Self::caller(0).get(self.network.platform(), "/fake/keys");
+        let keys: Vec<String> = serde_json::from_str(&answer.body).unwrap_or_default();
+        keys.iter().any(|key| key.starts_with(&prefix))
+    }
+
     /// Generation that the platform holds; 0 when it does not answer.
     pub fn platform_generation(&self) -> u64 {
         let client = Client::new(&[self.network.platform()], PATIENCE);
