Test that a caller that leaves frees the entry's and engines' state

Nothing checked that a generation ends when its caller leaves.

A plain and a streamed request are abandoned while engines answer slowly; within 1 s nothing is in progress and no engine has an open session.

--- a/crates/entry/tests/chat.rs
+++ b/crates/entry/tests/chat.rs
@@ -1,11 +1,16 @@
 //! Chat completions of a running entry, by a real HTTP client library.
 
+use core::time::Duration;
+use std::io::Write;
+use std::thread;
+
 use serde_json::Value;
 
 use crate::support::System;
 use crate::support::TOKEN;
 use crate::support::agent;
 use crate::support::chat;
+use agatemill_fake::engine::Engine;
 
 mod support;
 
@@ -110,7 +115,7 @@
 fn without_a_chain_the_request_is_refused() {
     let mut system = System::start();
     system.engines.remove(1).close();
-    std::thread::sleep(core::time::Duration::from_millis(1_500));
+    thread::sleep(Duration::from_millis(1_500));
     let (status, outcome, problem) = post(&system, &chat(r#","stream":true"#), None);
     assert_eq!(status, 503, "{problem}");
     assert_eq!(outcome, "not-run", "{problem}");
@@ -141,3 +146,37 @@
     assert!(stream.contains(r#""outcome":"unknown""#), "{stream}");
     assert!(!stream.contains("[DONE]"), "{stream}");
 }
+
+/// Guards against generations that go on for nobody and hold slots and sessions.
+#[test]
+fn a_caller_that_leaves_frees_everything() {
+    let system = System::start();
+    for engine in &system.engines {
+        engine.fault(|faults| {
+            faults.late = 100_000;
+            faults.late_ms = 30;
+        });
+    }
+    for rest in ["", r#","stream":true"#] {
+        let body = chat(rest);
+        let mut stream = system.connect();
+        let request = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {TOKEN}\r\n\
+             content-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(request.as_bytes()).unwrap();
+        thread::sleep(Duration::from_millis(200));
+        assert!(system.entry.state().progress.in_flight() > 0);
+        drop(stream);
+        let idle = || {
+            let sessions: usize = system.engines.iter().map(Engine::sessions).sum();
+            system.entry.state().progress.in_flight() == 0 && sessions == 0
+        };
+        let waited = (0..100).any(|_| {
+            thread::sleep(Duration::from_millis(10));
+            idle()
+        });
+        assert!(waited, "{rest:?} was still in progress after 1 s");
+    }
+}
