Draw request ids from the operating system's randomness

Request ids name sessions on engines, and they came from a generator that is seeded from the clock and the thread id, so two hosts that start at the same time could name two sessions alike.

Conclusion: session ids no longer depend on when a host starts.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -1,6 +1,8 @@
 //! One request of a caller from its arrival to its answer.
 
 use core::time::Duration;
+use std::hash::BuildHasher;
+use std::hash::RandomState;
 use std::sync::Arc;
 
 use hyper::Request;
@@ -110,11 +112,16 @@
 
 /// A new id: 128 random bits in hexadecimal.
 ///
+/// Sessions on engines are named by it, so it must not repeat on another host. The standard library seeds
+/// its hashers from the operating system; a generator that is seeded from a clock could repeat on a host
+/// that starts at the same time.
+///
 /// # Panics
 ///
 /// Never: hexadecimal digits are a valid id.
 #[must_use]
 pub fn new_id() -> id::Request {
-    let text = format!("{:032x}", fastrand::u128(..));
+    let random = || RandomState::new().hash_one(agatemill_runtime::now());
+    let text = format!("{:016x}{:016x}", random(), random());
     text.parse().expect("hexadecimal digits are a valid id")
 }
--- a/crates/entry/tests/requests.rs
+++ b/crates/entry/tests/requests.rs
@@ -1,5 +1,7 @@
 //! Parsing of requests and encoding of answers.
 
+use std::collections::HashSet;
+
 use hyper::HeaderMap;
 use hyper::header::HeaderValue;
 use proptest::prelude::any;
@@ -19,6 +21,7 @@
 use agatemill_entry::chat::Chat;
 use agatemill_entry::completion::Completion;
 use agatemill_entry::contract;
+use agatemill_entry::exchange;
 use agatemill_entry::header;
 use agatemill_entry::once;
 use agatemill_entry::problem::Problem;
@@ -115,6 +118,18 @@
     assert_eq!(names, ["accept", "idempotency-key"]);
 }
 
+/// Guards against ids that repeat on another thread and so name the sessions of another request.
+#[test]
+fn ids_do_not_repeat() {
+    let make = || (0..20_000).map(|_| exchange::new_id()).collect::<Vec<_>>();
+    let threads: Vec<_> = (0..4).map(|_| std::thread::spawn(make)).collect();
+    let ids = threads
+        .into_iter()
+        .flat_map(|thread| thread.join().unwrap());
+    let distinct: HashSet<_> = ids.collect();
+    assert_eq!(distinct.len(), 80_000);
+}
+
 proptest! {
     /// Guards against bodies that make the parser panic.
     #[test]
