--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -44,7 +44,9 @@
 /// Parses the command line and runs the process until it is asked to stop.
 #[must_use]
 pub fn main() -> ExitCode {
-    env_logger::init();
+    // tarpc logs every call at the level "info".
+    let filter = env_logger::Env::default().default_filter_or("info,tarpc=warn");
+    env_logger::Builder::from_env(filter).init();
     let command = Command::parse();
     match command.run() {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/control/src/planner.rs
+++ b/crates/control/src/planner.rs
@@ -31,7 +31,8 @@
 mod seat;
 pub mod term;
 
-/// Time between two looks at the lease and, while it is held, two renewals.
+/// Time between two attempts to gain the lease, and longest duration of a pass over the engines. With the
+/// pause and the calls to the platform, two renewals are at most 6 s apart, the length of a term.
 const INTERVAL: Duration = Duration::from_secs(2);
 
 /// Engines whose state is read at once.
@@ -87,7 +88,7 @@
             log::warn!(fence:%; "planner: an engine has seen a newer fencing number");
             break;
         }
-        agatemill_runtime::sleep(INTERVAL / 4).await;
+        agatemill_runtime::sleep(INTERVAL / 2).await;
         if let Err(error) = seat.renew(client).await {
             log::warn!(error:%; "planner: cannot renew the lease");
             if error == Error::LeaseLapsed {
@@ -114,7 +115,13 @@
         }
         None => (0, agatemill_core::number::Revision(0)),
     };
-    if found >= held.generation.0 || !seat.term.holds(agatemill_runtime::now()) {
+    if found >= held.generation.0 {
+        return Ok(());
+    }
+    shared
+        .configuration
+        .note_reverted(agatemill_core::number::Generation(found));
+    if !seat.term.holds(agatemill_runtime::now()) {
         return Ok(());
     }
     let value = serde_json::to_vec(&held).map_err(|error| Error::Malformed(error.to_string()))?;
--- a/crates/control/src/platform/members.rs
+++ b/crates/control/src/platform/members.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::placement;
 use crate::shared::Shared;
 use crate::spread;
 use agatemill_core::number::Revision;
@@ -51,10 +52,15 @@
     client: &Client,
     lease: &mut Option<Lease>,
 ) -> Result<(), Error> {
+    let prefix = format!("/agatemill/{}/members/", shared.settings.environment);
     if let Some(lease) = *lease {
-        return client.renew(lease).await;
+        client.renew(lease).await?;
+        // Finds members that both sides of a long split have forgotten.
+        if is_watcher(shared) {
+            meet(shared, client, &prefix).await?;
+        }
+        return Ok(());
     }
-    let prefix = format!("/agatemill/{}/members/", shared.settings.environment);
     meet(shared, client, &prefix).await?;
     let granted = client.grant(LEASE).await?;
     let key = format!("{prefix}{}", shared.settings.host);
@@ -63,16 +69,22 @@
     Ok(())
 }
 
-/// Exchanges members with the listed hosts until one has answered.
+fn is_watcher(shared: &Shared) -> bool {
+    let machine = shared.machine();
+    placement::watches(machine.own(), machine.others())
+}
+
+/// Exchanges members with the listed hosts that are not among the live members, until one has answered.
 async fn meet(shared: &Arc<Shared>, client: &Client, prefix: &str) -> Result<(), Error> {
     let mut listed = client.list(prefix).await?;
     fastrand::shuffle(&mut listed);
+    let live = shared.live_controls();
     for entry in listed {
         let Ok(contact) = serde_json::from_slice::<Contact>(&entry.value) else {
             log::warn!(key = entry.key; "platform: malformed entry of a member");
             continue;
         };
-        if contact.control == shared.control {
+        if contact.control == shared.control || live.contains(&contact.control) {
             continue;
         }
         if spread::exchange(shared, contact.control).await.is_ok() {
--- /dev/null
+++ b/crates/wire/tests/datagrams.rs
@@ -0,0 +1,61 @@
+//! Sizes of gossip datagrams.
+
+use core::net::Ipv6Addr;
+use core::net::SocketAddr;
+
+use agatemill_core::id;
+use agatemill_wire::Datagram;
+use agatemill_wire::Member;
+use agatemill_wire::datagram::Invalid;
+use agatemill_wire::datagram::Kind;
+use agatemill_wire::member::Service;
+use agatemill_wire::member::State;
+
+/// A datagram with members whose fields take the most room.
+fn largest(members: usize) -> Datagram {
+    let name = "x".repeat(id::MAX_LEN);
+    let host: id::Host = name.parse().expect("a valid id");
+    let address = SocketAddr::from((Ipv6Addr::LOCALHOST, u16::MAX));
+    let member = Member {
+        host: host.clone(),
+        zone: name.parse().expect("a valid id"),
+        run: u64::MAX,
+        incarnation: u64::MAX,
+        revision: u64::MAX,
+        control: address,
+        gossip: address,
+        entry: Some(address),
+        service: Service::Draining,
+        generation: u64::MAX,
+        state: State::Left,
+    };
+    Datagram {
+        environment: u64::MAX,
+        from: host.clone(),
+        kind: Kind::PingRequest { target: host },
+        sequence: u64::MAX,
+        generation: u64::MAX,
+        confirmed_ms: Some(u64::MAX),
+        members: vec![member; members],
+    }
+}
+
+/// Guards against a failure detector that sends more updates in a message than a datagram holds: five
+/// are its default.
+#[test]
+fn five_of_the_largest_members_fit() {
+    let datagram = largest(5);
+    let bytes = datagram.encode().expect("it fits");
+    assert_eq!(Datagram::decode(&bytes), Ok(datagram));
+    let too_large = largest(7).encode();
+    assert!(matches!(too_large, Err(Invalid::TooLarge { .. })));
+}
+
+/// Guards against a process that stops because of a damaged datagram.
+#[test]
+fn damaged_datagrams_are_refused() {
+    let bytes = largest(2).encode().expect("it fits");
+    for length in 0..bytes.len() {
+        assert!(Datagram::decode(&bytes[..length]).is_err());
+    }
+}
