Mend a documentation link of crates/control

Cause: cargo doc refuses a public link to a private item. Change: the name is no link. Conclusion: none.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,7 +1,7 @@
 //! The control process: membership, configuration spreading, the directory of entry addresses, planning.
 //!
 //! [`run`] starts a control within the current process. Its parts keep their state under their own
-//! locks, in [`shared::Shared`]; each part runs as one or more tasks that end with the [`Control`].
+//! locks, in `shared::Shared`; each part runs as one or more tasks that end with the [`Control`].
 
 pub mod command;
 pub mod configuration;
