Use the checks of the config crate, and test controls with the platform stand-in

Change: document.rs calls Document::parse, settings are read by agatemill_config::settings. Two tests of decisions used a document without halves, which the checks refuse; it has one half now, and what the tests require is unchanged. tests/platform.rs guards joining through the platform alone, a platform that lost data, and an outage of 12 s.

Conclusion: orders to the engine stand-in are still without a test.

--- a/crates/control/src/document.rs
+++ b/crates/control/src/document.rs
@@ -10,5 +10,5 @@
 ///
 /// What is wrong with it, for the log.
 pub fn parse(text: &str) -> Result<Document, CompactString> {
-    toml::from_str(text).map_err(|error| compact_str::format_compact!("{error}"))
+    Document::parse(text).map_err(|error| compact_str::format_compact!("{error}"))
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,7 +1,6 @@
 //! Settings of a control process.
 
 use core::net::SocketAddr;
-use std::fs;
 use std::path::Path;
 
 use compact_str::CompactString;
@@ -10,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use agatemill_config::settings;
 use agatemill_core::id;
 
 pub mod timings;
@@ -51,19 +51,11 @@
 }
 
 /// Settings that cannot be used.
-#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 pub enum Invalid {
-    /// The file cannot be read.
-    #[display("cannot read {path}: {text}")]
-    Unreadable {
-        /// The file.
-        path: CompactString,
-        /// The system's error.
-        text: CompactString,
-    },
-    /// The file is not TOML, has an unknown key or a value of the wrong form.
+    /// The file cannot be read, is not TOML, has an unknown key or a value of the wrong form.
     #[display("{_0}")]
-    Syntax(#[error(not(source))] CompactString),
+    File(settings::Error),
     /// A value is outside its range.
     #[display("{key}: {expected}")]
     Value {
@@ -85,21 +77,18 @@
     ///
     /// [`Invalid`] when the file cannot be read or used.
     pub fn load(path: &Path) -> Result<Self, Invalid> {
-        let text = fs::read_to_string(path).map_err(|error| Invalid::Unreadable {
-            path: compact_str::format_compact!("{}", path.display()),
-            text: compact_str::format_compact!("{error}"),
-        })?;
-        Self::parse(&text)
+        let settings: Self = settings::load(path).map_err(Invalid::File)?;
+        settings.check()?;
+        Ok(settings)
     }
 
-    /// Parses and checks settings.
+    /// Parses and checks settings; `path` only names their source in errors.
     ///
     /// # Errors
     ///
     /// [`Invalid`] when they cannot be used.
-    pub fn parse(text: &str) -> Result<Self, Invalid> {
-        let settings: Self = toml::from_str(text)
-            .map_err(|error| Invalid::Syntax(compact_str::format_compact!("{error}")))?;
+    pub fn parse(path: &Path, text: &str) -> Result<Self, Invalid> {
+        let settings: Self = settings::parse(path, text).map_err(Invalid::File)?;
         settings.check()?;
         Ok(settings)
     }
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -1,4 +1,4 @@
-//! Controls on loopback within this process, without a platform, and stand-ins for their entries.
+//! Controls on loopback within this process, and stand-ins for their entries.
 
 use core::net::SocketAddr;
 use core::time::Duration;
@@ -26,6 +26,14 @@
 ));
 
 pub async fn start(index: usize, peers: Vec<SocketAddr>) -> Control {
+    start_with(index, peers, Vec::new()).await
+}
+
+pub async fn start_with(
+    index: usize,
+    peers: Vec<SocketAddr>,
+    platform: Vec<SocketAddr>,
+) -> Control {
     let settings = Settings {
         host: format!("host-{index}").parse().expect("a valid id"),
         zone: format!("zone-{}", index % 3).parse().expect("a valid id"),
@@ -34,7 +42,7 @@
         gossip: ANY_PORT,
         advertise_control: None,
         advertise_gossip: None,
-        platform: Vec::new(),
+        platform,
         peers,
         threads: 4,
         timings: Timings::default(),
--- a/crates/control/tests/clusters.rs
+++ b/crates/control/tests/clusters.rs
@@ -4,6 +4,7 @@
 
 use crate::cluster::SECOND;
 
+#[allow(dead_code)]
 mod cluster;
 
 /// Guards against a configuration that reaches only the control that it was given to.
--- a/crates/control/tests/decisions.rs
+++ b/crates/control/tests/decisions.rs
@@ -3,6 +3,7 @@
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::collections::BTreeSet;
+use std::path::Path;
 
 use assert_matches::assert_matches;
 
@@ -49,7 +50,7 @@
 }
 
 fn envelope(generation: u64, text: &str) -> Envelope {
-    let text = format!("# {text}\nhalves = []\n");
+    let text = format!("# {text}\nhalves = [\"kadunaledger\"]\n");
     Envelope::new(Generation(generation), "write".into(), "ada".into(), text)
 }
 
@@ -147,15 +148,18 @@
 /// Guards against settings that are misspelt and silently ignored, or that cannot work.
 #[test]
 fn settings_are_checked() {
-    let with = |text: &str| Settings::parse(&format!("{SETTINGS}{text}"));
+    let with = |text: &str| Settings::parse(Path::new("s.toml"), &format!("{SETTINGS}{text}"));
     assert_matches!(with(""), Ok(_));
-    assert_matches!(with("thread = 3"), Err(Invalid::Syntax(_)));
+    assert_matches!(with("thread = 3"), Err(Invalid::File(_)));
     assert_matches!(with("threads = 0"), Err(Invalid::Value { .. }));
-    assert_matches!(with("[timings]\nprobe = \"1s\""), Err(Invalid::Syntax(_)));
+    assert_matches!(with("[timings]\nprobe = \"1s\""), Err(Invalid::File(_)));
     assert_matches!(
         with("[timings]\nsuspicion = \"0ms\""),
         Err(Invalid::Value { .. })
     );
     let unreachable = SETTINGS.replace("127.0.0.1:7000", "0.0.0.0:7000");
-    assert_matches!(Settings::parse(&unreachable), Err(Invalid::Value { .. }));
+    assert_matches!(
+        Settings::parse(Path::new("s.toml"), &unreachable),
+        Err(Invalid::Value { .. })
+    );
 }
--- /dev/null
+++ b/crates/control/tests/platform.rs
@@ -0,0 +1,140 @@
+//! Controls with the stand-in for the platform.
+
+use core::net::SocketAddr;
+use core::time::Duration;
+
+use crate::cluster::SECOND;
+use agatemill_config::Envelope;
+use agatemill_control::Control;
+use agatemill_core::number::Generation;
+use agatemill_core::number::Revision;
+use agatemill_fake::platform::Platform;
+use agatemill_fake::platform::faults::Change;
+use agatemill_platform::Client;
+use agatemill_platform::Swap;
+use agatemill_wire::member::State;
+
+#[allow(dead_code)]
+mod cluster;
+
+const KEY: &str = "/agatemill/trial/configuration";
+
+async fn platform() -> Platform {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    Platform::listen(address).await.expect("a free port")
+}
+
+/// Controls in three zones that find each other through the platform alone.
+async fn cluster(count: usize, platform: &Platform) -> Vec<Control> {
+    let mut controls = Vec::new();
+    for index in 0..count {
+        controls.push(cluster::start_with(index, Vec::new(), vec![platform.address()]).await);
+        agatemill_runtime::sleep(Duration::from_millis(100)).await;
+    }
+    for control in &controls {
+        let met = async || cluster::overview(control).await.members.len() == count;
+        assert!(
+            cluster::within(5 * SECOND, met).await.is_some(),
+            "not joined"
+        );
+    }
+    controls
+}
+
+async fn apply(client: &Client, generation: u64) {
+    let envelope = Envelope::try_from(cluster::envelope(generation, "ada")).expect("sound");
+    let value = serde_json::to_vec(&envelope).expect("JSON");
+    let found = client.get(KEY).await.expect("it answers");
+    let revision = found.map_or(Revision(0), |entry| entry.revision);
+    let swap = client.swap(KEY, &value, revision, None).await;
+    assert!(matches!(swap, Ok(Swap::Done(_))), "{swap:?}");
+}
+
+async fn everywhere(controls: &[Control], generation: u64) -> bool {
+    let held = async || {
+        controls
+            .iter()
+            .all(|control| control.generation() == Generation(generation))
+    };
+    cluster::within(5 * SECOND, held).await.is_some()
+}
+
+/// Guards against hosts that need a list of peers to find each other, and against a configuration that
+/// reaches only the hosts that watch the platform.
+#[test]
+fn an_applied_configuration_reaches_every_host() {
+    smol::block_on(async {
+        let platform = platform().await;
+        let controls = cluster(9, &platform).await;
+        let client = platform.client(SECOND);
+        for generation in 1..=3 {
+            apply(&client, generation).await;
+            assert!(everywhere(&controls, generation).await);
+        }
+    });
+}
+
+/// Guards against a platform that lost data and makes the configuration revert, and against a lost
+/// configuration that nobody writes back.
+#[test]
+fn an_older_value_at_the_platform_is_refused_and_overwritten() {
+    smol::block_on(async {
+        let platform = platform().await;
+        let controls = cluster(4, &platform).await;
+        let client = platform.client(SECOND);
+        apply(&client, 1).await;
+        platform.snapshot();
+        apply(&client, 2).await;
+        assert!(everywhere(&controls, 2).await);
+        assert!(platform.restore());
+        let written = async || {
+            let found = client.get(KEY).await.expect("it answers").expect("present");
+            let envelope: Envelope = serde_json::from_slice(&found.value).expect("an envelope");
+            envelope.generation == Generation(2)
+        };
+        // A planner that lost its lease with the data needs the rest of its term to notice.
+        assert!(cluster::within(15 * SECOND, written).await.is_some());
+        assert!(everywhere(&controls, 2).await);
+        assert!(controls.iter().map(Control::reverted).sum::<u64>() > 0);
+    });
+}
+
+/// Guards against an outage of the platform that marks live hosts dead, makes them refuse work, or
+/// leaves a planner that still believes in its lease; and against two planners at a time.
+#[test]
+fn an_outage_stops_the_planner_and_nothing_else() {
+    smol::block_on(async {
+        let platform = platform().await;
+        let controls = cluster(4, &platform).await;
+        apply(&platform.client(SECOND), 1).await;
+        assert!(everywhere(&controls, 1).await);
+        let planners = || {
+            controls
+                .iter()
+                .filter(|control| control.is_planner())
+                .count()
+        };
+        let one = async || planners() == 1;
+        assert!(cluster::within(15 * SECOND, one).await.is_some());
+        platform.change(&Change {
+            down: Some(true),
+            ..Change::default()
+        });
+        for _ in 0..120 {
+            agatemill_runtime::sleep(SECOND / 10).await;
+            assert!(planners() <= 1);
+        }
+        assert_eq!(planners(), 0);
+        for control in &controls {
+            let members = cluster::overview(control).await.members;
+            assert!(members.iter().all(|member| member.state == State::Alive));
+            let local = cluster::local(control).await;
+            assert!(cluster::report(&local, 9_400).await.fresh);
+        }
+        platform.change(&Change {
+            down: Some(false),
+            ..Change::default()
+        });
+        assert!(cluster::within(15 * SECOND, one).await.is_some());
+    });
+}
