--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -82,13 +82,13 @@
         Ok(settings)
     }
 
-    /// Parses and checks settings; `path` only names their source in errors.
+    /// Parses and checks settings that come from no file.
     ///
     /// # Errors
     ///
     /// [`Invalid`] when they cannot be used.
-    pub fn parse(path: &Path, text: &str) -> Result<Self, Invalid> {
-        let settings: Self = settings::parse(path, text).map_err(Invalid::File)?;
+    pub fn parse(text: &str) -> Result<Self, Invalid> {
+        let settings: Self = settings::parse(Path::new("settings"), text).map_err(Invalid::File)?;
         settings.check()?;
         Ok(settings)
     }
--- a/crates/control/tests/decisions.rs
+++ b/crates/control/tests/decisions.rs
@@ -3,7 +3,6 @@
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::collections::BTreeSet;
-use std::path::Path;
 
 use assert_matches::assert_matches;
 
@@ -148,7 +147,7 @@
 /// Guards against settings that are misspelt and silently ignored, or that cannot work.
 #[test]
 fn settings_are_checked() {
-    let with = |text: &str| Settings::parse(Path::new("s.toml"), &format!("{SETTINGS}{text}"));
+    let with = |text: &str| Settings::parse(&format!("{SETTINGS}{text}"));
     assert_matches!(with(""), Ok(_));
     assert_matches!(with("thread = 3"), Err(Invalid::File(_)));
     assert_matches!(with("threads = 0"), Err(Invalid::Value { .. }));
@@ -158,8 +157,5 @@
         Err(Invalid::Value { .. })
     );
     let unreachable = SETTINGS.replace("127.0.0.1:7000", "0.0.0.0:7000");
-    assert_matches!(
-        Settings::parse(Path::new("s.toml"), &unreachable),
-        Err(Invalid::Value { .. })
-    );
+    assert_matches!(Settings::parse(&unreachable), Err(Invalid::Value { .. }));
 }
