Test the planner's orders against the engine stand-in

Cause: orders, status reads and the wait for engines that ignore fencing numbers ran in no test.

Change: a test with two controls, the platform stand-in and two engines that hold an old version.

--- a/crates/control/tests/platform.rs
+++ b/crates/control/tests/platform.rs
@@ -6,8 +6,12 @@
 use crate::cluster::SECOND;
 use agatemill_config::Envelope;
 use agatemill_control::Control;
+use agatemill_control::planner::term::LEASE;
+use agatemill_control::planner::term::ORDER_DEADLINE;
 use agatemill_core::number::Generation;
 use agatemill_core::number::Revision;
+use agatemill_fake::engine::Engine;
+use agatemill_fake::engine::Settings;
 use agatemill_fake::platform::Platform;
 use agatemill_fake::platform::faults::Change;
 use agatemill_platform::Client;
@@ -43,7 +47,11 @@
 
 async fn apply(client: &Client, generation: u64) {
     let envelope = Envelope::try_from(cluster::envelope(generation, "ada")).expect("sound");
-    let value = serde_json::to_vec(&envelope).expect("JSON");
+    write(client, &envelope).await;
+}
+
+async fn write(client: &Client, envelope: &Envelope) {
+    let value = serde_json::to_vec(envelope).expect("JSON");
     let found = client.get(KEY).await.expect("it answers");
     let revision = found.map_or(Revision(0), |entry| entry.revision);
     let swap = client.swap(KEY, &value, revision, None).await;
@@ -138,3 +146,69 @@
         assert!(cluster::within(15 * SECOND, one).await.is_some());
     });
 }
+
+async fn engine(name: &str, ignore_fencing: bool) -> Engine {
+    let id = name.parse().expect("a valid id");
+    let model = "m".parse().expect("a valid id");
+    let version = "1".parse().expect("a valid id");
+    let layers = "0..4".parse().expect("a range");
+    let mut settings = Settings::instant(id, model, version, layers);
+    settings.ignore_fencing = ignore_fencing;
+    Engine::listen(settings).await.expect("a free port")
+}
+
+/// The version that an engine has loaded.
+async fn version(engine: &Engine) -> String {
+    let client = agatemill_http::Client::new(SECOND);
+    let request = hyper::Request::get(format!("http://{}/v1/status", engine.address()));
+    let request = request
+        .body(http_body_util::Full::default())
+        .expect("valid");
+    let answer = client
+        .fetch(request, SECOND, 1 << 16)
+        .await
+        .expect("it answers");
+    let status: agatemill_engine::Status = serde_json::from_slice(answer.body()).expect("a status");
+    status.version.to_string()
+}
+
+fn document(engines: &[(&str, &Engine, bool)]) -> String {
+    let mut text = "halves = [\"kadunaledger\"]\n\
+        settings.load_rate = \"5/s\"\n\
+        [[zone]]\nname = \"zone-0\"\nregion = \"r\"\n\
+        [[model]]\nname = \"m\"\nversion = \"2\"\nlayers = 4\nactivation = \"1KiB\"\n"
+        .to_owned();
+    for (name, engine, fencing) in engines {
+        let part = format!(
+            "[[engine]]\nname = \"{name}\"\naddress = \"{}\"\nhalf = \"kadunaledger\"\n\
+            zone = \"zone-0\"\naccelerator = \"a\"\nmodel = \"m\"\nversion = \"2\"\n\
+            layers = \"0..4\"\nthroughput = \"10/s\"\nbatch = 4\nfencing = {fencing}\n",
+            engine.address()
+        );
+        text.push_str(&part);
+    }
+    text
+}
+
+/// Guards against engines that are never told to load what the document says, and against an order to
+/// an engine that ignores fencing numbers while an earlier planner may still give orders.
+#[test]
+fn engines_are_ordered_to_load_what_the_document_says() {
+    smol::block_on(async {
+        let platform = platform().await;
+        let fenced = engine("fenced", false).await;
+        let unfenced = engine("unfenced", true).await;
+        let text = document(&[("fenced", &fenced, true), ("unfenced", &unfenced, false)]);
+        let start = agatemill_runtime::now();
+        let envelope = Envelope::new(Generation(1), "w".into(), "ada".into(), text);
+        write(&platform.client(SECOND), &envelope).await;
+        let controls = cluster(2, &platform).await;
+        assert!(everywhere(&controls, 1).await);
+        let loaded = async || version(&fenced).await == "2";
+        assert!(cluster::within(8 * SECOND, loaded).await.is_some());
+        let loaded = async || version(&unfenced).await == "2";
+        assert!(cluster::within(20 * SECOND, loaded).await.is_some());
+        // The term cannot have begun before the controls were started.
+        assert!(agatemill_runtime::now().saturating_sub(start) >= LEASE + ORDER_DEADLINE);
+    });
+}
