--- a/crates/pipeline/src/lib.rs
+++ b/crates/pipeline/src/lib.rs
@@ -15,6 +15,7 @@
 mod run;
 pub mod settings;
 mod transfer;
+mod watchdog;
 
 pub use event::Event;
 pub use generation::Generation;
