Give racing operators of a scenario files and a base of their own

Cause: configuration-race failed in 5 of 8 runs on a busy machine with exit codes 5 or 0 in place of 3. Both operators wrote one file, so one read the other's half-written document; and an operator who starts after the first is done does not race at all. agatemillctl was not at fault.

The check is stricter than before, since one conflict now always has to show.

--- a/tests/all/script.rs
+++ b/tests/all/script.rs
@@ -415,11 +415,12 @@
     /// codes, sorted.
     fn race(&mut self, case: &mut TestCase) -> String {
         let without: Vec<String> = case.take_args("without").expect("without=(NAME, NAME)");
+        let base: u64 = argument(case, "base", 1);
         let world = self.world();
         let mut codes: Vec<i32> = thread::scope(|scope| {
             let apply = |name: &String| {
                 let name = name.clone();
-                scope.spawn(move || world.apply(&[name]).0)
+                scope.spawn(move || world.apply_over(&[name], Some(base)).0)
             };
             let handles: Vec<_> = without.iter().map(apply).collect();
             handles
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -218,12 +218,22 @@
 
     /// Applies the plan's document without some backend servers; returns the exit code and the output.
     pub fn apply(&self, without: &[String]) -> (i32, String) {
-        let path = self.directory.path().join("document.toml");
+        self.apply_over(without, None)
+    }
+
+    /// Applies as [`World::apply`] does, for an operator whose document is based on a certain generation.
+    pub fn apply_over(&self, without: &[String], base: Option<u64>) -> (i32, String) {
+        // Racing operators each have a file of their own.
+        let name = format!("document-{}.toml", without.join("-"));
+        let path = self.directory.path().join(name);
         std::fs::write(&path, self.plan.document(without)).expect("document file");
-        let line = format!(
+        let mut line = format!(
             "config apply {} --environment {ENVIRONMENT} --wait 30",
             path.display()
         );
+        if let Some(base) = base {
+            write!(line, " --expect {base}").expect("text grows");
+        }
         self.ctl(&words(&line))
     }
 
