Apply the document's call_answer_limit

Cause: the setting was checked and documented, and nothing used it; only the ledger's own bound of 990,000 bytes counted.

Change: a call carries the limit, and an answer whose body is longer is recorded without it. A repeat then gets answer_not_kept with outcome complete.

Without the change it does not compile, so it was not seen to fail.

--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -100,6 +100,7 @@
         body: digest(call),
         deadline: call.deadline,
         retention: settings.call_retention.to_duration(),
+        answer_limit: settings.call_answer_limit,
     };
     match ledger.claim(&claim).await? {
         Claim::Done(answer) => {
--- a/crates/ledger/src/call.rs
+++ b/crates/ledger/src/call.rs
@@ -6,6 +6,7 @@
 
 use agatemill_core::Digest;
 use agatemill_core::id;
+use agatemill_core::quantity::Size;
 
 /// A non-idempotent call of a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,4 +23,6 @@
     pub deadline: Duration,
     /// How long the record is kept.
     pub retention: Duration,
+    /// Largest body of an answer that is kept for repeats.
+    pub answer_limit: Size,
 }
--- a/crates/ledger/src/ticket.rs
+++ b/crates/ledger/src/ticket.rs
@@ -13,6 +13,7 @@
 use crate::record::State;
 use agatemill_core::Refusal;
 use agatemill_core::number::Revision;
+use agatemill_core::quantity::Size;
 
 /// The right to send a call, once.
 ///
@@ -26,6 +27,7 @@
     revision: Revision,
     deadline: Duration,
     retention: Duration,
+    answer_limit: Size,
     permission: Permission,
     settled: bool,
 }
@@ -45,6 +47,7 @@
             revision,
             deadline: call.deadline,
             retention: call.retention,
+            answer_limit: call.answer_limit,
             permission: Permission::Open,
             settled: false,
         }
@@ -59,10 +62,12 @@
         self.permission.check(self.deadline, now)
     }
 
-    /// Records the answer of the backend server. The write goes on in the background when it takes
+    /// Records the answer of the backend server; without the answer itself when its body is over the
+    /// call's limit, so that a repeat learns that the call ran but not its result. The write goes on in the background when it takes
     /// longer than the timeout of one platform call.
     pub async fn finish(mut self, answer: Answer) {
-        self.settle(State::Done(Some(answer))).await;
+        let kept = (answer.body.len() <= self.answer_limit.to_usize()).then_some(answer);
+        self.settle(State::Done(kept)).await;
     }
 
     /// Records that the call did not run: it was not sent, or the backend server said so. The write
--- a/crates/ledger/tests/calls.rs
+++ b/crates/ledger/tests/calls.rs
@@ -12,6 +12,7 @@
 use agatemill_core::Outcome;
 use agatemill_core::Reason;
 use agatemill_core::Refusal;
+use agatemill_core::quantity::Size;
 use agatemill_fake::platform::Platform;
 use agatemill_fake::platform::faults::Change;
 use agatemill_ledger::Answer;
@@ -45,6 +46,7 @@
         body: Digest::of(body),
         deadline: now() + LIMIT,
         retention: Duration::from_hours(1),
+        answer_limit: Size(2 << 20),
     }
 }
 
@@ -119,6 +121,26 @@
     });
 }
 
+/// Guards against records that fill the platform although the document asks to keep small answers only.
+#[test]
+fn an_answer_over_the_limit_of_the_document_is_not_kept() {
+    with_ledgers(async |_platform, a, b| {
+        let limited = |key: &str| Call {
+            answer_limit: Size(100),
+            ..call(key, b"pay")
+        };
+        for (key, size) in [("small", 100), ("large", 101)] {
+            let mut ticket = won(a.claim(&limited(key)).await);
+            ticket.may_send(now()).unwrap();
+            ticket.finish(answer(size)).await;
+        }
+        let small = b.claim(&limited("small")).await;
+        assert_matches!(small, Ok(Claim::Done(found)) if found == answer(100));
+        let large = b.claim(&limited("large")).await;
+        refused(large, Reason::AnswerNotKept, Outcome::Complete);
+    });
+}
+
 /// Guards against large answers that fail to be recorded and leave the record `begun`.
 #[test]
 fn a_large_answer_is_not_kept() {
