Add the load tool and name the routing policies

agatemill-load sends seeded open-loop loads to entries on loopback and checks every answer against the stand-in's model.

The entry's setting routing names the policy; the default stays measured.

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -10,6 +10,7 @@
 use agatemill_core::id;
 use agatemill_core::quantity::Size;
 use agatemill_core::quantity::Time;
+use agatemill_routing::policy;
 
 /// Smallest head buffer that the HTTP library takes.
 const MIN_HEADERS: Size = Size(8 << 10);
@@ -38,6 +39,9 @@
     /// Threads that run requests.
     #[serde(default = "threads")]
     pub threads: usize,
+    /// How chains of engines are chosen.
+    #[serde(default = "routing")]
+    pub routing: policy::Name,
     /// How long a graceful shutdown may take in all.
     #[serde(default = "drain_limit")]
     pub drain_limit: Time,
@@ -135,6 +139,10 @@
     4
 }
 
+fn routing() -> policy::Name {
+    policy::Name::Measured
+}
+
 fn drain_limit() -> Time {
     Time::from_millis(600_000)
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -22,7 +22,6 @@
 use agatemill_ledger::Ledger;
 use agatemill_metrics::Registry;
 use agatemill_routing::Table;
-use agatemill_routing::policy;
 use agatemill_wire::Directory;
 
 /// How long opening a connection to a backend server may take.
@@ -67,7 +66,7 @@
         let table = Table::new(
             settings.host.clone(),
             settings.zone.clone(),
-            policy::measured(),
+            settings.routing.policy(),
         );
         let table = Arc::new(table);
         let client = agatemill_engine::Client::new(agatemill_http::Client::new(CONNECT_TIMEOUT));
--- /dev/null
+++ b/crates/load/src/command.rs
@@ -0,0 +1,99 @@
+//! The program `agatemill-load`.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use clap::Subcommand;
+
+use crate::Report;
+use crate::experiment;
+use crate::run;
+
+/// Open-loop load and experiments. Traffic goes to loopback addresses only.
+#[derive(Clone, Debug, Parser)]
+#[command(name = "agatemill-load", version)]
+pub struct Arguments {
+    /// Print a JSON line for each report instead of the table.
+    #[arg(long, global = true)]
+    pub json: bool,
+    /// What to do.
+    #[command(subcommand)]
+    pub action: Action,
+}
+
+/// What to do.
+#[derive(Clone, Debug, Subcommand)]
+pub enum Action {
+    /// Send a load to running entries.
+    Run(run::Options),
+    /// Run a named experiment of docs/measurements.md.
+    Experiment {
+        /// Name of the experiment.
+        name: experiment::Name,
+        /// First seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Repeats, each with the next seed.
+        #[arg(long, default_value_t = 3)]
+        repeats: u64,
+    },
+}
+
+/// Runs the program with the arguments of the process.
+#[must_use]
+pub fn main() -> ExitCode {
+    let default = env_logger::Env::default().default_filter_or("warn");
+    env_logger::Builder::from_env(default).init();
+    let arguments = Arguments::parse();
+    match start(&arguments) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => {
+            eprintln!("agatemill-load: answers were wrong or calls ran more than once");
+            ExitCode::FAILURE
+        }
+        Err(error) => {
+            eprintln!("agatemill-load: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Whether every answer was right.
+fn start(arguments: &Arguments) -> Result<bool, Box<dyn core::error::Error + Send + Sync>> {
+    let mut right = true;
+    match &arguments.action {
+        Action::Run(options) => {
+            let report = run::main(options)?;
+            right &= print(&[report], arguments.json);
+        }
+        Action::Experiment {
+            name,
+            seed,
+            repeats,
+        } => {
+            for seed in *seed..seed.saturating_add(*repeats) {
+                if !arguments.json {
+                    println!("seed {seed}");
+                }
+                right &= print(&name.run(seed)?, arguments.json);
+            }
+        }
+    }
+    Ok(right)
+}
+
+fn print(reports: &[Report], json: bool) -> bool {
+    if !json {
+        println!("{}", Report::head());
+    }
+    for report in reports {
+        if json {
+            println!("{}", report.to_json());
+        } else {
+            println!("{}", report.row());
+        }
+    }
+    reports
+        .iter()
+        .all(|report| report.wrong + report.repeated == 0)
+}
--- /dev/null
+++ b/crates/load/src/system.rs
@@ -0,0 +1,122 @@
+//! An entry with stand-ins for everything around it, in this process.
+
+use core::net::SocketAddr;
+use core::time::Duration;
+
+use crate::check;
+use crate::scenario::MODEL;
+use crate::scenario::Scenario;
+use agatemill_config::Envelope;
+use agatemill_core::number::Generation;
+use agatemill_core::quantity::Rate;
+use agatemill_entry::Handle;
+use agatemill_fake::engine;
+use agatemill_fake::platform::Platform;
+use agatemill_fake::service;
+use agatemill_routing::policy;
+
+/// Any free port on loopback.
+const LOOPBACK: SocketAddr =
+    SocketAddr::new(core::net::IpAddr::V4(core::net::Ipv4Addr::LOCALHOST), 0);
+
+/// Errors of starting a system.
+pub type Error = Box<dyn core::error::Error + Send + Sync>;
+
+/// How the system is set up.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// How the entry chooses chains.
+    pub policy: policy::Name,
+    /// Threads of the process.
+    pub threads: usize,
+    /// Whether engines run steps in no time.
+    pub instant: bool,
+    /// Age of the load in reports.
+    pub lag: Duration,
+}
+
+/// A running system.
+#[derive(Debug)]
+pub struct System {
+    platform: Platform,
+    /// The engines, in the order of the scenario.
+    pub engines: Vec<engine::Engine>,
+    service: service::Service,
+    entry: Handle,
+}
+
+impl System {
+    /// Starts the engines of a scenario, a service, the platform and an entry.
+    ///
+    /// # Errors
+    ///
+    /// Whatever keeps a part from starting.
+    pub async fn start(mut scenario: Scenario, settings: Settings) -> Result<Self, Error> {
+        agatemill_runtime::start(settings.threads);
+        let platform = Platform::listen(LOOPBACK).await?;
+        let service = service::Service::listen(&service::Settings { listen: LOOPBACK }).await?;
+        scenario.service = Some(service.address());
+        let mut engines = Vec::new();
+        for machine in &mut scenario.machines {
+            let fake = engine::Settings {
+                throughput: Rate::new(machine.throughput)?,
+                instant: settings.instant,
+                report_lag: u64::try_from(settings.lag.as_millis())?,
+                ..engine::Settings::instant(
+                    machine.name.parse()?,
+                    MODEL.parse()?,
+                    "1".parse()?,
+                    machine.layers,
+                )
+            };
+            let engine = engine::Engine::listen(fake).await?;
+            machine.address = engine.address();
+            engines.push(engine);
+        }
+        let text = format!(
+            "host = \"e1\"\nzone = \"a\"\nenvironment = \"load\"\nlisten = \"{LOOPBACK}\"\n\
+             platform = [\"{}\"]\nrouting = \"{}\"\nthreads = {}\n",
+            platform.address(),
+            settings.policy,
+            settings.threads
+        );
+        let entry = agatemill_entry::run(toml::from_str(&text)?).await?;
+        let document = scenario.document();
+        entry.accept(&Envelope::new(
+            Generation(1),
+            "load".into(),
+            "load".into(),
+            document,
+        ))?;
+        Ok(Self {
+            platform,
+            engines,
+            service,
+            entry,
+        })
+    }
+
+    /// Where callers connect.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.entry.address()
+    }
+
+    /// Number of calls that ran again.
+    #[must_use]
+    pub fn repeated(&self) -> u64 {
+        let executions = self.service.executions();
+        let keys = executions.iter().filter_map(|call| call.key.as_deref());
+        check::repeated(keys)
+    }
+
+    /// Shuts everything down, the entry first.
+    pub async fn close(self) {
+        self.entry.close().await;
+        for engine in self.engines {
+            engine.close();
+        }
+        self.service.close();
+        self.platform.close();
+    }
+}
--- /dev/null
+++ b/crates/load/tests/plan.rs
@@ -0,0 +1,37 @@
+//! Recorded loads.
+
+use core::time::Duration;
+
+use agatemill_load::Plan;
+use agatemill_load::plan::Shape;
+
+/// Guards against runs with the same seed that differ, which would make comparisons of policies worthless.
+#[test]
+fn same_seed_gives_same_load() {
+    let shape = Shape {
+        calls: 0.2,
+        ..Shape::default()
+    };
+    assert_eq!(Plan::new(&shape), Plan::new(&shape));
+    assert_ne!(Plan::new(&shape), Plan::new(&Shape { seed: 2, ..shape }));
+}
+
+/// Guards against a load that ignores its rate, its time or its number of requests.
+#[test]
+fn load_keeps_its_bounds() {
+    let shape = Shape {
+        rate: 100.0,
+        duration: Duration::from_secs(20),
+        ..Shape::default()
+    };
+    let plan = Plan::new(&shape);
+    assert!(
+        (1_800..2_200).contains(&plan.items.len()),
+        "{}",
+        plan.items.len()
+    );
+    assert!(plan.items.is_sorted_by_key(|item| item.at));
+    assert!(plan.items.iter().all(|item| item.at <= shape.duration));
+    let short = Plan::new(&Shape { limit: 7, ..shape });
+    assert_eq!(short.items.len(), 7);
+}
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -3,6 +3,10 @@
 use core::fmt;
 use std::sync::Arc;
 
+use derive_more::Display;
+use derive_more::FromStr;
+use serde::Deserialize;
+
 use crate::Engine;
 
 /// Cost of one more session on an engine; the second argument is a random number in `0.0..1.0`.
@@ -29,6 +33,51 @@
     }
 }
 
+/// Name of a policy, as in the settings of an entry.
+#[derive(Clone, Copy, Debug, Display, FromStr, PartialEq, Eq, Deserialize)]
+#[display(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum Name {
+    /// [`random()`].
+    Random,
+    /// [`round_robin()`].
+    RoundRobin,
+    /// [`least_reported()`].
+    LeastReported,
+    /// [`two_choices()`].
+    TwoChoices,
+    /// [`estimated()`].
+    Estimated,
+    /// [`measured()`].
+    Measured,
+}
+
+impl Name {
+    /// All policies, in the order in which measurements list them.
+    pub const ALL: [Self; 6] = [
+        Self::Random,
+        Self::RoundRobin,
+        Self::LeastReported,
+        Self::TwoChoices,
+        Self::Estimated,
+        Self::Measured,
+    ];
+
+    /// The policy of this name.
+    #[must_use]
+    pub fn policy(self) -> Policy {
+        match self {
+            Self::Random => random(),
+            Self::RoundRobin => round_robin(),
+            Self::LeastReported => least_reported(),
+            Self::TwoChoices => two_choices(),
+            Self::Estimated => estimated(),
+            Self::Measured => measured(),
+        }
+    }
+}
+
 /// Any engine.
 #[must_use]
 pub fn random() -> Policy {
--- a/src/bin/agatemill-load.rs
+++ b/src/bin/agatemill-load.rs
@@ -1,2 +1,7 @@
-//! agatemill-load
-fn main() {}
+//! Load and experiment tool of agatemill.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    agatemill_load::command::main()
+}
