--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -36,6 +36,9 @@
         /// Repeats, each with the next seed.
         #[arg(long, default_value_t = 3)]
         repeats: u64,
+        /// Make only the runs whose names contain this text.
+        #[arg(long, default_value = "")]
+        filter: String,
     },
 }
 
@@ -70,12 +73,17 @@
             name,
             seed,
             repeats,
+            filter,
         } => {
             for seed in *seed..seed.saturating_add(*repeats) {
                 if !arguments.json {
                     println!("seed {seed}");
                 }
-                right &= print(&name.run(seed)?, arguments.json);
+                let choice = experiment::Choice {
+                    seed,
+                    filter: filter.clone(),
+                };
+                right &= print(&name.run(&choice)?, arguments.json);
             }
         }
     }
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -27,20 +27,37 @@
     Path4,
 }
 
+/// What is run of an experiment.
+#[derive(Clone, Debug, Default)]
+pub struct Choice {
+    /// Seed of the load.
+    pub seed: u64,
+    /// Text in the names of the runs that are made; empty for all.
+    pub filter: String,
+}
+
+impl Choice {
+    /// Whether the run of this name is made.
+    #[must_use]
+    pub fn takes(&self, name: &str) -> bool {
+        name.contains(&self.filter)
+    }
+}
+
 impl Name {
-    /// Runs the experiment with a seed.
+    /// Runs the experiment.
     ///
     /// # Errors
     ///
     /// Whatever keeps it from running.
-    pub fn run(self, seed: u64) -> Outcome {
+    pub fn run(self, choice: &Choice) -> Outcome {
         match self {
-            Self::Routing => routing::late(seed, 1.0),
-            Self::Latency => routing::late(seed, 0.5),
-            Self::Slow => routing::slow(seed),
-            Self::Overload => routing::overload(seed),
-            Self::Path1 => path::run(seed, 1),
-            Self::Path4 => path::run(seed, 4),
+            Self::Routing => routing::late(choice, 1.0),
+            Self::Latency => routing::late(choice, 0.5),
+            Self::Slow => routing::slow(choice),
+            Self::Overload => routing::overload(choice),
+            Self::Path1 => path::run(choice, 1),
+            Self::Path4 => path::run(choice, 4),
         }
     }
 }
--- a/crates/load/src/experiment/path.rs
+++ b/crates/load/src/experiment/path.rs
@@ -5,6 +5,7 @@
 use crate::Plan;
 use crate::Scenario;
 use crate::client::Client;
+use crate::experiment::Choice;
 use crate::experiment::Outcome;
 use crate::plan::Shape;
 use crate::run;
@@ -26,10 +27,14 @@
 /// # Errors
 ///
 /// Whatever keeps the system from starting.
-pub fn run(seed: u64, threads: usize) -> Outcome {
+pub fn run(choice: &Choice, threads: usize) -> Outcome {
     smol::block_on(async {
         let mut reports = Vec::new();
         for rate in RATES {
+            let name = format!("{threads} threads, {rate}/s");
+            if !choice.takes(&name) {
+                continue;
+            }
             let scenario = Scenario::mixed(1_000_000.0);
             let settings = Settings {
                 policy: Name::TwoChoices,
@@ -42,11 +47,10 @@
                 rate,
                 duration: DURATION,
                 calls: 0.02,
-                seed,
+                seed: choice.seed,
                 ..Shape::default()
             });
             let client = Client::new(LIMIT, 24);
-            let name = format!("{threads} threads, {rate}/s");
             let entries = [system.address()];
             let mut report = run::send(&name, &client, &entries, &plan, Duration::ZERO).await;
             report.repeated = system.repeated();
--- a/crates/load/src/experiment/routing.rs
+++ b/crates/load/src/experiment/routing.rs
@@ -4,6 +4,7 @@
 
 use crate::Plan;
 use crate::Scenario;
+use crate::experiment::Choice;
 use crate::experiment::Outcome;
 use crate::plan::Shape;
 use crate::simulation::Fault;
@@ -51,9 +52,9 @@
 /// # Errors
 ///
 /// The faults of the scenario's document.
-pub fn late(seed: u64, share: f64) -> Outcome {
+pub fn late(choice: &Choice, share: f64) -> Outcome {
     let scenario = Scenario::mixed(SPEED);
-    let plan = plan(&scenario, share, shape(seed));
+    let plan = plan(&scenario, share, shape(choice.seed));
     let mut reports = Vec::new();
     for lag in LAGS {
         for policy in Name::ALL {
@@ -63,7 +64,9 @@
                 ..Settings::default()
             };
             let name = format!("{share}x lag {lag}s {policy}");
-            reports.push(Simulation::run(&name, &scenario, &settings, &plan)?);
+            if choice.takes(&name) {
+                reports.push(Simulation::run(&name, &scenario, &settings, &plan)?);
+            }
         }
     }
     Ok(reports)
@@ -74,9 +77,9 @@
 /// # Errors
 ///
 /// The faults of the scenario's document.
-pub fn slow(seed: u64) -> Outcome {
+pub fn slow(choice: &Choice) -> Outcome {
     let scenario = Scenario::mixed(SPEED);
-    let plan = plan(&scenario, 0.5, shape(seed));
+    let plan = plan(&scenario, 0.5, shape(choice.seed));
     let mut reports = Vec::new();
     for policy in Name::ALL {
         let fault = Fault {
@@ -91,7 +94,9 @@
             ..Settings::default()
         };
         let name = format!("slow engine {policy}");
-        reports.push(Simulation::run(&name, &scenario, &settings, &plan)?);
+        if choice.takes(&name) {
+            reports.push(Simulation::run(&name, &scenario, &settings, &plan)?);
+        }
     }
     Ok(reports)
 }
@@ -101,11 +106,11 @@
 /// # Errors
 ///
 /// The faults of the scenario's document.
-pub fn overload(seed: u64) -> Outcome {
+pub fn overload(choice: &Choice) -> Outcome {
     let scenario = Scenario::mixed(SPEED);
     let mut reports = Vec::new();
     for share in [0.8, 1.0, 1.2, 2.0] {
-        let plan = plan(&scenario, share, shape(seed));
+        let plan = plan(&scenario, share, shape(choice.seed));
         for policy in [Name::TwoChoices, Name::Estimated, Name::Measured] {
             let settings = Settings {
                 policy,
@@ -113,7 +118,9 @@
                 ..Settings::default()
             };
             let name = format!("{share}x {policy}");
-            reports.push(Simulation::run(&name, &scenario, &settings, &plan)?);
+            if choice.takes(&name) {
+                reports.push(Simulation::run(&name, &scenario, &settings, &plan)?);
+            }
         }
     }
     Ok(reports)
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -1,6 +1,7 @@
 //! The engines of one group.
 
 use core::time::Duration;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 
 use crate::Chain;
@@ -98,7 +99,7 @@
         let usable = |(server, engine): &(&id::Server, &Engine)| {
             engine.is_usable() && !request.exclude.contains(server)
         };
-        let mut ranges: HashMap<layer::Range, Vec<id::Server>> = HashMap::new();
+        let mut ranges: BTreeMap<layer::Range, Vec<id::Server>> = BTreeMap::new();
         for (server, engine) in self.engines.iter().filter(usable) {
             let layers = engine.layers.expect("a usable engine holds layers");
             ranges.entry(layers).or_default().push(server.clone());
