pipeline: earn retries by whole answers instead of tokens

Cause: every token earned a tenth of a retry, so an answer of 36 tokens earned 3.6 retries, each of which repeats the work of the whole prompt and answer. At the bound the engines ran 2.3 to 6.9 times the work that the whole answers needed. Change: a whole answer earns a tenth of a retry.

--- a/crates/load/src/simulation/step.rs
+++ b/crates/load/src/simulation/step.rs
@@ -140,7 +140,6 @@
         flow.progress.replied(stage.layers, job.positions);
         flow.stage += 1;
         if last {
-            host.budget.succeeded();
             self.token(job.request);
         } else {
             self.send(job.request);
@@ -166,6 +165,7 @@
         }
         flow.ended = true;
         self.report.complete += 1;
+        self.hosts[flow.entry].budget.succeeded();
         if inside {
             let times = self.report.organisations.entry(flow.organisation);
             times.or_default().record(self.now.saturating_sub(flow.at));
--- a/crates/pipeline/src/run.rs
+++ b/crates/pipeline/src/run.rs
@@ -131,7 +131,11 @@
             self.past.push(hold.sessions().clone());
             hold.close();
             match ended {
-                Ok(finish) => return self.end(finish).await,
+                Ok(finish) => {
+                    // A retry repeats the work of a whole answer, so a whole answer earns its share of one.
+                    self.shared.budget().succeeded();
+                    return self.end(finish).await;
+                }
                 Err(Break::Stop(stop)) => return Err(stop),
                 Err(Break::Move { budget }) => self.pause(budget).await?,
             }
@@ -186,7 +190,6 @@
             let token = self.pass(hold, input).await?;
             self.version
                 .get_or_insert_with(|| hold.chain().version().clone());
-            self.shared.budget().succeeded();
             input = Input::Token { id: token.id };
             let end = token.end;
             self.give(token).await?;
