--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -46,6 +46,7 @@
         control: None,
         platform,
         threads: 4,
+        routing: agatemill_routing::policy::Name::Measured,
         drain_limit: "3s".parse().unwrap(),
         limits,
     }
--- /dev/null
+++ b/crates/load/src/experiment.rs
@@ -0,0 +1,63 @@
+//! Named experiments.
+
+pub mod path;
+pub mod routing;
+
+use clap::ValueEnum;
+
+use crate::Report;
+
+/// Result of an experiment: the reports, in the order in which they are printed.
+pub type Outcome = Result<Vec<Report>, Box<dyn core::error::Error + Send + Sync>>;
+
+/// A named experiment of `docs/measurements.md`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Name {
+    /// Policies at saturation with late reports.
+    Routing,
+    /// Policies at half the bound with late reports.
+    Latency,
+    /// Policies while an engine becomes ten times slower.
+    Slow,
+    /// Policies at twice the bound.
+    Overload,
+    /// Requests through an entry on one thread.
+    Path1,
+    /// Requests through an entry on four threads.
+    Path4,
+}
+
+/// What is run of an experiment.
+#[derive(Clone, Debug, Default)]
+pub struct Choice {
+    /// Seed of the load.
+    pub seed: u64,
+    /// Text in the names of the runs that are made; empty for all.
+    pub filter: String,
+}
+
+impl Choice {
+    /// Whether the run of this name is made.
+    #[must_use]
+    pub fn takes(&self, name: &str) -> bool {
+        name.contains(&self.filter)
+    }
+}
+
+impl Name {
+    /// Runs the experiment.
+    ///
+    /// # Errors
+    ///
+    /// Whatever keeps it from running.
+    pub fn run(self, choice: &Choice) -> Outcome {
+        match self {
+            Self::Routing => routing::late(choice, 1.0),
+            Self::Latency => routing::late(choice, 0.5),
+            Self::Slow => routing::slow(choice),
+            Self::Overload => routing::overload(choice),
+            Self::Path1 => path::run(choice, 1),
+            Self::Path4 => path::run(choice, 4),
+        }
+    }
+}
--- a/crates/pipeline/src/progress.rs
+++ b/crates/pipeline/src/progress.rs
@@ -23,6 +23,8 @@
     TimedOut,
     /// The connection broke; the step may have run.
     ConnectionLost,
+    /// The engine does not answer status queries either; the step may have run.
+    Frozen,
     /// The reply belongs to another step or is outside the protocol; the step may have run.
     Mismatched,
 }
@@ -199,7 +201,7 @@
         let not_run = match loss {
             Loss::ConnectFailed => true,
             Loss::Refused(code) => code.is_not_run(),
-            Loss::TimedOut | Loss::ConnectionLost | Loss::Mismatched => false,
+            Loss::TimedOut | Loss::Frozen | Loss::ConnectionLost | Loss::Mismatched => false,
         };
         self.ran |= !not_run;
         self.sent = false;
@@ -272,6 +274,7 @@
 fn verdict(loss: Loss) -> Verdict {
     let (reason, failed, budget) = match loss {
         Loss::ConnectFailed | Loss::ConnectionLost => ("stage_lost", true, false),
+        Loss::Frozen => ("stage_frozen", true, false),
         Loss::TimedOut => ("stage_timeout", true, true),
         Loss::Mismatched => ("mismatched_reply", true, true),
         Loss::Refused(Code::Draining) => ("draining", false, false),
--- a/crates/pipeline/src/run.rs
+++ b/crates/pipeline/src/run.rs
@@ -142,6 +142,8 @@
             match self.attempt(&hold, resume).await {
                 Ok(finish) => {
                     hold.close();
+                    // A retry repeats the work of a whole answer, so a whole answer earns its share of one.
+                    self.shared.budget().succeeded();
                     return self.end(finish).await;
                 }
                 Err(Break::Stop(stop)) => return Err(stop),
@@ -235,7 +237,6 @@
             let token = self.pass(hold, resume).await?;
             self.version
                 .get_or_insert_with(|| hold.chain().version().clone());
-            self.shared.budget().succeeded();
             let input = Input::Token { id: token.id };
             resume = Resume { layer: 0, input };
             let end = token.end;
@@ -304,8 +305,20 @@
         let sent = agatemill_runtime::now();
         self.progress.sending();
         let client = &self.shared.client;
-        let frozen = async { Err(watchdog::frozen(client, stage, suspicious).await) };
-        let result = smol::future::or(client.step(stage.address, step, limit), frozen).await;
+        let status_limit = self.shared.settings.status_limit();
+        let reply = async {
+            let reply = client.step(stage.address, step, limit).await;
+            reply.map_err(|error| {
+                log::warn!(server:% = stage.server, session:% = step.session, error:%; "pipeline: step failed");
+                loss(&error)
+            })
+        };
+        let frozen = async {
+            watchdog::frozen(client, stage, suspicious, status_limit).await;
+            log::warn!(server:% = stage.server, session:% = step.session; "pipeline: engine does not answer");
+            Err(Loss::Frozen)
+        };
+        let result = smol::future::or(reply, frozen).await;
         let loss = match result {
             Ok(reply) => {
                 let found = Mismatch::find(
@@ -321,10 +334,7 @@
                 self.shared.metrics.dropped(mismatch.as_str());
                 Loss::Mismatched
             }
-            Err(error) => {
-                log::warn!(server:% = stage.server, session:% = step.session, error:%; "pipeline: step failed");
-                loss(&error)
-            }
+            Err(loss) => loss,
         };
         Err(self.lost(stage, step, loss))
     }
--- a/crates/pipeline/src/settings.rs
+++ b/crates/pipeline/src/settings.rs
@@ -7,7 +7,7 @@
 pub struct Settings {
     /// How long a decoding step may take at most.
     pub step_timeout: Duration,
-    /// How long a decoding step may always take, however fast its engine was before.
+    /// How long a decoding step may always take before its engine is asked whether it is alive.
     pub step_floor: Duration,
     /// Time that a step over a prompt gets on top for each position.
     pub position_time: Duration,
@@ -28,3 +28,19 @@
         }
     }
 }
+
+impl Settings {
+    /// Longest time until an engine is asked whether it is alive. Together with two queries of
+    /// [`Settings::status_limit`] it stays below the step timeout, so that a frozen engine is told from a
+    /// slow one before the step is given up.
+    #[must_use]
+    pub fn suspicion_limit(&self) -> Duration {
+        self.step_timeout / 2
+    }
+
+    /// How long a query may take whether an engine is alive.
+    #[must_use]
+    pub fn status_limit(&self) -> Duration {
+        self.step_timeout / 10
+    }
+}
