Measure membership, recovery and the cost of control

The example program control starts real control and entry processes on loopback and reads their processor time and memory from /proc. Bytes of sockets are counted in the process and logged at the level debug, because /proc/PID/io leaves out send and recv.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -24,6 +24,7 @@
 use crate::shared::Shared;
 use crate::spread;
 use crate::tasks::Tasks;
+use crate::traffic;
 use agatemill_core::number::Generation;
 use agatemill_core::number::Incarnation;
 use agatemill_membership::Machine;
@@ -92,6 +93,7 @@
     tasks.spawn(gossip::tick(Arc::clone(&shared)));
     tasks.spawn(spread::pull_newer(Arc::clone(&shared), addresses));
     tasks.spawn(spread::sync(Arc::clone(&shared)));
+    tasks.spawn(traffic::log());
     platform::start(&shared);
     log::info!(host:% = shared.settings.host, control:%, gossip:%; "members: control started");
     Ok(Control { shared })
--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -11,6 +11,7 @@
 use agatemill_membership::Kind;
 use agatemill_membership::Message;
 use agatemill_membership::Outgoing;
+use agatemill_runtime::traffic;
 use agatemill_wire::Datagram;
 use agatemill_wire::datagram;
 
@@ -36,7 +37,10 @@
     let mut buffer = vec![0; 2 * datagram::MAX_BYTES];
     loop {
         match shared.socket.recv_from(&mut buffer).await {
-            Ok((length, address)) => take(&shared, &buffer[..length], address).await,
+            Ok((length, address)) => {
+                traffic::received(length);
+                take(&shared, &buffer[..length], address).await;
+            }
             Err(error) => {
                 log::warn!(error:%; "members: cannot receive datagrams");
                 agatemill_runtime::sleep(ERROR_PAUSE).await;
@@ -51,8 +55,11 @@
         let Some(bytes) = encode(shared, outgoing.message) else {
             continue;
         };
-        if let Err(error) = shared.socket.send_to(&bytes, outgoing.address).await {
-            log::debug!(address:% = outgoing.address, error:%; "members: cannot send a datagram");
+        match shared.socket.send_to(&bytes, outgoing.address).await {
+            Ok(length) => traffic::sent(length),
+            Err(error) => {
+                log::debug!(address:% = outgoing.address, error:%; "members: cannot send a datagram");
+            }
         }
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,6 +22,7 @@
 mod shared;
 mod spread;
 mod tasks;
+mod traffic;
 
 pub use control::Control;
 pub use control::run;
--- a/crates/http/src/connector.rs
+++ b/crates/http/src/connector.rs
@@ -18,6 +18,8 @@
 use smol_hyper::rt::FuturesIo;
 use tower_service::Service;
 
+use agatemill_runtime::traffic::Counted;
+
 /// Opens TCP connections to the IP address and port in a URI.
 #[derive(Clone, Copy, Debug)]
 pub struct Connector {
@@ -28,7 +30,7 @@
 /// A TCP stream of the pool.
 ///
 /// A type of its own, because the pool asks for its `Connection` trait on the I/O type.
-pub struct Stream(FuturesIo<TcpStream>);
+pub struct Stream(FuturesIo<Counted<TcpStream>>);
 
 impl Service<Uri> for Connector {
     type Response = Stream;
@@ -46,7 +48,7 @@
             let connect = agatemill_runtime::timeout(limit, TcpStream::connect(address)).await;
             let stream = connect.ok_or(io::ErrorKind::TimedOut)??;
             stream.set_nodelay(true)?;
-            Ok(Stream(FuturesIo::new(stream)))
+            Ok(Stream(FuturesIo::new(Counted(stream))))
         })
     }
 }
--- /dev/null
+++ b/crates/load/src/control/cluster.rs
@@ -0,0 +1,232 @@
+//! Entry hosts on loopback: real processes, and a stand-in platform in this process.
+
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::path::PathBuf;
+
+use async_compat::CompatExt;
+use tarpc::client::Config;
+use tarpc::client::NewClient;
+use tempfile::TempDir;
+
+use crate::control::Error;
+use crate::control::document::ZONES;
+use crate::control::network::Network;
+use crate::control::process::Process;
+use agatemill_config::Envelope;
+use agatemill_core::number::Generation;
+use agatemill_core::number::Revision;
+use agatemill_fake::platform::Platform;
+use agatemill_platform::Swap;
+use agatemill_wire::Overview;
+use agatemill_wire::local::LocalClient;
+use agatemill_wire::operator::OperatorClient;
+use agatemill_wire::transport;
+use agatemill_wire::transport::Service;
+
+/// Environment of all measurements.
+const ENVIRONMENT: &str = "measured";
+
+/// How long a call to the platform may take.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long starting and joining may take.
+pub const PATIENCE: Duration = Duration::from_mins(1);
+
+/// Time between two looks at a condition.
+const POLL: Duration = Duration::from_millis(10);
+
+/// Entry hosts on loopback.
+#[derive(Debug)]
+pub struct Cluster {
+    /// Addresses.
+    pub network: Network,
+    /// The platform's stand-in.
+    pub platform: Platform,
+    /// Control processes; `None` while a host is down.
+    pub controls: Vec<Option<Process>>,
+    /// Entry processes; empty without entries.
+    pub entries: Vec<Option<Process>>,
+    binaries: PathBuf,
+    directory: TempDir,
+    generation: u64,
+    revision: Revision,
+}
+
+impl Cluster {
+    /// Starts `count` control processes, and an entry beside each if `entries`.
+    ///
+    /// # Errors
+    ///
+    /// Any error of starting processes, or that they did not all meet in time.
+    pub async fn start(binaries: PathBuf, count: usize, entries: bool) -> Result<Self, Error> {
+        let network = Network::take();
+        let mut cluster = Self {
+            network,
+            platform: Platform::listen(network.platform()).await?,
+            controls: Vec::new(),
+            entries: Vec::new(),
+            binaries,
+            directory: TempDir::new()?,
+            generation: 0,
+            revision: Revision(0),
+        };
+        for index in 0..count {
+            let control = cluster.start_control(index)?;
+            cluster.controls.push(Some(control));
+            if entries {
+                let entry = cluster.start_entry(index)?;
+                cluster.entries.push(Some(entry));
+            }
+        }
+        Ok(cluster)
+    }
+
+    /// Starts the control of a host.
+    ///
+    /// # Errors
+    ///
+    /// Any error of starting the process.
+    pub fn start_control(&self, index: usize) -> Result<Process, Error> {
+        let network = self.network;
+        let peers: Vec<_> = (0..3)
+            .filter(|peer| *peer != index)
+            .map(|peer| format!("\"{}\"", network.control(peer)))
+            .collect();
+        let settings = format!(
+            "{}listen = \"{}\"\ngossip = \"{}\"\nplatform = [\"{}\"]\npeers = [{}]\n",
+            head(index),
+            network.control(index),
+            network.gossip(index),
+            network.platform(),
+            peers.join(", ")
+        );
+        self.launch("agatemill-control", &format!("c{index}"), &settings)
+    }
+
+    /// Starts the entry of a host.
+    ///
+    /// # Errors
+    ///
+    /// Any error of starting the process.
+    pub fn start_entry(&self, index: usize) -> Result<Process, Error> {
+        let network = self.network;
+        let settings = format!(
+            "{}listen = \"{}\"\ncontrol = \"{}\"\nplatform = [\"{}\"]\nthreads = 2\n",
+            head(index),
+            network.entry(index),
+            network.control(index),
+            network.platform(),
+        );
+        self.launch("agatemill-entry", &format!("h{index}"), &settings)
+    }
+
+    fn launch(&self, program: &str, name: &str, settings: &str) -> Result<Process, Error> {
+        let program = self.binaries.join(program);
+        Process::start(&program, self.directory.path(), name, settings)
+    }
+
+    /// Writes the next generation to the platform, as an operator does.
+    ///
+    /// # Errors
+    ///
+    /// When the platform does not take it.
+    pub async fn apply(&mut self, text: String) -> Result<u64, Error> {
+        let generation = self.generation + 1;
+        let write = format!("write-{generation}");
+        let author = "measurement".into();
+        let envelope = Envelope::new(Generation(generation), write.into(), author, text);
+        let value = serde_json::to_vec(&envelope)?;
+        let key = format!("/agatemill/{ENVIRONMENT}/configuration");
+        let client = self.platform.client(PLATFORM_TIMEOUT);
+        match client.swap(&key, &value, self.revision, None).await? {
+            Swap::Done(revision) => self.revision = revision,
+            Swap::Conflict(_) => return Err("the platform holds another configuration".into()),
+        }
+        self.generation = generation;
+        Ok(generation)
+    }
+
+    /// Waits until every running control knows `members` members that are alive and holds `generation`.
+    ///
+    /// # Errors
+    ///
+    /// When that takes longer than [`PATIENCE`].
+    pub async fn settle(&self, generation: u64) -> Result<(), Error> {
+        let running: Vec<_> = self.running().collect();
+        let settled = async || {
+            for index in &running {
+                let Ok(overview) = overview(self.network.control(*index)).await else {
+                    return false;
+                };
+                if alive(&overview) != running.len() || overview.generation != generation {
+                    return false;
+                }
+            }
+            true
+        };
+        match until(PATIENCE, settled).await {
+            Some(_) => Ok(()),
+            None => Err(format!("{} controls did not meet in time", running.len()).into()),
+        }
+    }
+
+    /// Hosts whose control runs.
+    pub fn running(&self) -> impl Iterator<Item = usize> {
+        let running = |index: &usize| self.controls[*index].is_some();
+        (0..self.controls.len()).filter(running)
+    }
+}
+
+fn head(index: usize) -> String {
+    let zone = ZONES[index % ZONES.len()];
+    format!("host = \"host-{index:03}\"\nzone = \"{zone}\"\nenvironment = \"{ENVIRONMENT}\"\n")
+}
+
+/// Members that are alive in an overview.
+#[must_use]
+pub fn alive(overview: &Overview) -> usize {
+    let alive =
+        |member: &&agatemill_wire::Member| member.state == agatemill_wire::member::State::Alive;
+    overview.members.iter().filter(alive).count()
+}
+
+/// Waits until a condition holds and returns how long that took; `None` when it took too long.
+pub async fn until(limit: Duration, holds: impl AsyncFn() -> bool) -> Option<Duration> {
+    let start = agatemill_runtime::now();
+    loop {
+        if holds().await {
+            return Some(agatemill_runtime::now().saturating_sub(start));
+        }
+        if agatemill_runtime::now().saturating_sub(start) > limit {
+            return None;
+        }
+        agatemill_runtime::sleep(POLL).await;
+    }
+}
+
+/// What a control says of the system.
+///
+/// # Errors
+///
+/// Any error of the call.
+pub async fn overview(address: SocketAddr) -> Result<Overview, Error> {
+    let transport = transport::connect(address, Service::Operator).await?;
+    let NewClient { client, dispatch } = OperatorClient::new(Config::default(), transport);
+    let task = agatemill_runtime::spawn(dispatch.compat());
+    let overview = client.overview(tarpc::context::current()).await?;
+    drop(task);
+    Ok(overview)
+}
+
+/// A client of the service for the entry.
+///
+/// # Errors
+///
+/// Any error of the connection.
+pub async fn local(address: SocketAddr) -> Result<LocalClient, Error> {
+    let transport = transport::connect(address, Service::Local).await?;
+    let NewClient { client, dispatch } = LocalClient::new(Config::default(), transport);
+    agatemill_runtime::spawn(dispatch.compat()).detach();
+    Ok(client)
+}
--- /dev/null
+++ b/crates/load/src/control/configuration.rs
@@ -0,0 +1,102 @@
+//! Time from the acceptance of a configuration to its being in force everywhere.
+
+use core::time::Duration;
+use std::path::PathBuf;
+
+use clap::Args;
+use futures::future::try_join_all;
+use tarpc::context::Context;
+
+use crate::control::Error;
+use crate::control::cluster::Cluster;
+use crate::control::cluster::local;
+use crate::control::document;
+use crate::control::report::Report;
+use agatemill_config::Envelope;
+use agatemill_wire::local::LocalClient;
+
+/// How long a configuration may take.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Longest random pause between two changes, so that they come at any moment of the periodic work.
+const LONGEST_PAUSE_MS: u64 = 2_000;
+
+/// What to measure.
+#[derive(Clone, Debug, Args)]
+pub struct Options {
+    /// Numbers of control processes.
+    #[arg(long, value_delimiter = ',', default_value = "8,30,100")]
+    pub sizes: Vec<usize>,
+    /// Changes for each size.
+    #[arg(long, default_value_t = 20)]
+    pub repeats: usize,
+    /// Organisations of the document, each of about 220 bytes.
+    #[arg(long, default_value_t = 10)]
+    pub organisations: usize,
+    /// Seed of the pauses between changes.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Directory of the programs.
+    #[arg(long, default_value = "target/release")]
+    pub binaries: PathBuf,
+}
+
+/// Measures each size.
+///
+/// # Errors
+///
+/// Any error of a cluster, or that a configuration was not in force in time.
+pub async fn run(options: &Options) -> Result<Vec<Report>, Error> {
+    let mut reports = Vec::new();
+    let mut random = fastrand::Rng::with_seed(options.seed);
+    for size in &options.sizes {
+        let mut cluster = Cluster::start(options.binaries.clone(), *size, false).await?;
+        let text = document::write(options.organisations, &[], "0")?;
+        let bytes = text.len();
+        let generation = cluster.apply(text).await?;
+        cluster.settle(generation).await?;
+        let mut clients = Vec::new();
+        for index in cluster.running() {
+            clients.push(local(cluster.network.control(index)).await?);
+        }
+        let mut times = Vec::new();
+        for repeat in 1..=options.repeats {
+            let pause = Duration::from_millis(random.u64(..LONGEST_PAUSE_MS));
+            agatemill_runtime::sleep(pause).await;
+            let text = document::write(options.organisations, &[], &repeat.to_string())?;
+            times.push(change(&mut cluster, &clients, text).await?);
+        }
+        let seed = options.seed;
+        let title = format!("configuration, {size} processes, {bytes} bytes, seed {seed}");
+        let mut report = Report::new(title);
+        report.add_times("accepted to in force at all", &times);
+        reports.push(report);
+    }
+    Ok(reports)
+}
+
+async fn change(
+    cluster: &mut Cluster,
+    clients: &[LocalClient],
+    text: String,
+) -> Result<Duration, Error> {
+    let generation = cluster.apply(text).await?;
+    let start = agatemill_runtime::now();
+    let followed = clients.iter().map(async |client| {
+        let found = client.follow(context(), generation - 1, LIMIT).await?;
+        let found = found.ok_or("a configuration was not in force in time")?;
+        let envelope = Envelope::try_from(found)?;
+        if envelope.generation.0 == generation {
+            return Ok(());
+        }
+        Err(Error::from("a control went to another generation"))
+    });
+    try_join_all(followed).await?;
+    Ok(agatemill_runtime::now().saturating_sub(start))
+}
+
+fn context() -> Context {
+    let mut context = tarpc::context::current();
+    context.deadline = std::time::Instant::now() + 2 * LIMIT;
+    context
+}
--- /dev/null
+++ b/crates/load/src/control/detector/network.rs
@@ -0,0 +1,281 @@
+//! Machines on an in-memory network with loss and pauses. Messages pass through the codec of datagrams.
+
+use core::cmp::Reverse;
+use core::net::Ipv4Addr;
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::collections::BTreeSet;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+
+use fastrand::Rng;
+
+use agatemill_control::record;
+use agatemill_core::id;
+use agatemill_core::number::Generation;
+use agatemill_core::number::Incarnation;
+use agatemill_membership::Kind;
+use agatemill_membership::Machine;
+use agatemill_membership::Member;
+use agatemill_membership::Message;
+use agatemill_membership::Outgoing;
+use agatemill_membership::Profile;
+use agatemill_membership::Service;
+use agatemill_membership::Settings;
+use agatemill_membership::State;
+use agatemill_wire::Datagram;
+use agatemill_wire::datagram;
+
+/// Time between two ticks of a machine.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Shortest and longest delay of a message in microseconds.
+const DELAYS: core::ops::Range<u64> = 300..3_000;
+
+/// One false accusation of a living member; all members that repeat it count once.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Accusation {
+    host: id::Host,
+    incarnation: u64,
+}
+
+/// A message under way.
+struct Flight {
+    from: SocketAddr,
+    to: usize,
+    bytes: Vec<u8>,
+}
+
+/// Machines that exchange messages in virtual time.
+pub struct Network {
+    pub now: Duration,
+    pub loss: f64,
+    /// Bytes sent by all machines, without headers of UDP and IP.
+    pub bytes: u64,
+    /// Messages sent by all machines.
+    pub messages: u64,
+    machines: Vec<Option<Machine>>,
+    hosts: HashMap<id::Host, usize>,
+    addresses: HashMap<SocketAddr, usize>,
+    /// A machine that is stopped, and until when; messages for it wait.
+    paused: Option<(usize, Duration)>,
+    flights: BinaryHeap<Reverse<(Duration, u64)>>,
+    payloads: HashMap<u64, Flight>,
+    number: u64,
+    random: Rng,
+}
+
+impl Network {
+    /// Machines that have all met.
+    pub fn new(members: usize, seed: u64) -> Self {
+        let mut random = Rng::with_seed(seed);
+        let all: Vec<_> = (0..members).map(member).collect();
+        let machines = all.iter().map(|own| {
+            let seed = random.u64(..);
+            let mut machine = Machine::new(Settings::default(), own.clone(), seed, Duration::ZERO);
+            machine.merge(Duration::ZERO, all.clone());
+            Some(machine)
+        });
+        let machines = machines.collect();
+        let hosts = all.iter().map(|member| member.host.clone());
+        let addresses = all.iter().map(|member| member.profile.gossip);
+        Self {
+            now: Duration::ZERO,
+            loss: 0.0,
+            bytes: 0,
+            messages: 0,
+            machines,
+            hosts: hosts.zip(0..).collect(),
+            addresses: addresses.zip(0..).collect(),
+            paused: None,
+            flights: BinaryHeap::new(),
+            payloads: HashMap::new(),
+            number: 0,
+            random,
+        }
+    }
+
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until a condition holds; gives whether it did by `end`.
+    pub fn until(&mut self, end: Duration, holds: impl Fn(&Self) -> bool) -> bool {
+        while !holds(self) {
+            if self.now >= end {
+                return false;
+            }
+            self.step();
+        }
+        true
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        self.machines[index] = None;
+    }
+
+    /// Stops a machine for a time.
+    pub fn pause(&mut self, index: usize, duration: Duration) {
+        self.paused = Some((index, self.now + duration));
+    }
+
+    /// Whether all living machines see a member in a state that `holds`.
+    pub fn all_see(&self, index: usize, holds: impl Fn(State) -> bool) -> bool {
+        let host = host(index);
+        let viewers = self.machines.iter().flatten();
+        let mut others = viewers.filter(|machine| machine.own().host != host);
+        others.all(|machine| {
+            let found = machine.others().find(|member| member.host == host);
+            found.is_some_and(|member| holds(member.state))
+        })
+    }
+
+    /// Adds the records of living members in this state.
+    pub fn accusations(&self, state: State, found: &mut BTreeSet<Accusation>) {
+        for machine in self.machines.iter().flatten() {
+            let accused = machine.others().filter(|member| member.state == state);
+            let living = |member: &&Member| self.machines[self.hosts[&member.host]].is_some();
+            found.extend(accused.filter(living).map(|member| Accusation {
+                host: member.host.clone(),
+                incarnation: member.incarnation.0,
+            }));
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += TICK;
+        if self.paused.is_some_and(|(_, end)| self.now >= end) {
+            self.paused = None;
+        }
+        self.deliver();
+        for index in 0..self.machines.len() {
+            if self.is_paused(index) {
+                continue;
+            }
+            if let Some(machine) = &mut self.machines[index] {
+                let out = machine.tick(self.now);
+                self.send(index, out);
+            }
+        }
+    }
+
+    fn is_paused(&self, index: usize) -> bool {
+        self.paused.is_some_and(|(paused, _)| paused == index)
+    }
+
+    fn deliver(&mut self) {
+        while let Some(Reverse((at, number))) = self.flights.peek().copied() {
+            if at > self.now {
+                break;
+            }
+            self.flights.pop();
+            let Some(flight) = self.payloads.remove(&number) else {
+                continue;
+            };
+            if self.is_paused(flight.to) {
+                self.enqueue(self.now + TICK, flight);
+                continue;
+            }
+            let Some(machine) = &mut self.machines[flight.to] else {
+                continue;
+            };
+            let Some(message) = decode(&flight.bytes) else {
+                continue;
+            };
+            let out = machine.receive(at, flight.from, message);
+            self.send(flight.to, out);
+        }
+    }
+
+    fn send(&mut self, from: usize, out: Vec<Outgoing>) {
+        for outgoing in out {
+            let Some(bytes) = encode(outgoing.message) else {
+                continue;
+            };
+            self.bytes += bytes.len() as u64;
+            self.messages += 1;
+            if self.random.f64() < self.loss {
+                continue;
+            }
+            let Some(to) = self.addresses.get(&outgoing.address).copied() else {
+                continue;
+            };
+            let delay = Duration::from_micros(self.random.u64(DELAYS));
+            let from = address(from);
+            self.enqueue(self.now + delay, Flight { from, to, bytes });
+        }
+    }
+
+    fn enqueue(&mut self, at: Duration, flight: Flight) {
+        self.number += 1;
+        self.flights.push(Reverse((at, self.number)));
+        self.payloads.insert(self.number, flight);
+    }
+}
+
+fn host(index: usize) -> id::Host {
+    format!("host-{index:04}").parse().expect("a valid id")
+}
+
+fn address(index: usize) -> SocketAddr {
+    let [.., high, low] = index.to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(127, 10, high, low), 7_002))
+}
+
+fn member(index: usize) -> Member {
+    let gossip = address(index);
+    Member {
+        host: host(index),
+        run: 1_796_000_000_000_000,
+        incarnation: Incarnation(0),
+        state: State::Alive,
+        revision: 0,
+        profile: Profile {
+            zone: format!("zone-{}", index % 10).parse().expect("a valid id"),
+            control: SocketAddr::new(gossip.ip(), 7_001),
+            gossip,
+            entry: Some(SocketAddr::new(gossip.ip(), 8_080)),
+            service: Service::Ready,
+            generation: Generation(100_000),
+        },
+    }
+}
+
+fn encode(message: Message) -> Option<Vec<u8>> {
+    let mut datagram = Datagram {
+        environment: u64::MAX,
+        from: message.from,
+        kind: match message.kind {
+            Kind::Ping => datagram::Kind::Ping,
+            Kind::Ack => datagram::Kind::Ack,
+            Kind::PingRequest { target } => datagram::Kind::PingRequest { target },
+        },
+        sequence: message.sequence,
+        generation: 100_000,
+        confirmed_ms: Some(1_000),
+        members: record::to_wire(message.members.iter()),
+    };
+    loop {
+        match datagram.encode() {
+            Ok(bytes) => return Some(bytes),
+            Err(_) => datagram.members.pop()?,
+        };
+    }
+}
+
+fn decode(bytes: &[u8]) -> Option<Message> {
+    let datagram = Datagram::decode(bytes).ok()?;
+    Some(Message {
+        from: datagram.from,
+        kind: match datagram.kind {
+            datagram::Kind::Ping => Kind::Ping,
+            datagram::Kind::Ack => Kind::Ack,
+            datagram::Kind::PingRequest { target } => Kind::PingRequest { target },
+        },
+        sequence: datagram.sequence,
+        members: record::from_wire(datagram.members),
+    })
+}
--- /dev/null
+++ b/crates/load/src/control/engines.rs
@@ -0,0 +1,78 @@
+//! Stand-in engines of a measurement, in this process.
+
+use crate::control::Error;
+use crate::control::document;
+use crate::control::document::MODEL;
+use crate::control::document::STAGE_LAYERS;
+use crate::control::network::Network;
+use agatemill_core::layer;
+use agatemill_core::quantity::Rate;
+use agatemill_fake::engine;
+
+/// Token positions that an engine runs in a second.
+const THROUGHPUT: f64 = 2_000.0;
+
+/// Stages of each chain.
+pub const STAGES: u32 = 2;
+
+/// A stand-in engine and its entry in the document.
+#[derive(Debug)]
+pub struct Engine {
+    /// Its entry in the document.
+    pub fact: document::Engine,
+    /// The stand-in; `None` while it is down.
+    pub running: Option<engine::Engine>,
+}
+
+impl Engine {
+    /// Starts the stand-in at its address.
+    ///
+    /// # Errors
+    ///
+    /// Any error of opening the listener.
+    pub async fn start(&mut self) -> Result<(), Error> {
+        let start = self.fact.stage * STAGE_LAYERS;
+        let layers = layer::Range::new(start, start + STAGE_LAYERS)?;
+        let name = self.fact.name.parse()?;
+        let settings = engine::Settings {
+            listen: self.fact.address,
+            throughput: Rate::new(THROUGHPUT)?,
+            instant: false,
+            ..engine::Settings::instant(name, MODEL.parse()?, "1".parse()?, layers)
+        };
+        self.running = Some(engine::Engine::listen(settings).await?);
+        Ok(())
+    }
+}
+
+/// Starts `replicas` engines of each stage.
+///
+/// # Errors
+///
+/// Any error of opening a listener.
+pub async fn start(network: Network, replicas: usize) -> Result<Vec<Engine>, Error> {
+    let mut engines = Vec::new();
+    for stage in 0..STAGES {
+        for replica in 0..replicas {
+            let address = network.engine(engines.len());
+            let name = format!("engine-{stage}-{replica}");
+            let mut engine = Engine {
+                fact: document::Engine {
+                    name,
+                    address,
+                    stage,
+                },
+                running: None,
+            };
+            engine.start().await?;
+            engines.push(engine);
+        }
+    }
+    Ok(engines)
+}
+
+/// The entries of all engines in the document.
+#[must_use]
+pub fn facts(engines: &[Engine]) -> Vec<document::Engine> {
+    engines.iter().map(|engine| engine.fact.clone()).collect()
+}
--- /dev/null
+++ b/crates/load/src/control/network.rs
@@ -0,0 +1,67 @@
+//! Addresses of a measurement.
+
+use core::net::IpAddr;
+use core::net::Ipv4Addr;
+use core::net::SocketAddr;
+
+const PLATFORM_PORT: u16 = 2379;
+const CONTROL_PORT: u16 = 7001;
+const GOSSIP_PORT: u16 = 7002;
+const ENTRY_PORT: u16 = 8080;
+const ENGINE_PORT: u16 = 9000;
+
+/// Hosts in one `/24` network.
+const PER_NETWORK: usize = 200;
+
+/// Loopback addresses of one measurement, `127.x.y.z`.
+#[derive(Clone, Copy, Debug)]
+pub struct Network {
+    first: u8,
+}
+
+impl Network {
+    /// Addresses that most likely no other measurement on this machine uses.
+    #[must_use]
+    pub fn take() -> Self {
+        let [.., low] = std::process::id().to_be_bytes();
+        Self {
+            first: 100 + low % 100,
+        }
+    }
+
+    fn ip(self, index: usize) -> IpAddr {
+        let third = u8::try_from(index / PER_NETWORK).unwrap_or(u8::MAX);
+        let last = u8::try_from(index % PER_NETWORK).unwrap_or(0);
+        IpAddr::V4(Ipv4Addr::new(127, self.first, 10 + third, 10 + last))
+    }
+
+    /// The platform.
+    #[must_use]
+    pub fn platform(self) -> SocketAddr {
+        SocketAddr::new(self.ip(0), PLATFORM_PORT)
+    }
+
+    /// TCP address of a control.
+    #[must_use]
+    pub fn control(self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(index), CONTROL_PORT)
+    }
+
+    /// UDP address of a control.
+    #[must_use]
+    pub fn gossip(self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(index), GOSSIP_PORT)
+    }
+
+    /// Address of an entry.
+    #[must_use]
+    pub fn entry(self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(index), ENTRY_PORT)
+    }
+
+    /// Address of a stand-in engine.
+    #[must_use]
+    pub fn engine(self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(index), ENGINE_PORT)
+    }
+}
--- /dev/null
+++ b/crates/load/src/control/pause.rs
@@ -0,0 +1,95 @@
+//! Suspicions and deaths of processes that are paused.
+
+use core::time::Duration;
+use std::path::PathBuf;
+
+use clap::Args;
+use rustix::process::Signal;
+
+use crate::control::Error;
+use crate::control::cluster::Cluster;
+use crate::control::document;
+use crate::control::report::Report;
+use crate::control::report::count;
+
+/// Time after a pause in which its effects are counted.
+const AFTER: Duration = Duration::from_secs(4);
+
+/// What to measure.
+#[derive(Clone, Debug, Args)]
+pub struct Options {
+    /// Control processes.
+    #[arg(long, default_value_t = 8)]
+    pub size: usize,
+    /// Lengths of the pauses in milliseconds.
+    #[arg(long, value_delimiter = ',', default_value = "1000,3000")]
+    pub pauses: Vec<u64>,
+    /// Pauses of each length.
+    #[arg(long, default_value_t = 5)]
+    pub repeats: usize,
+    /// Seed of the choice of processes.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Directory of the programs.
+    #[arg(long, default_value = "target/release")]
+    pub binaries: PathBuf,
+}
+
+/// Pauses one process at a time and counts what the others log of it and what it logs of them.
+///
+/// # Errors
+///
+/// Any error of a cluster.
+pub async fn run(options: &Options) -> Result<Vec<Report>, Error> {
+    let mut random = fastrand::Rng::with_seed(options.seed);
+    let mut cluster = Cluster::start(options.binaries.clone(), options.size, false).await?;
+    let generation = cluster.apply(document::write(10, &[], "0")?).await?;
+    cluster.settle(generation).await?;
+    let mut reports = Vec::new();
+    for pause in &options.pauses {
+        let before = Logged::count(&cluster);
+        for _ in 0..options.repeats {
+            let index = random.usize(..options.size);
+            let Some(process) = &cluster.controls[index] else {
+                continue;
+            };
+            process.signal(Signal::STOP)?;
+            agatemill_runtime::sleep(Duration::from_millis(*pause)).await;
+            process.signal(Signal::CONT)?;
+            agatemill_runtime::sleep(AFTER).await;
+        }
+        cluster.settle(generation).await?;
+        let after = Logged::count(&cluster);
+        let title = format!(
+            "pauses of {pause} ms, {} processes, seed {}",
+            options.size, options.seed
+        );
+        let mut report = Report::new(title);
+        report.add("pauses", count(options.repeats), "");
+        let suspected = after.suspected - before.suspected;
+        report.add("records set to suspect, all viewers", count(suspected), "");
+        let dead = after.dead - before.dead;
+        report.add("records set to dead, all viewers", count(dead), "");
+        reports.push(report);
+    }
+    Ok(reports)
+}
+
+/// State changes in the logs of all processes.
+struct Logged {
+    suspected: usize,
+    dead: usize,
+}
+
+impl Logged {
+    fn count(cluster: &Cluster) -> Self {
+        let total = |text: &str| {
+            let running = cluster.controls.iter().flatten();
+            running.map(|process| process.logged(text)).sum()
+        };
+        Self {
+            suspected: total("state=Suspect"),
+            dead: total("state=Dead"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/control/streams.rs
@@ -0,0 +1,123 @@
+//! Memory and processor time of an entry by the number of its streams and of organisations.
+
+use core::time::Duration;
+use std::path::PathBuf;
+
+use clap::Args;
+
+use crate::control::Error;
+use crate::control::caller;
+use crate::control::cluster::Cluster;
+use crate::control::cluster::PATIENCE;
+use crate::control::cluster::until;
+use crate::control::document;
+use crate::control::engines;
+use crate::control::process::Process;
+use crate::control::process::Usage;
+use crate::control::report::Report;
+use agatemill_http::Client;
+
+/// Time for memory to settle.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// What to measure.
+#[derive(Clone, Debug, Args)]
+pub struct Options {
+    /// Numbers of streams at once.
+    #[arg(long, value_delimiter = ',', default_value = "50,200,400")]
+    pub sizes: Vec<u64>,
+    /// Tokens of each stream.
+    #[arg(long, default_value_t = 60)]
+    pub tokens: u32,
+    /// Organisations of the document.
+    #[arg(long, default_value_t = 10)]
+    pub organisations: usize,
+    /// Engines of each stage.
+    #[arg(long, default_value_t = 8)]
+    pub replicas: usize,
+    /// Directory of the programs.
+    #[arg(long, default_value = "target/release")]
+    pub binaries: PathBuf,
+}
+
+/// Measures each size on one entry.
+///
+/// # Errors
+///
+/// Any error of the processes, or a refused stream.
+pub async fn run(options: &Options) -> Result<Vec<Report>, Error> {
+    let client = Client::new(Duration::from_secs(2));
+    let mut cluster = Cluster::start(options.binaries.clone(), 1, true).await?;
+    let engines = engines::start(cluster.network, options.replicas).await?;
+    let facts = engines::facts(&engines);
+    let text = document::write(options.organisations, &facts, "0")?;
+    let bytes = u32::try_from(text.len()).unwrap_or(u32::MAX);
+    cluster.apply(text).await?;
+    let entry = cluster.network.entry(0);
+    let ready = async || caller::ready(&client, entry).await;
+    until(PATIENCE, ready)
+        .await
+        .ok_or("the entry is not ready")?;
+    agatemill_runtime::sleep(SETTLE).await;
+    let mut report = Report::new(format!(
+        "entry with {} organisations",
+        options.organisations
+    ));
+    report.add("document", f64::from(bytes), "B");
+    report.add(
+        "entry memory without streams",
+        usage(&cluster.entries)?.memory / 1e6,
+        "MB",
+    );
+    report.add(
+        "control memory",
+        usage(&cluster.controls)?.memory / 1e6,
+        "MB",
+    );
+    let mut reports = vec![report];
+    for size in &options.sizes {
+        let before = usage(&cluster.entries)?;
+        let start = agatemill_runtime::now();
+        let streams: Vec<_> = (0..*size)
+            .map(|seed| {
+                let (client, tokens) = (client.clone(), options.tokens);
+                agatemill_runtime::spawn(async move {
+                    caller::stream(&client, entry, seed, tokens).await
+                })
+            })
+            .collect();
+        let mut peak = before.memory;
+        let mut given = 0_u32;
+        let mut broken = 0_u32;
+        for stream in streams {
+            while !stream.is_finished() {
+                peak = peak.max(usage(&cluster.entries)?.memory);
+                agatemill_runtime::sleep(Duration::from_millis(20)).await;
+            }
+            let stream = stream.await?;
+            broken += u32::from(!stream.whole);
+            given += u32::try_from(stream.tokens.len()).unwrap_or(0);
+        }
+        let after = usage(&cluster.entries)?;
+        let seconds = agatemill_runtime::now().saturating_sub(start).as_secs_f64();
+        let processor = after.processor - before.processor;
+        let mut report = Report::new(format!("{size} streams of {} tokens", options.tokens));
+        report.add("seconds", seconds, "s");
+        report.add("tokens", f64::from(given), "");
+        report.add("streams that broke off", f64::from(broken), "");
+        report.add(
+            "processor for each token",
+            processor / f64::from(given.max(1)) * 1e6,
+            "µs",
+        );
+        report.add("memory before", before.memory / 1e6, "MB");
+        report.add("memory at the peak", peak / 1e6, "MB");
+        reports.push(report);
+    }
+    Ok(reports)
+}
+
+fn usage(processes: &[Option<Process>]) -> Result<Usage, Error> {
+    let process = processes.first().and_then(Option::as_ref);
+    process.ok_or("the process does not run")?.usage()
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,1 +1,3 @@
 //! Open-loop load and experiment tool.
+
+pub mod control;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -4,6 +4,7 @@
 //! this one takes its number of threads from the settings of the process.
 
 pub mod signal;
+pub mod traffic;
 
 use core::future::Future;
 use core::time::Duration;
--- /dev/null
+++ b/crates/runtime/src/traffic.rs
@@ -0,0 +1,85 @@
+//! Bytes that this process has sent and received over sockets, without the headers of TCP, UDP and IP.
+//!
+//! The operating system does not count socket bytes by process: `/proc/PID/io` leaves out `send` and
+//! `recv`, and `/proc/PID/net/dev` counts the whole network namespace.
+
+use core::pin::Pin;
+use core::sync::atomic::AtomicU64;
+use core::sync::atomic::Ordering;
+use core::task::Context;
+use core::task::Poll;
+use std::io;
+
+use smol::io::AsyncRead;
+use smol::io::AsyncWrite;
+
+static SENT: AtomicU64 = AtomicU64::new(0);
+static RECEIVED: AtomicU64 = AtomicU64::new(0);
+
+/// Bytes since the start of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Bytes sent.
+    pub sent: u64,
+    /// Bytes received.
+    pub received: u64,
+}
+
+/// Bytes counted so far.
+#[must_use]
+pub fn total() -> Traffic {
+    Traffic {
+        sent: SENT.load(Ordering::Relaxed),
+        received: RECEIVED.load(Ordering::Relaxed),
+    }
+}
+
+/// Counts sent bytes.
+pub fn sent(bytes: usize) {
+    SENT.fetch_add(bytes as u64, Ordering::Relaxed);
+}
+
+/// Counts received bytes.
+pub fn received(bytes: usize) {
+    RECEIVED.fetch_add(bytes as u64, Ordering::Relaxed);
+}
+
+/// A stream whose bytes are counted.
+#[derive(Clone, Debug)]
+pub struct Counted<S>(pub S);
+
+impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.0).poll_read(context, buffer);
+        if let Poll::Ready(Ok(bytes)) = polled {
+            received(bytes);
+        }
+        polled
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Counted<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.0).poll_write(context, buffer);
+        if let Poll::Ready(Ok(bytes)) = polled {
+            sent(bytes);
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_close(context)
+    }
+}
