Confirm the configuration by the revision of its key

Cause: each watcher read the whole document every 3 s, and the planner twice a second, so the traffic of these hosts grew with the size of the document. The list of hosts was read by every host in the same way.

Change: they read the key's revision without its value (keys_only) and the value only after a change.

Conclusion: idle traffic no longer depends on the size of the document. Every host still makes a call every 3 s for the list of hosts, which grows with the fleet.

--- a/crates/control/src/planner.rs
+++ b/crates/control/src/planner.rs
@@ -19,6 +19,8 @@
 use agatemill_config::Envelope;
 use agatemill_config::document::Engine;
 use agatemill_core::id;
+use agatemill_core::number::Generation;
+use agatemill_core::number::Revision;
 use agatemill_engine::Status;
 use agatemill_membership::State;
 use agatemill_platform::Client;
@@ -45,6 +47,18 @@
     bucket: Bucket,
     /// Engines that took an order, and when.
     ordered: BTreeMap<id::Server, Duration>,
+    /// Configuration at the platform that needed no writing back.
+    compared: Option<Compared>,
+}
+
+/// A configuration at the platform that is not older than the one held.
+#[derive(PartialEq, Eq)]
+struct Compared {
+    revision: Revision,
+    /// The generation held, and how often an older one was found: the platform may give the same revision
+    /// to another document after a loss of data, which the watch of this host then notices.
+    held: Generation,
+    reverted: u64,
 }
 
 /// Contends for the planner's lease, and plans while it is held. Only the members that watch the
@@ -76,9 +90,10 @@
     let mut work = Work {
         bucket: Bucket::new(agatemill_runtime::now()),
         ordered: BTreeMap::new(),
+        compared: None,
     };
     while seat.term.holds(agatemill_runtime::now()) && is_eligible(shared) {
-        if let Err(error) = write_back(shared, client, &seat).await {
+        if let Err(error) = write_back(shared, client, &seat, &mut work).await {
             log::debug!(error:%; "planner: cannot compare the configuration");
         }
         // Renewals must go on while engines are slow, so a pass may be cut short between two orders.
@@ -101,20 +116,42 @@
 }
 
 /// Writes the configuration held back when the platform has lost it.
-async fn write_back(shared: &Shared, client: &Client, seat: &Seat) -> Result<(), Error> {
+async fn write_back(
+    shared: &Shared,
+    client: &Client,
+    seat: &Seat,
+    work: &mut Work,
+) -> Result<(), Error> {
+    let reverted = shared.configuration.reverted();
     let Some(held) = shared.configuration.envelope() else {
         return Ok(());
     };
+    let compared = |revision| Compared {
+        revision,
+        held: held.generation,
+        reverted,
+    };
     let key = format!("/agatemill/{}/configuration", shared.settings.environment);
+    if work.compared.is_some() {
+        // The revision alone, because this runs several times a second and the document may be large.
+        let revision = client.revision(&key).await?;
+        if work.compared == revision.map(compared) {
+            return Ok(());
+        }
+    }
     let (found, revision) = match client.get(&key).await? {
         Some(entry) => {
             let envelope: Envelope = serde_json::from_slice(&entry.value)
                 .map_err(|error| Error::Malformed(error.to_string()))?;
             (envelope.generation.0, entry.revision)
         }
-        None => (0, agatemill_core::number::Revision(0)),
+        None => (0, Revision(0)),
     };
-    if found >= held.generation.0 || !seat.term.holds(agatemill_runtime::now()) {
+    if found >= held.generation.0 {
+        work.compared = Some(compared(revision));
+        return Ok(());
+    }
+    if !seat.term.holds(agatemill_runtime::now()) {
         return Ok(());
     }
     let value = serde_json::to_vec(&held).map_err(|error| Error::Malformed(error.to_string()))?;
--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -9,11 +9,23 @@
 use crate::shared::Shared;
 use crate::spread;
 use agatemill_config::Envelope;
+use agatemill_core::number::Generation;
+use agatemill_core::number::Revision;
 use agatemill_platform::Client;
 use agatemill_platform::Error;
 
 mod members;
 
+/// Looks at the list of hosts of which one reads the list itself. After a loss of data, the service may
+/// give the revision that was seen to another list.
+const LOOKS_PER_READ: usize = 20;
+
+/// A configuration of the platform that this control holds.
+struct Seen {
+    revision: Revision,
+    generation: Generation,
+}
+
 /// Starts the tasks that use the platform, if it is in the settings.
 pub(crate) fn start(shared: &Arc<Shared>) {
     if shared.settings.platform.is_empty() {
@@ -32,15 +44,32 @@
 async fn read_hosts(shared: Arc<Shared>, client: Client) {
     let interval = shared.settings.timings.confirm_interval.to_duration();
     loop {
-        match client.get(hosts::KEY).await {
-            Ok(Some(entry)) => shared.hosts.update(&entry.value),
-            Ok(None) => {}
-            Err(error) => log::debug!(error:%; "platform: cannot read the list of hosts"),
+        let mut seen = None;
+        for _ in 0..LOOKS_PER_READ {
+            if let Err(error) = read_changed_hosts(&shared, &client, &mut seen).await {
+                log::debug!(error:%; "platform: cannot read the list of hosts");
+            }
+            agatemill_runtime::sleep(interval).await;
         }
-        agatemill_runtime::sleep(interval).await;
     }
 }
 
+/// Reads the list of hosts unless its revision is the one `seen`.
+async fn read_changed_hosts(
+    shared: &Shared,
+    client: &Client,
+    seen: &mut Option<Revision>,
+) -> Result<(), Error> {
+    if seen.is_some() && client.revision(hosts::KEY).await? == *seen {
+        return Ok(());
+    }
+    if let Some(entry) = client.get(hosts::KEY).await? {
+        shared.hosts.update(&entry.value);
+        *seen = Some(entry.revision);
+    }
+    Ok(())
+}
+
 /// Watches the configuration key while this host is one of its zone's watchers or holds no configuration.
 async fn follow_configuration(shared: Arc<Shared>, client: Client) {
     let interval = shared.settings.timings.confirm_interval.to_duration();
@@ -59,16 +88,21 @@
 
 /// Reads the key, and again after each change or after `confirm_interval`, for as long as the watch
 /// lasts and this host is chosen.
+///
+/// A read without a change asks for the revision only: with the document, each watcher would receive its
+/// size every `confirm_interval`. What was seen ends with the watch, because a service that lost data ends
+/// its watches and may give the same revision to another document.
 async fn watch(shared: &Arc<Shared>, client: &Client) -> Result<(), Error> {
     let key = format!("/agatemill/{}/configuration", shared.settings.environment);
     let interval = shared.settings.timings.confirm_interval.to_duration();
     read(shared, client, &key).await?;
-    let mut watch = client
-        .watch(&key, agatemill_core::number::Revision(0))
-        .await?;
+    let mut watch = client.watch(&key, Revision(0)).await?;
+    let mut seen = None;
     loop {
         // The read after the opening of the watch finds a change that came before it.
-        read(shared, client, &key).await?;
+        if !confirm(shared, client, &key, seen.as_ref()).await? {
+            seen = read(shared, client, &key).await?;
+        }
         let change = agatemill_runtime::timeout(interval, watch.next()).await;
         change.transpose()?;
         let machine = shared.machine();
@@ -78,11 +112,30 @@
     }
 }
 
-async fn read(shared: &Arc<Shared>, client: &Client, key: &str) -> Result<(), Error> {
+/// Confirms what was seen if the key still has its revision.
+async fn confirm(
+    shared: &Shared,
+    client: &Client,
+    key: &str,
+    seen: Option<&Seen>,
+) -> Result<bool, Error> {
+    let Some(seen) = seen else {
+        return Ok(false);
+    };
+    let at = agatemill_runtime::now();
+    if client.revision(key).await? != Some(seen.revision) {
+        return Ok(false);
+    }
+    shared.configuration.confirm(seen.generation, at);
+    Ok(true)
+}
+
+/// Reads the key and offers its configuration; gives what the platform has if this control now holds it.
+async fn read(shared: &Arc<Shared>, client: &Client, key: &str) -> Result<Option<Seen>, Error> {
     // Taken before the read: the answer may describe any moment between its start and its end.
     let at = agatemill_runtime::now();
     let Some(entry) = client.get(key).await? else {
-        return Ok(());
+        return Ok(None);
     };
     let envelope: Envelope = serde_json::from_slice(&entry.value)
         .map_err(|error| Error::Malformed(error.to_string()))?;
@@ -99,9 +152,15 @@
         ));
     }
     match spread::offer(shared, envelope) {
-        Offer::Accepted | Offer::Known => shared.configuration.confirm(generation, at),
+        Offer::Accepted | Offer::Known => {
+            shared.configuration.confirm(generation, at);
+            return Ok(Some(Seen {
+                revision: entry.revision,
+                generation,
+            }));
+        }
         Offer::Older => shared.configuration.note_reverted(generation),
         Offer::Conflicting | Offer::Invalid(_) => {}
     }
-    Ok(())
+    Ok(None)
 }
--- a/crates/fake/src/platform/gateway.rs
+++ b/crates/fake/src/platform/gateway.rs
@@ -74,7 +74,15 @@
     let found = store.range(&keys);
     Ok(gateway::RangeAnswer {
         header: header(store),
-        kvs: found.map(|(key, record)| key_value(key, record)).collect(),
+        kvs: found
+            .map(|(key, record)| {
+                let mut found = key_value(key, record);
+                if request.keys_only {
+                    found.value.clear();
+                }
+                found
+            })
+            .collect(),
     })
 }
 
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -87,6 +87,22 @@
             .transpose()
     }
 
+    /// Reads the revision of a key's last change without its value; `None` when it is absent.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::get`].
+    pub async fn revision(&self, key: &str) -> Result<Option<Revision>, Error> {
+        let range = gateway::Range {
+            key: gateway::encode(key.as_bytes()),
+            keys_only: true,
+            ..Default::default()
+        };
+        let answer: gateway::RangeAnswer = self.read("/v3/kv/range", &range).await?;
+        let found = answer.kvs.into_iter().next().map(Entry::try_from);
+        Ok(found.transpose()?.map(|entry| entry.revision))
+    }
+
     /// Reads all keys that start with `prefix`.
     ///
     /// # Errors
@@ -96,6 +112,7 @@
         let range = gateway::Range {
             key: gateway::encode(prefix.as_bytes()),
             range_end: gateway::encode(&gateway::range_end(prefix.as_bytes())),
+            ..Default::default()
         };
         let answer: gateway::RangeAnswer = self.read("/v3/kv/range", &range).await?;
         answer.kvs.into_iter().map(Entry::try_from).collect()
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -38,6 +38,9 @@
     /// Key after the last; absent for a single key.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub range_end: String,
+    /// Whether the values are left out of the answer.
+    #[serde(default, skip_serializing_if = "core::ops::Not::not")]
+    pub keys_only: bool,
 }
 
 /// Header of every answer.
--- a/crates/platform/tests/swap.rs
+++ b/crates/platform/tests/swap.rs
@@ -41,6 +41,25 @@
     });
 }
 
+/// Guards against a look at the revision that misses a change, or that transfers the value.
+#[test]
+fn the_revision_of_a_key_is_read_without_its_value() {
+    with_platform(async |platform, client| {
+        assert_eq!(client.revision("k").await, Ok(None));
+        client.swap("k", b"1", ABSENT, None).await.unwrap();
+        assert_eq!(client.revision("k").await, Ok(Some(Revision(1))));
+        client.swap("k", b"2", Revision(1), None).await.unwrap();
+        assert_eq!(client.revision("k").await, Ok(Some(Revision(2))));
+        let before = agatemill_runtime::traffic::total().received;
+        let value = vec![b'x'; 500_000];
+        client.swap("large", &value, ABSENT, None).await.unwrap();
+        client.revision("large").await.unwrap();
+        let received = agatemill_runtime::traffic::total().received - before;
+        assert!(received < 100_000, "received {received} bytes");
+        drop(platform);
+    });
+}
+
 /// Guards against two winners of the same compare-and-swap.
 #[test]
 fn one_of_many_concurrent_swaps_wins() {
