Announce a new generation instead of pushing the document

Cause: each control that accepted a configuration pushed the whole document to three others, so every member received it about three times.

Change: the generation is announced by datagram to three members, and whoever lacks it pulls it once. Probes carry the generation as before, so a lost announcement costs at most a probe interval.

--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -6,6 +6,7 @@
 
 use crate::record;
 use crate::shared::Shared;
+use crate::spread::Source;
 use agatemill_core::Digest;
 use agatemill_core::number::Generation;
 use agatemill_membership::Kind;
@@ -89,7 +90,10 @@
         let found = machine.others().find(|member| member.host == from);
         if let Some(member) = found {
             // When the queue is full, pulls are already under way.
-            let _ = shared.pulls.try_send(member.profile.control);
+            let _ = shared.pulls.try_send(Source {
+                control: member.profile.control,
+                generation,
+            });
         }
     }
     send(shared, out).await;
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -18,6 +18,7 @@
 use crate::directory;
 use crate::entry::Entry;
 use crate::hosts::Hosts;
+use crate::spread::Source;
 use crate::tasks::Tasks;
 use agatemill_core::id;
 use agatemill_membership::Machine;
@@ -45,8 +46,8 @@
     pub(crate) planner: AtomicBool,
     /// Number of the next accepted connection.
     pub(crate) connections: AtomicU64,
-    /// Control addresses of members that hold a newer generation.
-    pub(crate) pulls: Sender<SocketAddr>,
+    /// Members that hold a newer generation.
+    pub(crate) pulls: Sender<Source>,
     pub(crate) tasks: Tasks,
 }
 
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -8,14 +8,20 @@
 use smol::channel::Receiver;
 
 use crate::configuration::Offer;
+use crate::gossip;
 use crate::record;
 use crate::remote;
 use crate::shared::Shared;
 use agatemill_config::Envelope;
+use agatemill_core::number::Generation;
 use agatemill_membership::State;
 
-/// Members that a new configuration is pushed to by each member that accepts it.
-const FANOUT: usize = 3;
+/// A member that holds a newer configuration.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Source {
+    pub(crate) control: SocketAddr,
+    pub(crate) generation: Generation,
+}
 
 /// Time between two attempts to join while no other member is alive.
 const JOIN_INTERVAL: Duration = Duration::from_millis(500);
@@ -30,23 +36,30 @@
     }
 }
 
-/// Offers a configuration to this control, and pushes it to others when it is new.
+/// Offers a configuration to this control, and announces its generation to others when it is new.
+///
+/// Those that lack it pull it. A push of the document itself would reach most members several times.
 pub(crate) fn offer(shared: &Arc<Shared>, envelope: Envelope) -> Offer {
-    let pushed = agatemill_wire::Envelope::from(&envelope);
     let offer = shared.configuration.offer(envelope);
     if offer == Offer::Accepted {
-        for address in fastrand::choose_multiple(shared.live_controls(), FANOUT) {
-            shared
-                .tasks
-                .spawn(push(Arc::clone(shared), address, pushed.clone()));
-        }
+        let out = shared.machine().announce();
+        let announcing = Arc::clone(shared);
+        // A member that misses the announcement sees the generation in the next probe.
+        shared
+            .tasks
+            .spawn(async move { gossip::send(&announcing, out).await });
     }
     offer
 }
 
 /// Pulls from members that are known to hold a newer generation.
-pub(crate) async fn pull_newer(shared: Arc<Shared>, addresses: Receiver<SocketAddr>) {
-    while let Ok(address) = addresses.recv().await {
+pub(crate) async fn pull_newer(shared: Arc<Shared>, sources: Receiver<Source>) {
+    while let Ok(source) = sources.recv().await {
+        let address = source.control;
+        if source.generation <= shared.configuration.generation() {
+            // An earlier pull has brought it.
+            continue;
+        }
         if let Err(error) = pull(&shared, address).await {
             log::debug!(address:%, error:%; "config: cannot pull from a member");
         }
@@ -115,22 +128,6 @@
     Ok(())
 }
 
-async fn push(shared: Arc<Shared>, address: SocketAddr, envelope: agatemill_wire::Envelope) {
-    let limit = shared.settings.timings.call_timeout.to_duration();
-    let pushed = async {
-        let client = remote::peer(address, limit).await?;
-        let context = remote::within(limit);
-        client
-            .push(context, envelope)
-            .await
-            .map_err(io::Error::other)
-    };
-    // A member that misses the push sees the generation in gossip and pulls.
-    if let Err(error) = pushed.await {
-        log::debug!(address:%, error:%; "config: cannot push to a member");
-    }
-}
-
 /// Control address of a member that takes part.
 pub(crate) fn address_of(shared: &Shared, host: &agatemill_core::id::Host) -> Option<SocketAddr> {
     let machine = shared.machine();
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -116,6 +116,13 @@
         out
     }
 
+    /// Messages that tell several members at once what every message carries, such as a new generation.
+    pub fn announce(&mut self) -> Vec<Outgoing> {
+        let mut out = Vec::new();
+        self.tell(self.settings.fanout, &mut out);
+        out
+    }
+
     /// Merges records from a full exchange.
     ///
     /// A host that has just started learns all members in this way and does not spread them, since the
