--- a/crates/load/src/control/detector.rs
+++ b/crates/load/src/control/detector.rs
@@ -39,6 +39,10 @@
     /// Milliseconds for which one member is paused at the start; 0 for none.
     #[arg(long, default_value_t = 0)]
     pub pause: u64,
+    /// Milliseconds between two new generations of the configuration, which every member reports; 0 for
+    /// none.
+    #[arg(long, default_value_t = 0)]
+    pub change: u64,
     /// Members that are killed one after another to time their detection.
     #[arg(long, default_value_t = 5)]
     pub kills: usize,
@@ -60,9 +64,12 @@
     network.run(WARM_UP);
     let filled = process::memory(own)?;
     network.loss = options.loss;
-    let Options { loss, seed, .. } = options;
+    network.change = options.change;
+    let Options {
+        loss, seed, change, ..
+    } = options;
     let title = format!(
-        "detector, {members} members, loss {loss}, pause {} ms, seed {seed}, {} s",
+        "detector, {members} members, loss {loss}, pause {} ms, change every {change} ms, seed {seed}, {} s",
         options.pause, options.seconds
     );
     let mut report = Report::new(title);
--- a/crates/load/src/control/detector/network.rs
+++ b/crates/load/src/control/detector/network.rs
@@ -50,6 +50,8 @@
 pub struct Network {
     pub now: Duration,
     pub loss: f64,
+    /// Milliseconds between two new generations of the configuration; 0 for none.
+    pub change: u64,
     /// Bytes sent by all machines, without headers of UDP and IP.
     pub bytes: u64,
     /// Messages sent by all machines.
@@ -82,6 +84,7 @@
         Self {
             now: Duration::ZERO,
             loss: 0.0,
+            change: 0,
             bytes: 0,
             messages: 0,
             machines,
@@ -151,6 +154,7 @@
             self.paused = None;
         }
         self.deliver();
+        self.change_configuration();
         for index in 0..self.machines.len() {
             if self.is_paused(index) {
                 continue;
@@ -162,6 +166,20 @@
         }
     }
 
+    /// Puts the next generation in force at every member when it is due.
+    fn change_configuration(&mut self) {
+        let now = u64::try_from(self.now.as_millis()).unwrap_or(u64::MAX);
+        let step = u64::try_from(TICK.as_millis()).unwrap_or(u64::MAX);
+        if self.change == 0 || now % self.change >= step {
+            return;
+        }
+        for machine in self.machines.iter_mut().flatten() {
+            let mut profile = machine.own().profile.clone();
+            profile.generation = Generation(profile.generation.0 + 1);
+            machine.describe(profile);
+        }
+    }
+
     fn is_paused(&self, index: usize) -> bool {
         self.paused.is_some_and(|(paused, _)| paused == index)
     }
--- a/crates/load/src/control/engines.rs
+++ b/crates/load/src/control/engines.rs
@@ -9,9 +9,6 @@
 use agatemill_core::quantity::Rate;
 use agatemill_fake::engine;
 
-/// Token positions that an engine runs in a second.
-const THROUGHPUT: f64 = 2_000.0;
-
 /// Stages of each chain.
 pub const STAGES: u32 = 2;
 
@@ -22,6 +19,8 @@
     pub fact: document::Engine,
     /// The stand-in; `None` while it is down.
     pub running: Option<engine::Engine>,
+    /// Token positions that it runs in a second.
+    throughput: Rate,
 }
 
 impl Engine {
@@ -36,7 +35,7 @@
         let name = self.fact.name.parse()?;
         let settings = engine::Settings {
             listen: self.fact.address,
-            throughput: Rate::new(THROUGHPUT)?,
+            throughput: self.throughput,
             instant: false,
             ..engine::Settings::instant(name, MODEL.parse()?, "1".parse()?, layers)
         };
@@ -50,7 +49,11 @@
 /// # Errors
 ///
 /// Any error of opening a listener.
-pub async fn start(network: Network, replicas: usize) -> Result<Vec<Engine>, Error> {
+pub async fn start(
+    network: Network,
+    replicas: usize,
+    throughput: Rate,
+) -> Result<Vec<Engine>, Error> {
     let mut engines = Vec::new();
     for stage in 0..STAGES {
         for replica in 0..replicas {
@@ -63,6 +66,7 @@
                     stage,
                 },
                 running: None,
+                throughput,
             };
             engine.start().await?;
             engines.push(engine);
--- a/crates/load/src/control/recovery.rs
+++ b/crates/load/src/control/recovery.rs
@@ -16,6 +16,7 @@
 use crate::control::engines::Engine;
 use crate::control::report::Report;
 use crate::control::report::count;
+use agatemill_core::quantity::Rate;
 use agatemill_fake::engine;
 use agatemill_http::Client;
 
@@ -26,7 +27,7 @@
 const LONGEST_PAUSE_MS: u64 = 1_000;
 
 /// Time between the start of streams and the kill of an engine.
-const BEFORE_KILL: Duration = Duration::from_millis(700);
+const BEFORE_KILL: Duration = Duration::from_millis(400);
 
 /// What to measure.
 #[derive(Clone, Debug, Args)]
@@ -46,6 +47,9 @@
     /// Tokens of each stream.
     #[arg(long, default_value_t = 150)]
     pub tokens: u32,
+    /// Token positions that each engine runs in a second.
+    #[arg(long, default_value = "300/s")]
+    pub throughput: Rate,
     /// Engines of each stage.
     #[arg(long, default_value_t = 4)]
     pub replicas: usize,
@@ -66,7 +70,7 @@
     let mut random = fastrand::Rng::with_seed(options.seed);
     let client = Client::new(Duration::from_secs(2));
     let mut cluster = Cluster::start(options.binaries.clone(), options.size, true).await?;
-    let mut engines = engines::start(cluster.network, options.replicas).await?;
+    let mut engines = engines::start(cluster.network, options.replicas, options.throughput).await?;
     let text = document::write(10, &engines::facts(&engines), "0")?;
     let generation = cluster.apply(text).await?;
     cluster.settle(generation).await?;
--- a/crates/load/src/control/streams.rs
+++ b/crates/load/src/control/streams.rs
@@ -15,6 +15,7 @@
 use crate::control::process::Process;
 use crate::control::process::Usage;
 use crate::control::report::Report;
+use agatemill_core::quantity::Rate;
 use agatemill_http::Client;
 
 /// Time for memory to settle.
@@ -32,6 +33,9 @@
     /// Organisations of the document.
     #[arg(long, default_value_t = 10)]
     pub organisations: usize,
+    /// Token positions that each engine runs in a second.
+    #[arg(long, default_value = "2000/s")]
+    pub throughput: Rate,
     /// Engines of each stage.
     #[arg(long, default_value_t = 8)]
     pub replicas: usize,
@@ -48,7 +52,7 @@
 pub async fn run(options: &Options) -> Result<Vec<Report>, Error> {
     let client = Client::new(Duration::from_secs(2));
     let mut cluster = Cluster::start(options.binaries.clone(), 1, true).await?;
-    let engines = engines::start(cluster.network, options.replicas).await?;
+    let engines = engines::start(cluster.network, options.replicas, options.throughput).await?;
     let facts = engines::facts(&engines);
     let text = document::write(options.organisations, &facts, "0")?;
     let bytes = u32::try_from(text.len()).unwrap_or(u32::MAX);
--- a/crates/membership/tests/machines.rs
+++ b/crates/membership/tests/machines.rs
@@ -30,6 +30,23 @@
     }
 }
 
+/// Guards against suspicions that wait behind the news of a new generation, which changes the record of
+/// every member.
+#[test]
+fn a_new_generation_does_not_delay_a_suspicion() {
+    for seed in 0..2 {
+        let mut network = Network::new(300, seed);
+        network.run(10 * SECOND);
+        network.change_configuration(1);
+        network.run(SECOND / 2);
+        network.kill(299);
+        let suspected = network.run_until(2 * SECOND, |network| {
+            network.all_see(299, |state| state != State::Alive)
+        });
+        assert!(suspected.is_some(), "seed {seed}");
+    }
+}
+
 /// Guards against live hosts that are given up because some datagrams are lost.
 #[test]
 fn a_tenth_of_lost_datagrams_gives_no_false_death() {
--- a/crates/membership/tests/network/mod.rs
+++ b/crates/membership/tests/network/mod.rs
@@ -145,6 +145,15 @@
             .merge(now, known);
     }
 
+    /// Puts a generation in force at every machine.
+    pub fn change_configuration(&mut self, generation: u64) {
+        for machine in self.machines.iter_mut().flatten() {
+            let mut profile = machine.own().profile.clone();
+            profile.generation = Generation(generation);
+            machine.describe(profile);
+        }
+    }
+
     pub fn pause(&mut self, index: usize) {
         self.paused.insert(index);
     }
