--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -6,11 +6,13 @@
 
 use crate::record;
 use crate::shared::Shared;
+use crate::spread::Source;
 use agatemill_core::Digest;
 use agatemill_core::number::Generation;
 use agatemill_membership::Kind;
 use agatemill_membership::Message;
 use agatemill_membership::Outgoing;
+use agatemill_runtime::traffic;
 use agatemill_wire::Datagram;
 use agatemill_wire::datagram;
 
@@ -36,7 +38,10 @@
     let mut buffer = vec![0; 2 * datagram::MAX_BYTES];
     loop {
         match shared.socket.recv_from(&mut buffer).await {
-            Ok((length, address)) => take(&shared, &buffer[..length], address).await,
+            Ok((length, address)) => {
+                traffic::received(length);
+                take(&shared, &buffer[..length], address).await;
+            }
             Err(error) => {
                 log::warn!(error:%; "members: cannot receive datagrams");
                 agatemill_runtime::sleep(ERROR_PAUSE).await;
@@ -51,8 +56,11 @@
         let Some(bytes) = encode(shared, outgoing.message) else {
             continue;
         };
-        if let Err(error) = shared.socket.send_to(&bytes, outgoing.address).await {
-            log::debug!(address:% = outgoing.address, error:%; "members: cannot send a datagram");
+        match shared.socket.send_to(&bytes, outgoing.address).await {
+            Ok(length) => traffic::sent(length),
+            Err(error) => {
+                log::debug!(address:% = outgoing.address, error:%; "members: cannot send a datagram");
+            }
         }
     }
 }
@@ -82,7 +90,10 @@
         let found = machine.others().find(|member| member.host == from);
         if let Some(member) = found {
             // When the queue is full, pulls are already under way.
-            let _ = shared.pulls.try_send(member.profile.control);
+            let _ = shared.pulls.try_send(Source {
+                control: member.profile.control,
+                generation,
+            });
         }
     }
     send(shared, out).await;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod check;
 pub mod client;
 pub mod command;
+pub mod control;
 pub mod experiment;
 pub mod plan;
 pub mod report;
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -1,5 +1,7 @@
 //! The state machine.
 
+mod learn;
+
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::collections::BTreeMap;
@@ -18,8 +20,6 @@
 use crate::probe::Relay;
 use agatemill_core::id;
 
-mod learn;
-
 /// Membership as one host sees it.
 #[derive(Debug)]
 pub struct Machine {
@@ -100,10 +100,15 @@
         if self.own.profile == profile {
             return;
         }
-        self.urgent |= self.own.profile.service != profile.service;
+        let served = self.own.profile.service != profile.service;
         self.own.profile = profile;
         self.own.revision += 1;
-        self.news.add(self.own.host.clone());
+        self.urgent |= served;
+        if served {
+            self.news.add(self.own.host.clone());
+        } else {
+            self.news.add_minor(self.own.host.clone());
+        }
     }
 
     /// Says that this host leaves, and returns messages that tell several members.
@@ -117,6 +122,13 @@
         out
     }
 
+    /// Messages that tell several members at once what every message carries, such as a new generation.
+    pub fn announce(&mut self) -> Vec<Outgoing> {
+        let mut out = Vec::new();
+        self.tell(self.settings.fanout, &mut out);
+        out
+    }
+
     /// Merges records from a full exchange.
     ///
     /// A host that has just started learns all members in this way and does not spread them, since the
--- a/crates/membership/src/machine/learn.rs
+++ b/crates/membership/src/machine/learn.rs
@@ -27,14 +27,20 @@
             known.since = now;
             log::info!(host:% = merged.host, state:? = merged.state; "members: state changed");
         }
-        self.urgent |= old.state != merged.state || old.profile.service != merged.profile.service;
+        let served = old.profile.service != merged.profile.service;
+        let minor = old.run == merged.run && old.standing() == merged.standing() && !served;
+        self.urgent |= old.state != merged.state || served;
         if merged.state.is_present() && !old.state.is_present() {
             self.enqueue(merged.host.clone());
         }
         if !merged.state.is_present() {
             self.probes.retain(|probe| probe.target != merged.host);
         }
-        self.news.add(merged.host);
+        if minor {
+            self.news.add_minor(merged.host);
+        } else {
+            self.news.add(merged.host);
+        }
     }
 
     /// Adds a member that was not known.
