Let some hosts of each zone use the platform for all

Every control read /platform/hosts every 3 s and kept a key there, so the calls grew with the hosts: at 1,000 hosts, 333 reads a second by rule.

The host list is now read only by the members that hold the platform watch of their zone. Datagrams carry the platform's revision of the list, and a member with a lower one pulls the leaving hosts from the sender; a lower revision never replaces a higher one. The three live members of a zone with the lowest rendezvous hash keep a key, the others revoke theirs at the next renewal, which leaves newcomers the time to write theirs.

By the intervals, the list takes 2/3 read a second for each zone now, whatever its size.

After the platform has lost data, changes of the list count only once its revision is above the earlier one.

--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -70,6 +70,7 @@
     }
     let now = agatemill_runtime::now();
     let generation = Generation(datagram.generation);
+    let hosts = datagram.hosts;
     if let Some(age) = datagram.confirmed_ms {
         let at = now.saturating_sub(Duration::from_millis(age));
         shared.configuration.confirm(generation, at);
@@ -77,7 +78,8 @@
     let from = datagram.from.clone();
     let message = decode(datagram);
     let out = shared.machine().receive(now, address, message);
-    if generation > shared.configuration.generation() {
+    let newer_hosts = hosts > shared.hosts.revision();
+    if newer_hosts || generation > shared.configuration.generation() {
         let machine = shared.machine();
         let found = machine.others().find(|member| member.host == from);
         if let Some(member) = found {
@@ -119,6 +121,7 @@
         sequence: message.sequence,
         generation: shared.configuration.generation().0,
         confirmed_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        hosts: shared.hosts.revision(),
         members: record::to_wire(message.members.iter()),
     };
     loop {
--- a/crates/control/src/hosts.rs
+++ b/crates/control/src/hosts.rs
@@ -1,57 +1,107 @@
-//! The platform's list of hosts.
+//! The platform's list of leaving hosts.
 
 use core::net::IpAddr;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
 use serde::Deserialize;
 
 use agatemill_core::id;
+use agatemill_core::number::Revision;
+use agatemill_wire::Leaving;
+use agatemill_wire::leaving::Host;
 
 /// Platform key of the list.
 pub(crate) const KEY: &str = "/platform/hosts";
 
-/// The last list that was read.
+/// The leaving hosts of the newest list that was read here or by another member.
 #[derive(Debug, Default)]
-pub(crate) struct Hosts {
-    list: Mutex<Vec<Listed>>,
+pub struct Hosts {
+    leaving: Mutex<Leaving>,
 }
 
-/// A host on the list.
+/// What became of an offered list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It is newer and now held.
+    Accepted,
+    /// It has the revision of the list held.
+    Known,
+    /// Its revision is lower than that of the list held.
+    Older,
+}
+
+/// A host in the platform's list.
 #[derive(Clone, Debug, Deserialize)]
-pub(crate) struct Listed {
+struct Listed {
     #[serde(rename = "host")]
-    pub(crate) name: id::Host,
-    pub(crate) address: IpAddr,
-    pub(crate) state: State,
+    name: id::Host,
+    address: IpAddr,
+    state: State,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
-pub(crate) enum State {
+enum State {
     Live,
     Leaving,
 }
 
 impl Hosts {
-    /// Takes the JSON value of the key; a malformed one changes nothing.
-    pub(crate) fn update(&self, value: &[u8]) {
-        match serde_json::from_slice(value) {
-            Ok(list) => *self.lock() = list,
-            Err(error) => log::error!(error:%; "platform: malformed list of hosts"),
+    /// Takes a list if its revision is newer than that of the list held.
+    pub fn offer(&self, leaving: Leaving) -> Offer {
+        let mut held = self.lock();
+        if leaving.revision < held.revision {
+            return Offer::Older;
+        }
+        if leaving.revision == held.revision {
+            return Offer::Known;
         }
+        *held = leaving;
+        Offer::Accepted
+    }
+
+    /// Revision of the list held; 0 for none.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.lock().revision
+    }
+
+    /// The list held, if its revision is above `known`.
+    #[must_use]
+    pub fn above(&self, known: u64) -> Option<Leaving> {
+        let held = self.lock();
+        (held.revision > known).then(|| held.clone())
     }
 
     /// Hosts that are leaving.
-    pub(crate) fn leaving(&self) -> Vec<Listed> {
-        let list = self.lock();
-        list.iter()
-            .filter(|host| host.state == State::Leaving)
-            .cloned()
-            .collect()
+    #[must_use]
+    pub fn leaving(&self) -> Vec<Host> {
+        self.lock().hosts.clone()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Listed>> {
-        self.list.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Leaving> {
+        self.leaving.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Takes the leaving hosts out of the JSON value that the platform's key had at `revision`.
+///
+/// # Errors
+///
+/// Any error of parsing the value.
+pub fn parse(revision: Revision, value: &[u8]) -> Result<Leaving, serde_json::Error> {
+    let listed: Vec<Listed> = serde_json::from_slice(value)?;
+    let leaving = listed
+        .into_iter()
+        .filter(|host| host.state == State::Leaving);
+    let hosts = leaving.map(|host| Host {
+        name: host.name,
+        address: host.address,
+    });
+    Ok(Leaving {
+        revision: revision.0,
+        hosts: hosts.collect(),
+    })
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod entry;
 pub mod error;
 mod gossip;
-mod hosts;
+pub mod hosts;
 pub mod placement;
 pub mod planner;
 mod platform;
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -1,4 +1,4 @@
-//! Which members watch the platform on behalf of their zone.
+//! Which members use the platform on behalf of their zone.
 
 use agatemill_core::Digest;
 use agatemill_core::id;
@@ -8,13 +8,27 @@
 /// Members of each zone that watch the platform.
 const WATCHERS: usize = 2;
 
+/// Members of each zone that are listed at the platform. The watchers are among them; a third one keeps
+/// the zone listed while the keys of two that died at once have not lapsed.
+const CONTACTS: usize = 3;
+
 /// Whether `own` is one of the live members of its zone with the lowest rendezvous hashes.
 pub fn watches<'a>(own: &Member, others: impl Iterator<Item = &'a Member>) -> bool {
+    rank(own, others) < WATCHERS
+}
+
+/// Whether `own` is one of the live members of its zone that new hosts find at the platform.
+pub fn registers<'a>(own: &Member, others: impl Iterator<Item = &'a Member>) -> bool {
+    rank(own, others) < CONTACTS
+}
+
+/// Number of other live members of the zone of `own` that have a lower rendezvous hash.
+fn rank<'a>(own: &Member, others: impl Iterator<Item = &'a Member>) -> usize {
     let hash = |host: &id::Host| (Digest::of(host.as_str().as_bytes()).prefix(), host.clone());
     let mine = hash(&own.host);
     let lower = others
         .filter(|member| member.state == State::Alive)
         .filter(|member| member.profile.zone == own.profile.zone)
         .filter(|member| hash(&member.host) < mine);
-    lower.count() < WATCHERS
+    lower.count()
 }
--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -4,12 +4,12 @@
 
 use crate::configuration::Offer;
 use crate::hosts;
-use crate::placement;
 use crate::planner;
 use crate::shared::Shared;
 use crate::spread;
 use agatemill_config::Envelope;
 use agatemill_platform::Client;
+use agatemill_platform::Entry;
 use agatemill_platform::Error;
 
 mod members;
@@ -28,28 +28,42 @@
     tasks.spawn(planner::run(Arc::clone(shared), client));
 }
 
-/// Reads the list of hosts now and then.
+/// Reads the list of hosts now and then while this host is one of its zone's watchers. The other members
+/// learn the leaving hosts from them.
 async fn read_hosts(shared: Arc<Shared>, client: Client) {
     let interval = shared.settings.timings.confirm_interval.to_duration();
     loop {
-        match client.get(hosts::KEY).await {
-            Ok(Some(entry)) => shared.hosts.update(&entry.value),
-            Ok(None) => {}
-            Err(error) => log::debug!(error:%; "platform: cannot read the list of hosts"),
+        if shared.is_watcher() {
+            match client.get(hosts::KEY).await {
+                Ok(Some(entry)) => take_hosts(&shared, &entry),
+                Ok(None) => {}
+                Err(error) => log::debug!(error:%; "platform: cannot read the list of hosts"),
+            }
         }
         agatemill_runtime::sleep(interval).await;
     }
 }
 
+fn take_hosts(shared: &Shared, entry: &Entry) {
+    let leaving = match hosts::parse(entry.revision, &entry.value) {
+        Ok(leaving) => leaving,
+        Err(error) => {
+            log::error!(error:%; "platform: malformed list of hosts");
+            return;
+        }
+    };
+    let revision = leaving.revision;
+    if shared.hosts.offer(leaving) == hosts::Offer::Older {
+        log::warn!(revision, held = shared.hosts.revision();
+            "platform: the list of hosts has a lower revision, the newer one is kept");
+    }
+}
+
 /// Watches the configuration key while this host is one of its zone's watchers or holds no configuration.
 async fn follow_configuration(shared: Arc<Shared>, client: Client) {
     let interval = shared.settings.timings.confirm_interval.to_duration();
     loop {
-        let chosen = {
-            let machine = shared.machine();
-            placement::watches(machine.own(), machine.others())
-        };
-        let needed = chosen || shared.configuration.generation().0 == 0;
+        let needed = shared.is_watcher() || shared.configuration.generation().0 == 0;
         if needed && let Err(error) = watch(&shared, &client).await {
             log::warn!(error:%; "platform: cannot follow the configuration");
         }
@@ -71,8 +85,7 @@
         read(shared, client, &key).await?;
         let change = agatemill_runtime::timeout(interval, watch.next()).await;
         change.transpose()?;
-        let machine = shared.machine();
-        if !placement::watches(machine.own(), machine.others()) {
+        if !shared.is_watcher() {
             return Ok(());
         }
     }
--- a/crates/control/src/platform/members.rs
+++ b/crates/control/src/platform/members.rs
@@ -7,7 +7,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::placement;
 use crate::shared::Shared;
 use crate::spread;
 use agatemill_core::number::Revision;
@@ -22,7 +21,8 @@
 /// Time between two renewals; two may be lost before the lease lapses.
 const RENEWAL: Duration = Duration::from_secs(20);
 
-/// Time until the next attempt after an error.
+/// Time until the next attempt after an error, or until a host that has no entry looks again whether it
+/// needs one. The latter takes no call.
 const RETRY: Duration = Duration::from_secs(2);
 
 /// Value of a member's key.
@@ -31,15 +31,26 @@
     control: SocketAddr,
 }
 
-/// Keeps the entry of this host, and meets the others that are listed.
+/// Entry of this host at the platform.
+#[derive(Debug, Default)]
+struct Listing {
+    /// Lease of the entry, unless there is none.
+    lease: Option<Lease>,
+    /// Whether this process has read the entries of the others.
+    met: bool,
+}
+
+/// Keeps the entry of this host while it is one of its zone's contacts, and meets the others that are
+/// listed.
 pub(crate) async fn keep(shared: Arc<Shared>, client: Client) {
-    let mut lease = None;
+    let mut listing = Listing::default();
     loop {
-        let wait = match visit(&shared, &client, &mut lease).await {
-            Ok(()) => RENEWAL,
+        let wait = match visit(&shared, &client, &mut listing).await {
+            Ok(()) if listing.lease.is_some() => RENEWAL,
+            Ok(()) => RETRY,
             Err(error) => {
                 log::debug!(error:%; "platform: cannot keep the entry of this host");
-                lease = lease.filter(|_| error != Error::LeaseLapsed);
+                listing.lease = listing.lease.filter(|_| error != Error::LeaseLapsed);
                 RETRY
             }
         };
@@ -47,33 +58,38 @@
     }
 }
 
-async fn visit(
-    shared: &Arc<Shared>,
-    client: &Client,
-    lease: &mut Option<Lease>,
-) -> Result<(), Error> {
+async fn visit(shared: &Arc<Shared>, client: &Client, listing: &mut Listing) -> Result<(), Error> {
     let prefix = format!("/agatemill/{}/members/", shared.settings.environment);
-    if let Some(lease) = *lease {
+    if let Some(lease) = listing.lease {
+        // Only at a renewal, so that hosts which have just joined are listed before others are removed.
+        if !shared.is_contact() {
+            client.revoke(lease).await?;
+            listing.lease = None;
+            return Ok(());
+        }
         client.renew(lease).await?;
         // Finds members that both sides of a long split have forgotten.
-        if is_watcher(shared) {
+        if shared.is_watcher() {
             meet(shared, client, &prefix).await?;
         }
         return Ok(());
     }
+    if listing.met && !shared.is_contact() {
+        return Ok(());
+    }
     meet(shared, client, &prefix).await?;
+    listing.met = true;
+    // Those that it met may make an entry of this host unnecessary.
+    if !shared.is_contact() {
+        return Ok(());
+    }
     let granted = client.grant(LEASE).await?;
     let key = format!("{prefix}{}", shared.settings.host);
     write(shared, client, &key, granted).await?;
-    *lease = Some(granted);
+    listing.lease = Some(granted);
     Ok(())
 }
 
-fn is_watcher(shared: &Shared) -> bool {
-    let machine = shared.machine();
-    placement::watches(machine.own(), machine.others())
-}
-
 /// Exchanges members with the listed hosts that are not among the live members, until one has answered.
 async fn meet(shared: &Arc<Shared>, client: &Client, prefix: &str) -> Result<(), Error> {
     let mut listed = client.list(prefix).await?;
--- a/crates/control/src/serve/peer.rs
+++ b/crates/control/src/serve/peer.rs
@@ -9,6 +9,7 @@
 use crate::spread;
 use agatemill_core::number::Generation;
 use agatemill_wire::Envelope;
+use agatemill_wire::Leaving;
 use agatemill_wire::Member;
 use agatemill_wire::peer;
 
@@ -29,6 +30,10 @@
         held.as_ref().map(Envelope::from)
     }
 
+    async fn leaving(self, _: Context, known: u64) -> Option<Leaving> {
+        self.shared.hosts.above(known)
+    }
+
     async fn sync(self, _: Context, members: Vec<Member>) -> Vec<Member> {
         let mut machine = self.shared.machine();
         machine.merge(agatemill_runtime::now(), record::from_wire(members));
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -18,6 +18,7 @@
 use crate::directory;
 use crate::entry::Entry;
 use crate::hosts::Hosts;
+use crate::placement;
 use crate::tasks::Tasks;
 use agatemill_core::id;
 use agatemill_membership::Machine;
@@ -45,7 +46,7 @@
     pub(crate) planner: AtomicBool,
     /// Number of the next accepted connection.
     pub(crate) connections: AtomicU64,
-    /// Control addresses of members that hold a newer generation.
+    /// Control addresses of members that hold a newer generation or list of leaving hosts.
     pub(crate) pulls: Sender<SocketAddr>,
     pub(crate) tasks: Tasks,
 }
@@ -70,6 +71,18 @@
         });
     }
 
+    /// Whether this host is one of those that watch the platform for their zone.
+    pub(crate) fn is_watcher(&self) -> bool {
+        let machine = self.machine();
+        placement::watches(machine.own(), machine.others())
+    }
+
+    /// Whether this host is one of those that are listed at the platform for their zone.
+    pub(crate) fn is_contact(&self) -> bool {
+        let machine = self.machine();
+        placement::registers(machine.own(), machine.others())
+    }
+
     /// Control addresses of the other members that are alive.
     pub(crate) fn live_controls(&self) -> Vec<SocketAddr> {
         let machine = self.machine();
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -1,4 +1,4 @@
-//! Spreading of the configuration and of members among controls.
+//! Spreading of the configuration, the leaving hosts and the members among controls.
 
 use core::net::SocketAddr;
 use core::time::Duration;
@@ -44,7 +44,7 @@
     offer
 }
 
-/// Pulls from members that are known to hold a newer generation.
+/// Pulls from members that are known to hold a newer generation or list of leaving hosts.
 pub(crate) async fn pull_newer(shared: Arc<Shared>, addresses: Receiver<SocketAddr>) {
     while let Ok(address) = addresses.recv().await {
         if let Err(error) = pull(&shared, address).await {
@@ -86,7 +86,8 @@
         .collect()
 }
 
-/// Exchanges all members with the control at `address`, and pulls its configuration if it is newer.
+/// Exchanges all members with the control at `address`, and pulls its configuration and its list
+/// of leaving hosts if they are newer.
 pub(crate) async fn exchange(shared: &Arc<Shared>, address: SocketAddr) -> io::Result<()> {
     let limit = shared.settings.timings.call_timeout.to_duration();
     let client = remote::peer(address, limit).await?;
@@ -112,6 +113,14 @@
     if let Some(envelope) = found {
         take(shared, envelope);
     }
+    let known = shared.hosts.revision();
+    let found = client
+        .leaving(remote::within(limit), known)
+        .await
+        .map_err(io::Error::other)?;
+    if let Some(leaving) = found {
+        shared.hosts.offer(leaving);
+    }
     Ok(())
 }
 
--- a/crates/control/tests/decisions.rs
+++ b/crates/control/tests/decisions.rs
@@ -11,11 +11,14 @@
 use agatemill_control::configuration::Configuration;
 use agatemill_control::configuration::Offer;
 use agatemill_control::directory;
+use agatemill_control::hosts;
+use agatemill_control::hosts::Hosts;
 use agatemill_control::placement;
 use agatemill_control::record::Record;
 use agatemill_control::settings::Invalid;
 use agatemill_core::number::Generation;
 use agatemill_core::number::Incarnation;
+use agatemill_core::number::Revision;
 use agatemill_membership::Member;
 use agatemill_membership::Profile;
 use agatemill_membership::Service;
@@ -124,6 +127,11 @@
         };
         members.iter().filter(watches).count()
     };
+    let contacts = members.iter().filter(|own| {
+        let others = members.iter().filter(|member| member.host != own.host);
+        placement::registers(own, others)
+    });
+    assert_eq!(contacts.count(), 3);
     assert_eq!(watchers(&members), 2);
     for index in 0..8 {
         let mut fewer = members.clone();
@@ -132,6 +140,25 @@
     }
 }
 
+/// Guards against an older list of hosts, or one that cannot be read, that replaces a newer one.
+#[test]
+fn only_a_newer_list_of_hosts_is_taken() {
+    let list = |revision, state: &str| {
+        let text = format!(r#"[{{"host":"host-1","address":"127.0.0.1","state":"{state}"}}]"#);
+        hosts::parse(Revision(revision), text.as_bytes())
+    };
+    let offer = |held: &Hosts, revision, state| held.offer(list(revision, state).expect("a list"));
+    let held = Hosts::default();
+    assert_eq!(offer(&held, 7, "leaving"), hosts::Offer::Accepted);
+    assert_eq!(offer(&held, 6, "live"), hosts::Offer::Older);
+    assert_eq!(offer(&held, 7, "live"), hosts::Offer::Known);
+    assert_eq!(held.leaving().len(), 1);
+    assert_eq!(offer(&held, 8, "live"), hosts::Offer::Accepted);
+    assert_eq!(held.leaving(), []);
+    assert_eq!(held.above(8), None);
+    assert_matches!(list(9, "gone"), Err(_));
+}
+
 /// Guards against a field that is lost on the wire.
 #[test]
 fn a_member_survives_the_wire() {
--- a/crates/control/tests/platform.rs
+++ b/crates/control/tests/platform.rs
@@ -82,6 +82,51 @@
     });
 }
 
+/// Guards against reads of the host list by each host instead of by some of each zone, against a list
+/// that stays with those, and against an entry at the platform for each host.
+#[test]
+fn some_hosts_of_each_zone_use_the_platform_for_all() {
+    smol::block_on(async {
+        let platform = platform().await;
+        let controls = cluster(15, &platform).await;
+        let client = platform.client(SECOND);
+        // A host without any configuration reads the platform whether it is chosen or not.
+        apply(&client, 1).await;
+        assert!(everywhere(&controls, 1).await);
+        for state in ["leaving", "live"] {
+            let list = format!(r#"[{{"host":"h","address":"127.0.0.9","state":"{state}"}}]"#);
+            let found = client.get("/platform/hosts").await.expect("it answers");
+            let revision = found.map_or(Revision(0), |entry| entry.revision);
+            let swap = client.swap("/platform/hosts", list.as_bytes(), revision, None);
+            assert!(matches!(swap.await, Ok(Swap::Done(_))));
+            let count = usize::from(state == "leaving");
+            let known = async || {
+                for control in &controls {
+                    let client = cluster::local(control).await;
+                    let directory = client.directory(tarpc::context::current()).await;
+                    if directory.expect("it answers").leaving.len() != count {
+                        return false;
+                    }
+                }
+                true
+            };
+            assert!(cluster::within(6 * SECOND, known).await.is_some());
+        }
+        let prefix = "/agatemill/trial/members/";
+        let listed = async || client.list(prefix).await.expect("it answers").len() == 9;
+        assert!(cluster::within(30 * SECOND, listed).await.is_some());
+        let before = platform.counts();
+        agatemill_runtime::sleep(10 * SECOND).await;
+        let after = platform.counts();
+        let reads = after.reads.total - before.reads.total;
+        let leases = after.leases.total - before.leases.total;
+        println!("{reads} reads and {leases} lease calls in 10 s");
+        // Each of the 6 watchers reads the list and the configuration every 3 s and the planner's key
+        // every 2 s; the planner reads the configuration. Reads of the list by all 15 take 30 more.
+        assert!(reads <= 85, "{reads} reads in 10 s");
+    });
+}
+
 /// Guards against a platform that lost data and makes the configuration revert, and against a lost
 /// configuration that nobody writes back.
 #[test]
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -26,6 +26,8 @@
     pub generation: u64,
     /// Milliseconds since the platform confirmed that generation; `None` when that was never heard of.
     pub confirmed_ms: Option<u64>,
+    /// Revision of the list of leaving hosts that the sender holds; 0 for none.
+    pub hosts: u64,
     /// News of members.
     pub members: Vec<Member>,
 }
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -36,6 +36,7 @@
         sequence: u64::MAX,
         generation: u64::MAX,
         confirmed_ms: Some(u64::MAX),
+        hosts: u64::MAX,
         members: vec![member; members],
     }
 }
