--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -4,7 +4,6 @@
 
 use crate::configuration::Offer;
 use crate::hosts;
-use crate::placement;
 use crate::planner;
 use crate::shared::Shared;
 use crate::spread;
@@ -12,6 +11,7 @@
 use agatemill_core::number::Generation;
 use agatemill_core::number::Revision;
 use agatemill_platform::Client;
+use agatemill_platform::Entry;
 use agatemill_platform::Error;
 
 mod members;
@@ -40,13 +40,16 @@
     tasks.spawn(planner::run(Arc::clone(shared), client));
 }
 
-/// Reads the list of hosts now and then.
+/// Reads the list of hosts now and then while this host is one of its zone's watchers. The other members
+/// learn the leaving hosts from them.
 async fn read_hosts(shared: Arc<Shared>, client: Client) {
     let interval = shared.settings.timings.confirm_interval.to_duration();
     loop {
         let mut seen = None;
         for _ in 0..LOOKS_PER_READ {
-            if let Err(error) = read_changed_hosts(&shared, &client, &mut seen).await {
+            if shared.is_watcher()
+                && let Err(error) = read_changed_hosts(&shared, &client, &mut seen).await
+            {
                 log::debug!(error:%; "platform: cannot read the list of hosts");
             }
             agatemill_runtime::sleep(interval).await;
@@ -64,21 +67,32 @@
         return Ok(());
     }
     if let Some(entry) = client.get(hosts::KEY).await? {
-        shared.hosts.update(&entry.value);
+        take_hosts(shared, &entry);
         *seen = Some(entry.revision);
     }
     Ok(())
 }
 
+fn take_hosts(shared: &Shared, entry: &Entry) {
+    let leaving = match hosts::parse(entry.revision, &entry.value) {
+        Ok(leaving) => leaving,
+        Err(error) => {
+            log::error!(error:%; "platform: malformed list of hosts");
+            return;
+        }
+    };
+    let revision = leaving.revision;
+    if shared.hosts.offer(leaving) == hosts::Offer::Older {
+        log::warn!(revision, held = shared.hosts.revision();
+            "platform: the list of hosts has a lower revision, the newer one is kept");
+    }
+}
+
 /// Watches the configuration key while this host is one of its zone's watchers or holds no configuration.
 async fn follow_configuration(shared: Arc<Shared>, client: Client) {
     let interval = shared.settings.timings.confirm_interval.to_duration();
     loop {
-        let chosen = {
-            let machine = shared.machine();
-            placement::watches(machine.own(), machine.others())
-        };
-        let needed = chosen || shared.configuration.generation().0 == 0;
+        let needed = shared.is_watcher() || shared.configuration.generation().0 == 0;
         if needed && let Err(error) = watch(&shared, &client).await {
             log::warn!(error:%; "platform: cannot follow the configuration");
         }
@@ -105,8 +119,7 @@
         }
         let change = agatemill_runtime::timeout(interval, watch.next()).await;
         change.transpose()?;
-        let machine = shared.machine();
-        if !placement::watches(machine.own(), machine.others()) {
+        if !shared.is_watcher() {
             return Ok(());
         }
     }
