pipeline: raise the shortest step timeout to 1 s

Cause: a decoding step that shares a batch with prompts takes over 250 ms on a slow engine, so ten times the average of idle times, with that floor, took loaded engines for lost ones. Change: the floor of the adaptive step timeout is 1 s. A frozen engine is noticed after 1 s to 2 s instead of 0.25 s to 2 s, within the 2 s of the failure table.

--- a/crates/pipeline/src/settings.rs
+++ b/crates/pipeline/src/settings.rs
@@ -21,7 +21,8 @@
     fn default() -> Self {
         Self {
             step_timeout: Duration::from_secs(2),
-            step_floor: Duration::from_millis(250),
+            // 250 ms took engines with full batches for lost ones and ran their work again elsewhere.
+            step_floor: Duration::from_secs(1),
             position_time: Duration::from_millis(10),
             moves: 8,
             backoff: Duration::from_millis(10),
