routing: add and use the policy outstanding

Cause: policies that compare reports send every entry to the same engines until the next report; weighing the link first fills the near engines until their batches take tens of milliseconds. Change: outstanding takes the fewest sessions of this entry in relation to the engine's throughput and reads no reports. It is the default of the entry's setting routing.

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -140,7 +140,7 @@
 }
 
 fn routing() -> policy::Name {
-    policy::Name::Measured
+    policy::Name::Outstanding
 }
 
 fn drain_limit() -> Time {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -44,7 +44,7 @@
         control: None,
         platform,
         threads: 4,
-        routing: agatemill_routing::policy::Name::Measured,
+        routing: agatemill_routing::policy::Name::Outstanding,
         drain_limit: "10s".parse().unwrap(),
         limits,
     }
--- a/crates/load/src/experiment/path.rs
+++ b/crates/load/src/experiment/path.rs
@@ -37,7 +37,7 @@
             }
             let scenario = Scenario::mixed(1_000_000.0);
             let settings = Settings {
-                policy: Name::TwoChoices,
+                policy: Name::Outstanding,
                 threads,
                 instant: true,
                 lag: Duration::ZERO,
--- a/crates/load/src/experiment/routing.rs
+++ b/crates/load/src/experiment/routing.rs
@@ -111,7 +111,7 @@
     let mut reports = Vec::new();
     for share in [0.8, 1.0, 1.2, 2.0] {
         let plan = plan(&scenario, share, shape(choice.seed));
-        for policy in [Name::TwoChoices, Name::Estimated, Name::Measured] {
+        for policy in [Name::TwoChoices, Name::Measured, Name::Outstanding] {
             let settings = Settings {
                 policy,
                 lag: Duration::from_secs(1),
--- a/crates/load/src/simulation.rs
+++ b/crates/load/src/simulation.rs
@@ -74,7 +74,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            policy: policy::Name::Measured,
+            policy: policy::Name::Outstanding,
             entries: 4,
             lag: Duration::ZERO,
             slots: 512,
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -51,17 +51,20 @@
     Estimated,
     /// [`measured()`].
     Measured,
+    /// [`outstanding()`].
+    Outstanding,
 }
 
 impl Name {
     /// All policies, in the order in which measurements list them.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Random,
         Self::RoundRobin,
         Self::LeastReported,
         Self::TwoChoices,
         Self::Estimated,
         Self::Measured,
+        Self::Outstanding,
     ];
 
     /// The policy of this name.
@@ -74,6 +77,7 @@
             Self::TwoChoices => two_choices(),
             Self::Estimated => estimated(),
             Self::Measured => measured(),
+            Self::Outstanding => outstanding(),
         }
     }
 }
@@ -156,6 +160,19 @@
     }
 }
 
+/// The fewest sessions of this entry in relation to the engine's throughput. It reads no reports, so their
+/// age does not matter: entries that each spread their own sessions in proportion spread the sum so, too.
+#[must_use]
+pub fn outstanding() -> Policy {
+    let cost = |engine: &Engine, random: f64| token_time(engine, engine.load.own()) + random * 1e-9;
+    Policy {
+        name: "outstanding",
+        cost: Arc::new(cost),
+        sample: None,
+        links: false,
+    }
+}
+
 /// Time for each token, in seconds, when one more session shares the engine.
 fn token_time(engine: &Engine, sessions: u32) -> f64 {
     (f64::from(sessions) + 1.0) / engine.facts.throughput.per_second().max(f64::MIN_POSITIVE)
--- /dev/null
+++ b/crates/routing/tests/outstanding.rs
@@ -0,0 +1,77 @@
+//! The policy `outstanding`.
+
+use core::time::Duration;
+use std::collections::BTreeMap;
+
+use agatemill_config::Document;
+use agatemill_core::id;
+use agatemill_routing::Report;
+use agatemill_routing::Request;
+use agatemill_routing::Table;
+use agatemill_routing::policy::Name;
+
+const DOCUMENT: &str = r#"
+halves = ["h"]
+[[zone]]
+name = "z"
+region = "r"
+[[model]]
+name = "m"
+version = "1"
+layers = 8
+activation = "8KiB"
+[[organisation]]
+name = "o"
+half = "h"
+tokens = ["97bd064aaeff4bf93177c2e5a5e6f653a7ea17261d03b8f6925cf3d528554629"]
+models = ["m"]
+rate = "10/s"
+concurrency = 4
+"#;
+
+fn engine(name: &str, port: u16, throughput: u32) -> String {
+    format!(
+        "[[engine]]\nname = \"{name}\"\naddress = \"127.0.0.1:{port}\"\nhalf = \"h\"\nzone = \"z\"\n\
+         accelerator = \"x\"\nmodel = \"m\"\nversion = \"1\"\nlayers = \"0..8\"\n\
+         throughput = \"{throughput}/s\"\nbatch = 16\n"
+    )
+}
+
+/// Guards against sessions that follow the number of engines or an old report instead of the throughput.
+#[test]
+fn sessions_follow_throughput_whatever_reports_say() {
+    let text = format!(
+        "{DOCUMENT}{}{}",
+        engine("fast", 1, 800),
+        engine("slow", 2, 100)
+    );
+    let table = Table::new(
+        "e".parse().unwrap(),
+        "z".parse().unwrap(),
+        Name::Outstanding.policy(),
+    );
+    table.apply(&Document::parse(&text).unwrap());
+    let fast: id::Server = "fast".parse().unwrap();
+    let report = Report {
+        model: "m".parse().unwrap(),
+        version: "1".parse().unwrap(),
+        layers: Some("0..8".parse().unwrap()),
+        draining: false,
+        sessions: 5_000,
+        counted: Duration::ZERO,
+    };
+    table.reported(&fast, &report);
+    let request = Request {
+        half: "h".parse().unwrap(),
+        model: "m".parse().unwrap(),
+        prefix: None,
+        exclude: Vec::new(),
+    };
+    let mut counts: BTreeMap<id::Server, u32> = BTreeMap::new();
+    for _ in 0..90 {
+        let chain = table.choose(&request, Duration::from_secs(1)).unwrap();
+        *counts.entry(chain.stages()[0].server.clone()).or_default() += 1;
+    }
+    let fast = counts[&fast];
+    assert!((78..=82).contains(&fast), "{counts:?}");
+}
