--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -21,6 +21,10 @@
     Slow,
     /// Policies at twice the bound.
     Overload,
+    /// A third of the engines fails.
+    Failing,
+    /// A small organisation beside the flood of a large one; see `organisations_ms` with `--json`.
+    Flood,
     /// Requests through an entry on one thread.
     Path1,
     /// Requests through an entry on four threads.
@@ -56,6 +60,8 @@
             Self::Latency => routing::late(choice, 0.5),
             Self::Slow => routing::slow(choice),
             Self::Overload => routing::overload(choice),
+            Self::Failing => routing::failing(choice),
+            Self::Flood => routing::flood(choice),
             Self::Path1 => path::run(choice, 1),
             Self::Path4 => path::run(choice, 4),
         }
--- a/crates/load/src/experiment/routing.rs
+++ b/crates/load/src/experiment/routing.rs
@@ -125,3 +125,65 @@
     }
     Ok(reports)
 }
+
+/// A third of the engines, the first of each stage, stops working at half the bound.
+///
+/// # Errors
+///
+/// The faults of the scenario's document.
+pub fn failing(choice: &Choice) -> Outcome {
+    let scenario = Scenario::mixed(SPEED);
+    let plan = plan(&scenario, 0.5, shape(choice.seed));
+    let mut reports = Vec::new();
+    for (text, health) in [
+        ("dead", Health::Dead),
+        ("errors", Health::Failing),
+        ("frozen", Health::Frozen),
+    ] {
+        let fault = Fault {
+            at: Duration::from_secs(20),
+            // Three of 9, three of 8 and two of 7 engines.
+            engines: vec![0, 1, 2, 9, 10, 11, 17, 18],
+            health,
+        };
+        let settings = Settings {
+            lag: Duration::from_secs(1),
+            fault: Some(fault),
+            ..Settings::default()
+        };
+        let name = format!("third {text}");
+        if choice.takes(&name) {
+            reports.push(Simulation::run(&name, &scenario, &settings, &plan)?);
+        }
+    }
+    Ok(reports)
+}
+
+/// A small organisation alone, and beside a large one that sends twice the bound.
+///
+/// # Errors
+///
+/// The faults of the scenario's document.
+pub fn flood(choice: &Choice) -> Outcome {
+    let scenario = Scenario::mixed(SPEED);
+    let small = Shape {
+        organisations: 1,
+        ..shape(choice.seed)
+    };
+    let mut alone = plan(&scenario, 0.1, small);
+    for item in &mut alone.items {
+        item.organisation = 1;
+    }
+    let mut both = alone.clone();
+    let large = Shape {
+        seed: choice.seed + 1_000,
+        ..small
+    };
+    both.merge(plan(&scenario, 2.0, large));
+    let mut reports = Vec::new();
+    for (name, plan) in [("small alone", alone), ("small beside flood", both)] {
+        let report = Simulation::run(name, &scenario, &Settings::default(), &plan)?;
+        reports.push(report);
+    }
+    Ok(reports)
+}
