--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -6,11 +6,13 @@
 
 use crate::record;
 use crate::shared::Shared;
+use crate::spread::Source;
 use agatemill_core::Digest;
 use agatemill_core::number::Generation;
 use agatemill_membership::Kind;
 use agatemill_membership::Message;
 use agatemill_membership::Outgoing;
+use agatemill_runtime::traffic;
 use agatemill_wire::Datagram;
 use agatemill_wire::datagram;
 
@@ -36,7 +38,10 @@
     let mut buffer = vec![0; 2 * datagram::MAX_BYTES];
     loop {
         match shared.socket.recv_from(&mut buffer).await {
-            Ok((length, address)) => take(&shared, &buffer[..length], address).await,
+            Ok((length, address)) => {
+                traffic::received(length);
+                take(&shared, &buffer[..length], address).await;
+            }
             Err(error) => {
                 log::warn!(error:%; "members: cannot receive datagrams");
                 agatemill_runtime::sleep(ERROR_PAUSE).await;
@@ -51,8 +56,11 @@
         let Some(bytes) = encode(shared, outgoing.message) else {
             continue;
         };
-        if let Err(error) = shared.socket.send_to(&bytes, outgoing.address).await {
-            log::debug!(address:% = outgoing.address, error:%; "members: cannot send a datagram");
+        match shared.socket.send_to(&bytes, outgoing.address).await {
+            Ok(length) => traffic::sent(length),
+            Err(error) => {
+                log::debug!(address:% = outgoing.address, error:%; "members: cannot send a datagram");
+            }
         }
     }
 }
@@ -70,6 +78,7 @@
     }
     let now = agatemill_runtime::now();
     let generation = Generation(datagram.generation);
+    let hosts = datagram.hosts;
     if let Some(age) = datagram.confirmed_ms {
         let at = now.saturating_sub(Duration::from_millis(age));
         shared.configuration.confirm(generation, at);
@@ -77,12 +86,17 @@
     let from = datagram.from.clone();
     let message = decode(datagram);
     let out = shared.machine().receive(now, address, message);
-    if generation > shared.configuration.generation() {
+    let newer_hosts = hosts > shared.hosts.revision();
+    if newer_hosts || generation > shared.configuration.generation() {
         let machine = shared.machine();
         let found = machine.others().find(|member| member.host == from);
         if let Some(member) = found {
             // When the queue is full, pulls are already under way.
-            let _ = shared.pulls.try_send(member.profile.control);
+            let _ = shared.pulls.try_send(Source {
+                control: member.profile.control,
+                generation,
+                hosts,
+            });
         }
     }
     send(shared, out).await;
@@ -119,6 +133,7 @@
         sequence: message.sequence,
         generation: shared.configuration.generation().0,
         confirmed_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        hosts: shared.hosts.revision(),
         members: record::to_wire(message.members.iter()),
     };
     loop {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,7 +1,7 @@
 //! The control process: membership, configuration spreading, the directory of entry addresses, planning.
 //!
 //! [`run`] starts a control within the current process. Its parts keep their state under their own
-//! locks, in [`shared::Shared`]; each part runs as one or more tasks that end with the [`Control`].
+//! locks, in `shared::Shared`; each part runs as one or more tasks that end with the [`Control`].
 
 pub mod command;
 pub mod configuration;
@@ -11,7 +11,7 @@
 pub mod entry;
 pub mod error;
 mod gossip;
-mod hosts;
+pub mod hosts;
 pub mod placement;
 pub mod planner;
 mod platform;
@@ -22,6 +22,7 @@
 mod shared;
 mod spread;
 mod tasks;
+mod traffic;
 
 pub use control::Control;
 pub use control::run;
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -1,4 +1,4 @@
-//! Spreading of the configuration and of members among controls.
+//! Spreading of the configuration, the leaving hosts and the members among controls.
 
 use core::net::SocketAddr;
 use core::time::Duration;
@@ -8,14 +8,22 @@
 use smol::channel::Receiver;
 
 use crate::configuration::Offer;
+use crate::gossip;
 use crate::record;
 use crate::remote;
 use crate::shared::Shared;
 use agatemill_config::Envelope;
+use agatemill_core::number::Generation;
 use agatemill_membership::State;
 
-/// Members that a new configuration is pushed to by each member that accepts it.
-const FANOUT: usize = 3;
+/// A member that holds a newer configuration or list of leaving hosts.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Source {
+    pub(crate) control: SocketAddr,
+    pub(crate) generation: Generation,
+    /// Revision of its list of leaving hosts.
+    pub(crate) hosts: u64,
+}
 
 /// Time between two attempts to join while no other member is alive.
 const JOIN_INTERVAL: Duration = Duration::from_millis(500);
@@ -30,23 +38,31 @@
     }
 }
 
-/// Offers a configuration to this control, and pushes it to others when it is new.
+/// Offers a configuration to this control, and announces its generation to others when it is new.
+///
+/// Those that lack it pull it. A push of the document itself would reach most members several times.
 pub(crate) fn offer(shared: &Arc<Shared>, envelope: Envelope) -> Offer {
-    let pushed = agatemill_wire::Envelope::from(&envelope);
     let offer = shared.configuration.offer(envelope);
     if offer == Offer::Accepted {
-        for address in fastrand::choose_multiple(shared.live_controls(), FANOUT) {
-            shared
-                .tasks
-                .spawn(push(Arc::clone(shared), address, pushed.clone()));
-        }
+        let out = shared.machine().announce();
+        let announcing = Arc::clone(shared);
+        // A member that misses the announcement sees the generation in the next probe.
+        shared
+            .tasks
+            .spawn(async move { gossip::send(&announcing, out).await });
     }
     offer
 }
 
-/// Pulls from members that are known to hold a newer generation.
-pub(crate) async fn pull_newer(shared: Arc<Shared>, addresses: Receiver<SocketAddr>) {
-    while let Ok(address) = addresses.recv().await {
+/// Pulls from members that are known to hold a newer generation or list of leaving hosts.
+pub(crate) async fn pull_newer(shared: Arc<Shared>, sources: Receiver<Source>) {
+    while let Ok(source) = sources.recv().await {
+        let address = source.control;
+        let newer = source.generation > shared.configuration.generation();
+        if !newer && source.hosts <= shared.hosts.revision() {
+            // An earlier pull has brought both.
+            continue;
+        }
         if let Err(error) = pull(&shared, address).await {
             log::debug!(address:%, error:%; "config: cannot pull from a member");
         }
@@ -86,7 +102,8 @@
         .collect()
 }
 
-/// Exchanges all members with the control at `address`, and pulls its configuration if it is newer.
+/// Exchanges all members with the control at `address`, and pulls its configuration and its list
+/// of leaving hosts if they are newer.
 pub(crate) async fn exchange(shared: &Arc<Shared>, address: SocketAddr) -> io::Result<()> {
     let limit = shared.settings.timings.call_timeout.to_duration();
     let client = remote::peer(address, limit).await?;
@@ -112,23 +129,15 @@
     if let Some(envelope) = found {
         take(shared, envelope);
     }
-    Ok(())
-}
-
-async fn push(shared: Arc<Shared>, address: SocketAddr, envelope: agatemill_wire::Envelope) {
-    let limit = shared.settings.timings.call_timeout.to_duration();
-    let pushed = async {
-        let client = remote::peer(address, limit).await?;
-        let context = remote::within(limit);
-        client
-            .push(context, envelope)
-            .await
-            .map_err(io::Error::other)
-    };
-    // A member that misses the push sees the generation in gossip and pulls.
-    if let Err(error) = pushed.await {
-        log::debug!(address:%, error:%; "config: cannot push to a member");
+    let known = shared.hosts.revision();
+    let found = client
+        .leaving(remote::within(limit), known)
+        .await
+        .map_err(io::Error::other)?;
+    if let Some(leaving) = found {
+        shared.hosts.offer(leaving);
     }
+    Ok(())
 }
 
 /// Control address of a member that takes part.
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -1,5 +1,6 @@
 //! I/O of one caller's connection.
 
+use core::future::Future;
 use core::pin::Pin;
 use core::sync::atomic::AtomicU16;
 use core::sync::atomic::AtomicU64;
@@ -7,12 +8,14 @@
 use core::task::Context;
 use core::task::Poll;
 use core::task::ready;
+use core::time::Duration;
 use std::io;
 use std::sync::Arc;
 
 use hyper::rt::Read;
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
+use smol::Timer;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
@@ -33,6 +36,11 @@
 pub struct Io {
     inner: FuturesIo<TcpStream>,
     meter: Arc<Meter>,
+    /// How long a caller may read nothing of an answer. Without a limit, callers that stop reading would
+    /// hold connections for ever.
+    limit: Duration,
+    /// Runs while the caller does not read.
+    stall: Option<Timer>,
 }
 
 impl Meter {
@@ -55,16 +63,37 @@
 }
 
 impl Io {
-    /// Wraps a connection.
+    /// Wraps a connection whose writes fail when they make no progress for `limit`.
     #[must_use]
-    pub fn new(stream: TcpStream, meter: Arc<Meter>) -> Self {
+    pub fn new(stream: TcpStream, meter: Arc<Meter>, limit: Duration) -> Self {
         Self {
             inner: FuturesIo::new(stream),
             meter,
+            limit,
+            stall: None,
         }
     }
 }
 
+impl Io {
+    /// Fails a write that makes no progress within the limit.
+    fn limit_stall(
+        &mut self,
+        cx: &mut Context<'_>,
+        result: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if result.is_ready() {
+            self.stall = None;
+            return result;
+        }
+        let limit = self.limit;
+        let stall = self.stall.get_or_insert_with(|| Timer::after(limit));
+        Pin::new(stall)
+            .poll(cx)
+            .map(|_| Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
 /// The status of a write that is exactly one bare error answer of the HTTP library. Answers of the entry
 /// always have `agatemill-request`.
 fn automatic(bytes: &[u8]) -> Option<u16> {
@@ -104,7 +133,8 @@
             self.meter.held_back.store(status, Ordering::Relaxed);
             return Poll::Ready(Ok(buf.len()));
         }
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        let result = Pin::new(&mut self.inner).poll_write(cx, buf);
+        self.limit_stall(cx, result)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -1,6 +1,8 @@
 //! One request of a caller from its arrival to its answer.
 
 use core::time::Duration;
+use std::hash::BuildHasher;
+use std::hash::RandomState;
 use std::sync::Arc;
 
 use hyper::Request;
@@ -57,8 +59,13 @@
     /// Notes the end of the request with a refusal or failure.
     pub fn fail(self, refusal: &Refusal) {
         self.state.metrics.refused(refusal.reason);
-        log::info!(
-            request:% = self.id, reason:% = refusal.reason, outcome:% = refusal.outcome,
+        // Refusals come in floods under overload and are counted; an unknown outcome may need a person.
+        let level = match refusal.outcome {
+            Outcome::Unknown => log::Level::Info,
+            Outcome::Complete | Outcome::NotRun => log::Level::Debug,
+        };
+        log::log!(
+            level, request:% = self.id, reason:% = refusal.reason, outcome:% = refusal.outcome,
             detail:% = refusal.detail;
             "entry: request refused or failed"
         );
@@ -105,11 +112,16 @@
 
 /// A new id: 128 random bits in hexadecimal.
 ///
+/// Sessions on engines are named by it, so it must not repeat on another host. The standard library seeds
+/// its hashers from the operating system; a generator that is seeded from a clock could repeat on a host
+/// that starts at the same time.
+///
 /// # Panics
 ///
 /// Never: hexadecimal digits are a valid id.
 #[must_use]
 pub fn new_id() -> id::Request {
-    let text = format!("{:032x}", fastrand::u128(..));
+    let random = || RandomState::new().hash_one(agatemill_runtime::now());
+    let text = format!("{:016x}{:016x}", random(), random());
     text.parse().expect("hexadecimal digits are a valid id")
 }
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -62,6 +62,22 @@
     assert_problem(&system.raw(chunked.as_bytes()), 413, "body_too_large");
 }
 
+/// Guards against a connection that is reset while the caller still sends, before it has read the refusal.
+#[test]
+fn a_refusal_reaches_a_caller_that_still_sends() {
+    let system = System::with(small(), "");
+    let large = "x".repeat(8 << 20);
+    for token in [TOKEN, "wrong"] {
+        let response = agent()
+            .post(system.url("/v1/chat/completions"))
+            .header("Authorization", format!("Bearer {token}"))
+            .send(&large)
+            .unwrap();
+        let expected = if token == TOKEN { 413 } else { 401 };
+        assert_eq!(response.status(), expected);
+    }
+}
+
 /// Guards against heads that fill the memory, and against an answer without outcome.
 #[test]
 fn a_large_head_is_refused() {
@@ -101,6 +117,31 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
+/// Guards against callers that hold connections for ever by reading nothing.
+#[test]
+fn a_caller_that_does_not_read_is_cut_off() {
+    let limits = Limits {
+        stall_time: Time::from_millis(300),
+        ..Limits::default()
+    };
+    let system = System::with(limits, "");
+    let mut stream = system.connect();
+    stream
+        .set_write_timeout(Some(Duration::from_secs(8)))
+        .unwrap();
+    let request = b"GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n".repeat(100);
+    let error = loop {
+        if let Err(error) = stream.write_all(&request) {
+            break error;
+        }
+    };
+    let ended = [
+        std::io::ErrorKind::ConnectionReset,
+        std::io::ErrorKind::BrokenPipe,
+    ];
+    assert!(ended.contains(&error.kind()), "{error}");
+}
+
 /// Guards against access without a valid token, and against the use of what was not granted.
 #[test]
 fn only_known_tokens_and_granted_models_pass() {
--- a/crates/load/src/simulation/step.rs
+++ b/crates/load/src/simulation/step.rs
@@ -182,6 +182,11 @@
         let server = chain.stages()[flow.stage].server.clone();
         match flow.progress.lost(&server, loss, Settings::default().moves) {
             Verdict::GiveUp(reason) => self.give_up(request, reason.as_str()),
+            // Engines of the experiments do not drain; a cache would be computed again.
+            Verdict::Transfer { .. } => {
+                self.close(request);
+                self.pause(request, false, 0);
+            }
             Verdict::Move { failed, budget, .. } => {
                 if failed {
                     self.hosts[flow.entry].table.failed(&server, self.now);
--- a/crates/pipeline/src/lib.rs
+++ b/crates/pipeline/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod request;
 mod run;
 pub mod settings;
+mod transfer;
+mod watchdog;
 
 pub use event::Event;
 pub use generation::Generation;
--- a/crates/pipeline/tests/progress.rs
+++ b/crates/pipeline/tests/progress.rs
@@ -39,6 +39,7 @@
     for loss in [
         Loss::ConnectFailed,
         Loss::TimedOut,
+        Loss::Frozen,
         Loss::ConnectionLost,
         Loss::Mismatched,
         Loss::Refused(Code::Overloaded),
@@ -92,24 +93,52 @@
     assert_eq!(ended, Verdict::GiveUp(Reason::RetriesExhausted));
 }
 
-/// A timeout below the floor or above the ceiling loses good engines or waits for lost ones.
+/// An engine that is looked after too late or too often, and a loaded engine that counts as lost: steps that
+/// timed out at ten times the average took the load to the other engines, until the retry budget was used up.
 #[test]
-fn step_timeout_follows_latency_within_bounds() {
+fn step_timeouts_follow_latency_within_bounds() {
     let settings = Settings::default();
     let mut latency = Latency::default();
-    let limit = |latency: &Latency, positions| latency.limit(&server("a"), positions, &settings);
-    assert_eq!(limit(&latency, 1), settings.step_timeout);
-    latency.observe(&server("a"), Duration::from_millis(150));
-    assert_eq!(limit(&latency, 1), Duration::from_millis(1500));
-    assert_eq!(limit(&latency, 101), Duration::from_millis(2500));
+    let suspicious = |latency: &Latency, name, positions| {
+        latency.suspicious(&server(name), positions, &settings)
+    };
+    let limit = |latency: &Latency, name| latency.limit(&server(name), 1, &settings);
+    assert_eq!(suspicious(&latency, "a", 1), settings.suspicion_limit());
+    assert_eq!(limit(&latency, "a"), settings.step_timeout);
+    latency.observe(&server("a"), Duration::from_millis(50));
+    assert_eq!(suspicious(&latency, "a", 1), Duration::from_millis(500));
+    assert_eq!(suspicious(&latency, "a", 101), Duration::from_millis(1500));
+    assert_eq!(limit(&latency, "a"), settings.step_timeout);
     latency.observe(&server("b"), Duration::from_millis(1));
-    assert_eq!(
-        latency.limit(&server("b"), 1, &settings),
-        settings.step_floor
-    );
+    assert_eq!(suspicious(&latency, "b", 1), settings.step_floor);
     latency.observe(&server("c"), Duration::from_secs(9));
-    assert_eq!(
-        latency.limit(&server("c"), 1, &settings),
-        settings.step_timeout
+    assert_eq!(suspicious(&latency, "c", 1), settings.suspicion_limit());
+    let asked = settings.suspicion_limit() + 2 * settings.status_limit();
+    assert!(
+        asked < settings.step_timeout,
+        "a frozen engine would look like a slow one"
     );
+    assert_eq!(limit(&latency, "c"), Duration::from_secs(36));
+}
+
+/// Only a refusal in the middle of a session leaves caches whose positions are known.
+#[test]
+fn transfers_caches_only_when_every_result_is_known() {
+    let draining = Loss::Refused(Code::Draining);
+    let mut progress = Progress::default();
+    progress.replied(layers("0..4"), 5);
+    let moved = progress.lost(&server("a"), draining, 9);
+    assert!(matches!(moved, Verdict::Move { .. }));
+    progress.replied(layers("0..8"), 5);
+    progress.token(7);
+    progress.replied(layers("0..4"), 1);
+    let moved = progress.lost(&server("a"), draining, 9);
+    assert_eq!(moved, Verdict::Transfer { reason: "draining" });
+    assert_eq!(progress.positions(0), Position(6));
+    assert_eq!(progress.positions(4), Position(5));
+    assert!(progress.check(layers("4..8")).is_ok());
+    assert_eq!(progress.attempt(), Attempt(2));
+    progress.recompute();
+    assert_eq!(progress.attempt(), Attempt(3));
+    assert_eq!(progress.positions(0), Position(0));
 }
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -218,12 +218,22 @@
 
     /// Applies the plan's document without some backend servers; returns the exit code and the output.
     pub fn apply(&self, without: &[String]) -> (i32, String) {
-        let path = self.directory.path().join("document.toml");
+        self.apply_over(without, None)
+    }
+
+    /// Applies as [`World::apply`] does, for an operator whose document is based on a certain generation.
+    pub fn apply_over(&self, without: &[String], base: Option<u64>) -> (i32, String) {
+        // Racing operators each have a file of their own.
+        let name = format!("document-{}.toml", without.join("-"));
+        let path = self.directory.path().join(name);
         std::fs::write(&path, self.plan.document(without)).expect("document file");
-        let line = format!(
+        let mut line = format!(
             "config apply {} --environment {ENVIRONMENT} --wait 30",
             path.display()
         );
+        if let Some(base) = base {
+            write!(line, " --expect {base}").expect("text grows");
+        }
         self.ctl(&words(&line))
     }
 
@@ -265,6 +275,38 @@
         hosts
     }
 
+    /// Generation that each member has in force, as the control of host 0 sees them.
+    pub fn generations(&self) -> Vec<u64> {
+        let (code, text) = self.ctl(&words("status --json"));
+        let overview: Value = serde_json::from_str(&text).unwrap_or_default();
+        let members = overview["members"].as_array().cloned().unwrap_or_default();
+        let generation = |member: &Value| member["generation"].as_u64().unwrap_or_default();
+        if code == 0 {
+            members.iter().map(generation).collect()
+        } else {
+            vec![0]
+        }
+    }
+
+    /// Whether the platform holds a key below a part of the environment's keys.
+    pub fn has_key(&self, part: &str) -> bool {
+        let prefix = format!("/agatemill/{ENVIRONMENT}/{part}/");
+        let answer = Self::caller(0).get(self.network.platform(), "/fake/keys");
+        let keys: Vec<String> = serde_json::from_str(&answer.body).unwrap_or_default();
+        keys.iter().any(|key| key.starts_with(&prefix))
+    }
+
+    /// Generation that the platform holds; 0 when it does not answer.
+    pub fn platform_generation(&self) -> u64 {
+        let client = Client::new(&[self.network.platform()], PATIENCE);
+        let key = format!("/agatemill/{ENVIRONMENT}/configuration");
+        let Ok(Some(entry)) = smol::block_on(client.get(&key)) else {
+            return 0;
+        };
+        let envelope: Value = serde_json::from_slice(&entry.value).unwrap_or_default();
+        envelope["generation"].as_u64().unwrap_or_default()
+    }
+
     /// Waits until a condition holds; false when [`PATIENCE`] ends first.
     pub fn until(&self, mut condition: impl FnMut(&Self) -> bool) -> bool {
         let end = Instant::now() + PATIENCE;
