--- a/tests/all/script.rs
+++ b/tests/all/script.rs
@@ -64,6 +64,7 @@
             "await" => self.wait(case),
             "calls" => verdict::calls(self.world()),
             "layers" => verdict::layers(self.world()),
+            "load" => verdict::load(self.world()),
             "executions" => self.executions(case),
             "log" => self.log(case),
             "sleep" => sleep(case),
--- a/tests/all/verdict.rs
+++ b/tests/all/verdict.rs
@@ -6,6 +6,12 @@
 use crate::plan::MODEL;
 use crate::world::World;
 use agatemill_fake::model;
+use agatemill_fake::platform::counts::Counts;
+
+/// Writes a second that the platform takes; "several hundred" in the requirements.
+const MAX_WRITES: u64 = 300;
+/// Reads a second that the platform takes.
+const MAX_READS: u64 = 2_000;
 
 /// The prompt as engines see it.
 fn prompt(content: &str) -> String {
@@ -88,3 +94,18 @@
         lines.join("\n")
     }
 }
+
+/// Whether the platform's calls stayed below its limits in every second since its start. Calls that change leases
+/// count as writes, watches as reads.
+pub fn load(world: &World) -> String {
+    let answer = World::caller(0).get(world.fake("platform"), "/fake/counts");
+    let counts: Counts = serde_json::from_str(&answer.body).expect("the platform's counts");
+    let writes = counts.writes.peak + counts.leases.peak;
+    let reads = counts.reads.peak + counts.watches.peak;
+    match (counts.writes.total, writes < MAX_WRITES, reads < MAX_READS) {
+        (0, _, _) => "nothing was written".to_owned(),
+        (_, true, true) => "within the platform's limits".to_owned(),
+        (_, false, _) => "too many writes in a second".to_owned(),
+        (_, true, false) => "too many reads in a second".to_owned(),
+    }
+}
