--- a/crates/control/src/planner.rs
+++ b/crates/control/src/planner.rs
@@ -33,7 +33,8 @@
 mod seat;
 pub mod term;
 
-/// Time between two looks at the lease and, while it is held, two renewals.
+/// Time between two attempts to gain the lease, and longest duration of a pass over the engines. With the
+/// pause and the calls to the platform, two renewals are at most 6 s apart, the length of a term.
 const INTERVAL: Duration = Duration::from_secs(2);
 
 /// Engines whose state is read at once.
@@ -102,7 +103,7 @@
             log::warn!(fence:%; "planner: an engine has seen a newer fencing number");
             break;
         }
-        agatemill_runtime::sleep(INTERVAL / 4).await;
+        agatemill_runtime::sleep(INTERVAL / 2).await;
         if let Err(error) = seat.renew(client).await {
             log::warn!(error:%; "planner: cannot renew the lease");
             if error == Error::LeaseLapsed {
@@ -151,6 +152,7 @@
         work.compared = Some(compared(revision));
         return Ok(());
     }
+    shared.configuration.note_reverted(Generation(found));
     if !seat.term.holds(agatemill_runtime::now()) {
         return Ok(());
     }
--- a/crates/load/src/control.rs
+++ b/crates/load/src/control.rs
@@ -14,9 +14,6 @@
 pub mod report;
 pub mod streams;
 
-use std::process::ExitCode;
-
-use clap::Parser;
 use clap::Subcommand;
 
 use crate::control::report::Report;
@@ -24,18 +21,6 @@
 /// Error of a measurement.
 pub type Error = Box<dyn core::error::Error + Send + Sync>;
 
-/// Measures membership, recovery and the cost of control.
-#[derive(Clone, Debug, Parser)]
-#[command(name = "control")]
-pub struct Arguments {
-    /// Print a JSON line for each report instead of the table.
-    #[arg(long, global = true)]
-    pub json: bool,
-    /// What to measure.
-    #[command(subcommand)]
-    pub action: Action,
-}
-
 /// What to measure.
 #[derive(Clone, Debug, Subcommand)]
 pub enum Action {
@@ -53,24 +38,6 @@
     Streams(streams::Options),
 }
 
-/// Runs the program with the arguments of the process.
-#[must_use]
-pub fn main() -> ExitCode {
-    let default = env_logger::Env::default().default_filter_or("off");
-    env_logger::Builder::from_env(default).init();
-    let arguments = Arguments::parse();
-    match arguments.action.run() {
-        Ok(reports) => {
-            print(&reports, arguments.json);
-            ExitCode::SUCCESS
-        }
-        Err(error) => {
-            eprintln!("control: {error}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
 impl Action {
     /// Runs the measurement.
     ///
@@ -89,7 +56,8 @@
     }
 }
 
-fn print(reports: &[Report], json: bool) {
+/// Prints reports as tables or as JSON lines.
+pub fn print(reports: &[Report], json: bool) {
     for report in reports {
         if json {
             println!("{}", report.to_json());
--- a/crates/load/src/control/detector/network.rs
+++ b/crates/load/src/control/detector/network.rs
@@ -10,6 +10,7 @@
 
 use fastrand::Rng;
 
+use crate::control::Error;
 use agatemill_control::record;
 use agatemill_core::id;
 use agatemill_core::number::Generation;
@@ -116,6 +117,18 @@
         true
     }
 
+    /// Size of the message of a full membership exchange.
+    ///
+    /// # Errors
+    ///
+    /// Any error of the encoding.
+    pub fn exchange_bytes(&self) -> Result<u64, Error> {
+        let machine = self.machines.iter().flatten().next();
+        let machine = machine.ok_or("no member runs")?;
+        let bytes = rmp_serde::to_vec(&record::to_wire(machine.members()))?;
+        Ok(bytes.len() as u64)
+    }
+
     pub fn kill(&mut self, index: usize) {
         self.machines[index] = None;
     }
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -1,7 +1,5 @@
 //! The state machine.
 
-mod learn;
-
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::collections::BTreeMap;
@@ -19,7 +17,8 @@
 use crate::probe::Probe;
 use crate::probe::Relay;
 use agatemill_core::id;
-use agatemill_core::number::Incarnation;
+
+mod learn;
 
 /// Membership as one host sees it.
 #[derive(Debug)]
@@ -114,7 +113,7 @@
 
     /// Says that this host leaves, and returns messages that tell several members.
     pub fn leave(&mut self) -> Vec<Outgoing> {
-        self.own.incarnation = after(self.own.incarnation);
+        self.own.incarnation = learn::after(self.own.incarnation);
         self.own.state = State::Left;
         self.news.add(self.own.host.clone());
         let mut out = Vec::new();
@@ -136,11 +135,10 @@
     /// other side knew them already: among 100 hosts that start together, that would delay other updates
     /// by more than 10 s.
     pub fn merge(&mut self, now: Duration, members: Vec<Member>) {
-        let news = self.news.clone();
-        let before = self.others.len();
+        let joins = self.others.is_empty();
         self.learn_all(now, members);
-        if self.others.len() > before + self.settings.updates {
-            self.news = news;
+        if joins {
+            self.news = News::default();
             self.news.add(self.own.host.clone());
         }
     }
@@ -463,8 +461,3 @@
         Outgoing { address, message }
     }
 }
-
-/// The next incarnation. Saturates, because a malformed datagram must not stop the process.
-fn after(incarnation: Incarnation) -> Incarnation {
-    Incarnation(incarnation.0.saturating_add(1))
-}
--- a/crates/membership/src/machine/learn.rs
+++ b/crates/membership/src/machine/learn.rs
@@ -1,12 +1,12 @@
-//! What a machine learns of its own host and of others.
+//! What a machine does with records that it receives.
 
 use core::time::Duration;
 
-use crate::Machine;
+use super::Known;
+use super::Machine;
 use crate::Member;
-use crate::machine::Known;
-use crate::machine::after;
 use agatemill_core::id;
+use agatemill_core::number::Incarnation;
 
 impl Machine {
     pub(super) fn learn(&mut self, now: Duration, member: Member) {
@@ -65,7 +65,7 @@
 
     /// Puts a member at a random place of the probe order, so that members that join together are not
     /// probed together.
-    pub(super) fn enqueue(&mut self, host: id::Host) {
+    fn enqueue(&mut self, host: id::Host) {
         if !self.order.contains(&host) {
             let index = self.random.usize(..=self.order.len());
             self.order.insert(index, host);
@@ -100,3 +100,8 @@
         standing && described
     }
 }
+
+/// The next incarnation. Saturates, because a malformed datagram must not stop the process.
+pub(super) fn after(incarnation: Incarnation) -> Incarnation {
+    Incarnation(incarnation.0.saturating_add(1))
+}
--- a/crates/pipeline/src/latency.rs
+++ b/crates/pipeline/src/latency.rs
@@ -37,11 +37,10 @@
     /// How long a step of this many positions may take before its engine is asked whether it is alive.
     #[must_use]
     pub fn suspicious(&self, server: &id::Server, positions: u32, settings: &Settings) -> Duration {
-        let floor = settings.step_floor.min(settings.step_timeout);
-        let usual = self
-            .times(server, SUSPICIOUS)
-            .unwrap_or(settings.step_timeout);
-        usual.clamp(floor, settings.step_timeout) + extra(positions, settings)
+        let ceiling = settings.suspicion_limit();
+        let floor = settings.step_floor.min(ceiling);
+        let usual = self.times(server, SUSPICIOUS).unwrap_or(ceiling);
+        usual.clamp(floor, ceiling) + extra(positions, settings)
     }
 
     /// How long a step of this many positions may take in all. Grows with the observed times, so that load
--- a/crates/pipeline/src/lib.rs
+++ b/crates/pipeline/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod request;
 mod run;
 pub mod settings;
+mod transfer;
 mod watchdog;
 
 pub use event::Event;
