--- a/crates/load/src/control/pause.rs
+++ b/crates/load/src/control/pause.rs
@@ -85,7 +85,9 @@
     fn count(cluster: &Cluster) -> Self {
         let total = |text: &str| {
             let running = cluster.controls.iter().flatten();
-            running.map(|process| process.logged(text)).sum()
+            running
+                .map(|process| process.logged("members: state changed", text))
+                .sum()
         };
         Self {
             suspected: total("state=Suspect"),
--- a/crates/load/src/control/process.rs
+++ b/crates/load/src/control/process.rs
@@ -86,11 +86,12 @@
         let _ = self.child.wait();
     }
 
-    /// Lines of the log that contain `text`.
+    /// Lines of the log that contain both texts.
     #[must_use]
-    pub fn logged(&self, text: &str) -> usize {
+    pub fn logged(&self, first: &str, second: &str) -> usize {
         let log = fs::read_to_string(&self.log).unwrap_or_default();
-        log.lines().filter(|line| line.contains(text)).count()
+        let both = |line: &&str| line.contains(first) && line.contains(second);
+        log.lines().filter(both).count()
     }
 
     /// What the process has used so far.
