Parse the document once for each generation in the planner

Cause: the planner parsed the whole document in each pass, up to twice a second.

Change: it keeps the engines and the load rate of the generation held, and copies the document only when the platform's revision has changed.

Memory is not mended: it grows by about 20 bytes for each byte of the document, by what reading, checking and passing on a document allocates.

--- a/crates/control/src/planner.rs
+++ b/crates/control/src/planner.rs
@@ -15,12 +15,12 @@
 use crate::planner::orders::Refused;
 use crate::planner::seat::Seat;
 use crate::shared::Shared;
-use agatemill_config::Document;
 use agatemill_config::Envelope;
 use agatemill_config::document::Engine;
 use agatemill_core::id;
 use agatemill_core::number::Generation;
 use agatemill_core::number::Revision;
+use agatemill_core::quantity::Rate;
 use agatemill_engine::Status;
 use agatemill_membership::State;
 use agatemill_platform::Client;
@@ -48,10 +48,21 @@
     bucket: Bucket,
     /// Engines that took an order, and when.
     ordered: BTreeMap<id::Server, Duration>,
+    /// What the last document asks for.
+    wanted: Option<Wanted>,
     /// Configuration at the platform that needed no writing back.
     compared: Option<Compared>,
 }
 
+/// What a document asks of the planner. Kept, because parsing a large document several times a second takes
+/// more than the processor time and memory of all other work.
+#[derive(Clone)]
+struct Wanted {
+    generation: Generation,
+    engines: Arc<[Engine]>,
+    load_rate: Rate,
+}
+
 /// A configuration at the platform that is not older than the one held.
 #[derive(PartialEq, Eq)]
 struct Compared {
@@ -91,6 +102,7 @@
     let mut work = Work {
         bucket: Bucket::new(agatemill_runtime::now()),
         ordered: BTreeMap::new(),
+        wanted: None,
         compared: None,
     };
     while seat.term.holds(agatemill_runtime::now()) && is_eligible(shared) {
@@ -124,12 +136,10 @@
     work: &mut Work,
 ) -> Result<(), Error> {
     let reverted = shared.configuration.reverted();
-    let Some(held) = shared.configuration.envelope() else {
-        return Ok(());
-    };
+    let generation = shared.configuration.generation();
     let compared = |revision| Compared {
         revision,
-        held: held.generation,
+        held: generation,
         reverted,
     };
     let key = format!("/agatemill/{}/configuration", shared.settings.environment);
@@ -140,6 +150,9 @@
             return Ok(());
         }
     }
+    let Some(held) = shared.configuration.envelope() else {
+        return Ok(());
+    };
     let (found, revision) = match client.get(&key).await? {
         Some(entry) => {
             let envelope: Envelope = serde_json::from_slice(&entry.value)
@@ -172,20 +185,20 @@
     seat: &Seat,
     work: &mut Work,
 ) -> Result<(), Refused> {
-    let Some(document) = document_of(shared) else {
+    let Some(wanted) = wanted(shared, work) else {
         return Ok(());
     };
-    let statuses = read_all(orders, &document.engines).await;
+    let statuses = read_all(orders, &wanted.engines).await;
     let now = agatemill_runtime::now();
     work.ordered
         .retain(|_, at| now.saturating_sub(*at) < REPEAT);
     let ordered: BTreeSet<_> = work.ordered.keys().cloned().collect();
-    for engine in plan::loads(&document.engines, &statuses, &ordered) {
+    for engine in plan::loads(&wanted.engines, &statuses, &ordered) {
         let now = agatemill_runtime::now();
         if !seat.term.may_order(now, engine.fencing) {
             continue;
         }
-        if !work.bucket.take(now, document.settings.load_rate) {
+        if !work.bucket.take(now, wanted.load_rate) {
             return Ok(());
         }
         // Noted before the order is sent, because a cancelled pass may have sent it.
@@ -222,9 +235,21 @@
     Ok(())
 }
 
-fn document_of(shared: &Shared) -> Option<Document> {
-    let held = shared.configuration.envelope()?;
-    document::parse(&held.text).ok()
+/// What the document held asks for; parsed once for each generation.
+fn wanted(shared: &Shared, work: &mut Work) -> Option<Wanted> {
+    let generation = shared.configuration.generation();
+    let kept = work.wanted.take();
+    work.wanted = kept.filter(|wanted| wanted.generation == generation);
+    if work.wanted.is_none() {
+        let held = shared.configuration.envelope()?;
+        let document = document::parse(&held.text).ok()?;
+        work.wanted = Some(Wanted {
+            generation: held.generation,
+            engines: document.engines.into(),
+            load_rate: document.settings.load_rate,
+        });
+    }
+    work.wanted.clone()
 }
 
 async fn read_all(orders: &Orders, engines: &[Engine]) -> BTreeMap<id::Server, Status> {
