--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -1,4 +1,4 @@
-//! Spreading of the configuration and of members among controls.
+//! Spreading of the configuration, the leaving hosts and the members among controls.
 
 use core::net::SocketAddr;
 use core::time::Duration;
@@ -16,11 +16,13 @@
 use agatemill_core::number::Generation;
 use agatemill_membership::State;
 
-/// A member that holds a newer configuration.
+/// A member that holds a newer configuration or list of leaving hosts.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Source {
     pub(crate) control: SocketAddr,
     pub(crate) generation: Generation,
+    /// Revision of its list of leaving hosts.
+    pub(crate) hosts: u64,
 }
 
 /// Time between two attempts to join while no other member is alive.
@@ -52,12 +54,13 @@
     offer
 }
 
-/// Pulls from members that are known to hold a newer generation.
+/// Pulls from members that are known to hold a newer generation or list of leaving hosts.
 pub(crate) async fn pull_newer(shared: Arc<Shared>, sources: Receiver<Source>) {
     while let Ok(source) = sources.recv().await {
         let address = source.control;
-        if source.generation <= shared.configuration.generation() {
-            // An earlier pull has brought it.
+        let newer = source.generation > shared.configuration.generation();
+        if !newer && source.hosts <= shared.hosts.revision() {
+            // An earlier pull has brought both.
             continue;
         }
         if let Err(error) = pull(&shared, address).await {
@@ -99,7 +102,8 @@
         .collect()
 }
 
-/// Exchanges all members with the control at `address`, and pulls its configuration if it is newer.
+/// Exchanges all members with the control at `address`, and pulls its configuration and its list
+/// of leaving hosts if they are newer.
 pub(crate) async fn exchange(shared: &Arc<Shared>, address: SocketAddr) -> io::Result<()> {
     let limit = shared.settings.timings.call_timeout.to_duration();
     let client = remote::peer(address, limit).await?;
@@ -125,6 +129,14 @@
     if let Some(envelope) = found {
         take(shared, envelope);
     }
+    let known = shared.hosts.revision();
+    let found = client
+        .leaving(remote::within(limit), known)
+        .await
+        .map_err(io::Error::other)?;
+    if let Some(leaving) = found {
+        shared.hosts.offer(leaving);
+    }
     Ok(())
 }
 
--- a/crates/load/src/control/detector/network.rs
+++ b/crates/load/src/control/detector/network.rs
@@ -286,6 +286,7 @@
         },
         sequence: message.sequence,
         generation: 100_000,
+        hosts: 0,
         confirmed_ms: Some(1_000),
         members: record::to_wire(message.members.iter()),
     };
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -1,5 +1,7 @@
 //! The state machine.
 
+mod learn;
+
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::collections::BTreeMap;
@@ -18,8 +20,6 @@
 use crate::probe::Relay;
 use agatemill_core::id;
 
-mod learn;
-
 /// Membership as one host sees it.
 #[derive(Debug)]
 pub struct Machine {
