--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -6,6 +6,7 @@
 use clap::Subcommand;
 
 use crate::Report;
+use crate::control;
 use crate::experiment;
 use crate::run;
 
@@ -26,6 +27,9 @@
 pub enum Action {
     /// Send a load to running entries.
     Run(run::Options),
+    /// Measure membership, recovery and the cost of control, as docs/CAPACITY.md says.
+    #[command(subcommand)]
+    Control(control::Action),
     /// Run a named experiment of docs/measurements.md.
     Experiment {
         /// Name of the experiment.
@@ -69,6 +73,7 @@
             let report = run::main(options)?;
             right &= print(&[report], arguments.json);
         }
+        Action::Control(action) => control::print(&action.run()?, arguments.json),
         Action::Experiment {
             name,
             seed,
--- a/crates/load/src/control/detector.rs
+++ b/crates/load/src/control/detector.rs
@@ -97,6 +97,8 @@
     );
     let memory = (filled - empty) / members / 1e6;
     report.add("memory", memory, "MB for each member");
+    let exchange = network.exchange_bytes()?;
+    report.add("one direction of a full exchange", float(exchange), "B");
     report.add("false suspicions", count(found.suspicions.len()), "");
     report.add("false deaths", count(found.deaths.len()), "");
     add_detection(&mut report, &mut network, options);
