Revoke the leases of a control that stops as planned

The planner's lease was given back only when its current pass ended, and not at all when the process ended first.

The leases that a control holds are now recorded. The watch of the configuration goes on until the end.

A lease that a task takes on another thread at that very moment lapses as before.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -20,6 +20,7 @@
 use crate::entry::Entry;
 use crate::gossip;
 use crate::hosts::Hosts;
+use crate::leases::Leases;
 use crate::platform;
 use crate::serve;
 use crate::shared::Shared;
@@ -86,6 +87,8 @@
         connections: AtomicU64::new(0),
         pulls,
         tasks: Tasks::open(),
+        leasing: Tasks::open(),
+        leases: Leases::default(),
         settings,
     });
     let tasks = &shared.tasks;
@@ -130,12 +133,13 @@
         self.shared.planner.load(Ordering::Relaxed)
     }
 
-    /// Stops in order: tells several members that this host leaves, serves the entry until it has
+    /// Stops in order: tells several members that this host leaves, revokes its leases, serves the entry until it has
     /// disconnected or `stop_limit` has passed, and ends.
     pub async fn close(self) {
         let out = self.shared.machine().leave();
         gossip::send(&self.shared, out).await;
         log::info!("members: this host leaves");
+        platform::leave(&self.shared).await;
         let timings = &self.shared.settings.timings;
         let report_limit = timings.report_limit.to_duration();
         let start = agatemill_runtime::now();
@@ -154,6 +158,7 @@
 impl Drop for Control {
     fn drop(&mut self) {
         // Tasks hold references to the shared state, which holds the tasks.
+        self.shared.leasing.close();
         self.shared.tasks.close();
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod error;
 mod gossip;
 pub mod hosts;
+mod leases;
 pub mod placement;
 pub mod planner;
 mod platform;
--- a/crates/control/src/planner.rs
+++ b/crates/control/src/planner.rs
@@ -98,7 +98,7 @@
     }
     shared.planner.store(false, Ordering::Relaxed);
     log::info!(fence:%; "planner: term ended");
-    seat.close(client).await;
+    seat.close(shared, client).await;
 }
 
 /// Writes the configuration held back when the platform has lost it.
--- a/crates/control/src/planner/seat.rs
+++ b/crates/control/src/planner/seat.rs
@@ -44,6 +44,7 @@
         }
         let asked = agatemill_runtime::now();
         let lease = client.grant(LEASE).await?;
+        shared.leases.add(lease);
         let claimed = async {
             if !claim(client, &key, &shared.settings.host, lease).await? {
                 return Ok(None);
@@ -53,7 +54,7 @@
         };
         let fence = claimed.await;
         let Ok(Some(fence)) = fence else {
-            release(client, lease).await;
+            release(shared, client, lease).await;
             return fence.map(|_| None);
         };
         let term = Term::new(fence, asked, agatemill_runtime::now());
@@ -69,16 +70,17 @@
     }
 
     /// Gives the lease back.
-    pub(crate) async fn close(self, client: &Client) {
-        release(client, self.lease).await;
+    pub(crate) async fn close(self, shared: &Shared, client: &Client) {
+        release(shared, client, self.lease).await;
     }
 }
 
 /// Gives a lease back; if that fails, it lapses.
-async fn release(client: &Client, lease: Lease) {
+async fn release(shared: &Shared, client: &Client, lease: Lease) {
     if let Err(error) = client.revoke(lease).await {
         log::debug!(error:%; "planner: cannot revoke the lease");
     }
+    shared.leases.remove(lease);
 }
 
 async fn claim(client: &Client, key: &str, host: &id::Host, lease: Lease) -> Result<bool, Error> {
--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -1,5 +1,6 @@
 //! Use of the platform's key-value service. Nothing else waits for it.
 
+use core::sync::atomic::Ordering;
 use std::sync::Arc;
 
 use crate::configuration::Offer;
@@ -19,13 +20,31 @@
     if shared.settings.platform.is_empty() {
         return;
     }
-    let timeout = shared.settings.timings.platform_timeout.to_duration();
-    let client = Client::new(&shared.settings.platform, timeout);
+    let client = client(shared);
     let tasks = &shared.tasks;
-    tasks.spawn(members::keep(Arc::clone(shared), client.clone()));
+    let leasing = &shared.leasing;
+    leasing.spawn(members::keep(Arc::clone(shared), client.clone()));
     tasks.spawn(follow_configuration(Arc::clone(shared), client.clone()));
     tasks.spawn(read_hosts(Arc::clone(shared), client.clone()));
-    tasks.spawn(planner::run(Arc::clone(shared), client));
+    leasing.spawn(planner::run(Arc::clone(shared), client));
+}
+
+/// Ends planning and the entry of this host, and revokes their leases, so that another planner need not wait
+/// for them to lapse.
+pub(crate) async fn leave(shared: &Shared) {
+    if shared.settings.platform.is_empty() {
+        return;
+    }
+    // A task that is being polled on another thread ends at its next wait; a lease that it takes until then
+    // lapses.
+    shared.leasing.close();
+    shared.planner.store(false, Ordering::Relaxed);
+    shared.leases.revoke_all(&client(shared)).await;
+}
+
+fn client(shared: &Shared) -> Client {
+    let timeout = shared.settings.timings.platform_timeout.to_duration();
+    Client::new(&shared.settings.platform, timeout)
 }
 
 /// Reads the list of hosts now and then while this host is one of its zone's watchers. The other members
--- a/crates/control/src/platform/members.rs
+++ b/crates/control/src/platform/members.rs
@@ -50,7 +50,11 @@
             Ok(()) => RETRY,
             Err(error) => {
                 log::debug!(error:%; "platform: cannot keep the entry of this host");
-                listing.lease = listing.lease.filter(|_| error != Error::LeaseLapsed);
+                if error == Error::LeaseLapsed
+                    && let Some(lease) = listing.lease.take()
+                {
+                    shared.leases.remove(lease);
+                }
                 RETRY
             }
         };
@@ -65,6 +69,7 @@
         if !shared.is_contact() {
             client.revoke(lease).await?;
             listing.lease = None;
+            shared.leases.remove(lease);
             return Ok(());
         }
         client.renew(lease).await?;
@@ -84,8 +89,12 @@
         return Ok(());
     }
     let granted = client.grant(LEASE).await?;
+    shared.leases.add(granted);
     let key = format!("{prefix}{}", shared.settings.host);
-    write(shared, client, &key, granted).await?;
+    if let Err(error) = write(shared, client, &key, granted).await {
+        shared.leases.remove(granted);
+        return Err(error);
+    }
     listing.lease = Some(granted);
     Ok(())
 }
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -19,6 +19,7 @@
 use crate::directory;
 use crate::entry::Entry;
 use crate::hosts::Hosts;
+use crate::leases::Leases;
 use crate::placement;
 use crate::tasks::Tasks;
 use agatemill_core::id;
@@ -52,6 +53,9 @@
     /// Control addresses of members that hold a newer generation or list of leaving hosts.
     pub(crate) pulls: Sender<SocketAddr>,
     pub(crate) tasks: Tasks,
+    /// Tasks that hold leases at the platform; a planned stop ends them first.
+    pub(crate) leasing: Tasks,
+    pub(crate) leases: Leases,
 }
 
 impl Shared {
--- a/crates/control/tests/platform.rs
+++ b/crates/control/tests/platform.rs
@@ -192,6 +192,30 @@
     });
 }
 
+/// Guards against a planned stop after which nobody plans until the lease of the planner has lapsed, and
+/// after which new hosts try to join through the stopped one.
+#[test]
+fn a_planned_stop_revokes_its_leases() {
+    smol::block_on(async {
+        let platform = platform().await;
+        let mut controls = cluster(3, &platform).await;
+        let client = platform.client(SECOND);
+        let one = async || controls.iter().any(Control::is_planner);
+        assert!(cluster::within(15 * SECOND, one).await.is_some());
+        let index = controls.iter().position(Control::is_planner);
+        let index = index.expect("a planner");
+        let key = format!("/agatemill/trial/members/host-{index}");
+        assert_ne!(client.get(&key).await, Ok(None));
+        let planner = client.get("/agatemill/trial/planner").await;
+        let before = planner.expect("it answers").expect("a planner");
+        controls.remove(index).close().await;
+        assert_eq!(client.get(&key).await, Ok(None));
+        let planner = client.get("/agatemill/trial/planner").await;
+        let after = planner.expect("it answers");
+        assert!(after.is_none_or(|after| after.revision != before.revision));
+    });
+}
+
 async fn engine(name: &str, ignore_fencing: bool) -> Engine {
     let id = name.parse().expect("a valid id");
     let model = "m".parse().expect("a valid id");
