--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -16,9 +16,11 @@
 use crate::Error;
 use crate::Settings;
 use crate::configuration::Configuration;
+use crate::count::Questions;
 use crate::entry::Entry;
 use crate::gossip;
 use crate::hosts::Hosts;
+use crate::leases::Leases;
 use crate::platform;
 use crate::serve;
 use crate::shared::Shared;
@@ -80,11 +82,14 @@
         configuration: Configuration::default(),
         entry: Entry::default(),
         hosts: Hosts::default(),
+        questions: Questions::default(),
         drain: AtomicBool::new(false),
         planner: AtomicBool::new(false),
         connections: AtomicU64::new(0),
         pulls,
         tasks: Tasks::open(),
+        leasing: Tasks::open(),
+        leases: Leases::default(),
         settings,
     });
     let tasks = &shared.tasks;
@@ -130,12 +135,13 @@
         self.shared.planner.load(Ordering::Relaxed)
     }
 
-    /// Stops in order: tells several members that this host leaves, serves the entry until it has
+    /// Stops in order: tells several members that this host leaves, revokes its leases, serves the entry until it has
     /// disconnected or `stop_limit` has passed, and ends.
     pub async fn close(self) {
         let out = self.shared.machine().leave();
         gossip::send(&self.shared, out).await;
         log::info!("members: this host leaves");
+        platform::leave(&self.shared).await;
         let timings = &self.shared.settings.timings;
         let report_limit = timings.report_limit.to_duration();
         let start = agatemill_runtime::now();
@@ -154,6 +160,7 @@
 impl Drop for Control {
     fn drop(&mut self) {
         // Tasks hold references to the shared state, which holds the tasks.
+        self.shared.leasing.close();
         self.shared.tasks.close();
     }
 }
@@ -171,7 +178,6 @@
             gossip,
             entry: None,
             service: Service::Absent,
-            generation: Generation(0),
         },
     };
     let now = agatemill_runtime::now();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,12 +6,14 @@
 pub mod command;
 pub mod configuration;
 pub mod control;
+mod count;
 pub mod directory;
 pub mod document;
 pub mod entry;
 pub mod error;
 mod gossip;
 pub mod hosts;
+mod leases;
 pub mod placement;
 pub mod planner;
 mod platform;
--- a/crates/load/src/control/detector/network.rs
+++ b/crates/load/src/control/detector/network.rs
@@ -167,7 +167,7 @@
             self.paused = None;
         }
         self.deliver();
-        self.change_configuration();
+        self.change_descriptions();
         for index in 0..self.machines.len() {
             if self.is_paused(index) {
                 continue;
@@ -179,8 +179,9 @@
         }
     }
 
-    /// Puts the next generation in force at every member when it is due.
-    fn change_configuration(&mut self) {
+    /// Changes the description of every member when that is due. Generations are no part of it any more;
+    /// the load on the news is kept as it was measured with them.
+    fn change_descriptions(&mut self) {
         let now = u64::try_from(self.now.as_millis()).unwrap_or(u64::MAX);
         let step = u64::try_from(TICK.as_millis()).unwrap_or(u64::MAX);
         if self.change == 0 || now % self.change >= step {
@@ -188,7 +189,11 @@
         }
         for machine in self.machines.iter_mut().flatten() {
             let mut profile = machine.own().profile.clone();
-            profile.generation = Generation(profile.generation.0 + 1);
+            let port = profile
+                .entry
+                .map_or(0, |entry| entry.port())
+                .wrapping_add(1);
+            profile.entry = Some(SocketAddr::new(profile.control.ip(), port));
             machine.describe(profile);
         }
     }
--- a/crates/membership/tests/machines.rs
+++ b/crates/membership/tests/machines.rs
@@ -30,14 +30,13 @@
     }
 }
 
-/// Guards against suspicions that wait behind the news of a new generation, which changes the record of
-/// every member.
+/// Guards against suspicions that wait behind news of descriptions when the record of every member changes.
 #[test]
-fn a_new_generation_does_not_delay_a_suspicion() {
+fn changed_descriptions_do_not_delay_a_suspicion() {
     for seed in 0..2 {
         let mut network = Network::new(300, seed);
         network.run(10 * SECOND);
-        network.change_configuration(1);
+        network.change_descriptions(9);
         network.run(SECOND / 2);
         network.kill(299);
         let suspected = network.run_until(2 * SECOND, |network| {
--- a/crates/membership/tests/network/mod.rs
+++ b/crates/membership/tests/network/mod.rs
@@ -9,7 +9,6 @@
 use fastrand::Rng;
 
 use agatemill_core::id;
-use agatemill_core::number::Generation;
 use agatemill_core::number::Incarnation;
 use agatemill_membership::Machine;
 use agatemill_membership::Member;
@@ -71,7 +70,6 @@
             gossip: address(index),
             entry: None,
             service: Service::Ready,
-            generation: Generation(0),
         },
     }
 }
@@ -145,11 +143,11 @@
             .merge(now, known);
     }
 
-    /// Puts a generation in force at every machine.
-    pub fn change_configuration(&mut self, generation: u64) {
+    /// Changes the description of every machine, as a change of all entry addresses would.
+    pub fn change_descriptions(&mut self, port: u16) {
         for machine in self.machines.iter_mut().flatten() {
             let mut profile = machine.own().profile.clone();
-            profile.generation = Generation(generation);
+            profile.entry = Some(SocketAddr::new(profile.control.ip(), port));
             machine.describe(profile);
         }
     }
--- a/crates/wire/tests/codecs.rs
+++ b/crates/wire/tests/codecs.rs
@@ -32,7 +32,7 @@
 }
 
 fn member() -> impl Strategy<Value = Member> {
-    let numbers = any::<(u64, u64, u64, u64)>();
+    let numbers = any::<(u64, u64, u64)>();
     (host(), numbers, address()).prop_map(|(host, numbers, address)| Member {
         host,
         zone: "zone-a".parse().expect("a valid id"),
@@ -43,7 +43,6 @@
         gossip: address,
         entry: None,
         service: Service::Ready,
-        generation: numbers.3,
         state: State::Suspect,
     })
 }
@@ -53,8 +52,11 @@
         Just(Kind::Ping),
         Just(Kind::Ack),
         host().prop_map(|target| Kind::PingRequest { target }),
+        Just(Kind::Ask),
+        any::<u64>().prop_map(|generation| Kind::Held { generation }),
+        any::<u64>().prop_map(|generation| Kind::Count { generation }),
     ];
-    let numbers = any::<(u64, u64, u64, Option<u64>)>();
+    let numbers = any::<(u64, u64, u64, Option<u64>, u64)>();
     (host(), kind, numbers, vec(member(), 0..5)).prop_map(|(from, kind, numbers, members)| {
         Datagram {
             environment: numbers.0,
@@ -62,6 +64,7 @@
             kind,
             sequence: numbers.1,
             generation: numbers.2,
+            hosts: numbers.4,
             confirmed_ms: numbers.3,
             members,
         }
