--- a/crates/load/src/control/detector/network.rs
+++ b/crates/load/src/control/detector/network.rs
@@ -13,7 +13,6 @@
 use crate::control::Error;
 use agatemill_control::record;
 use agatemill_core::id;
-use agatemill_core::number::Generation;
 use agatemill_core::number::Incarnation;
 use agatemill_membership::Kind;
 use agatemill_membership::Machine;
@@ -275,7 +274,6 @@
             gossip,
             entry: Some(SocketAddr::new(gossip.ip(), 8_080)),
             service: Service::Ready,
-            generation: Generation(100_000),
         },
     }
 }
@@ -311,6 +309,11 @@
             datagram::Kind::Ping => Kind::Ping,
             datagram::Kind::Ack => Kind::Ack,
             datagram::Kind::PingRequest { target } => Kind::PingRequest { target },
+            // Counts are no part of the failure detector.
+            datagram::Kind::Ask
+            | datagram::Kind::Held { .. }
+            | datagram::Kind::Count { .. }
+            | datagram::Kind::Counted(_) => return None,
         },
         sequence: datagram.sequence,
         members: record::from_wire(datagram.members),
