Make engines with open breakers expensive where they cannot all be left out

Cause: at most a third of the engines of a layer range are ejected. With three of eight failing, one stays in use, fails at once, therefore has the fewest sessions, and the policy outstanding sends it most requests. Each costs a retry, until the budget is used up.

Change: an engine that is used with an open breaker has eight times its cost.

The new test sends 15 of 20 requests to the failing engine without the change, and none with it.

--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -16,6 +16,10 @@
 use agatemill_core::layer;
 use agatemill_core::quantity::Size;
 
+/// Factor on the cost of an engine that is used although its breaker is open, because too many are. An engine
+/// that fails at once has the fewest sessions, so without this it would draw the most requests.
+const OPEN_PENALTY: f64 = 8.0;
+
 /// The engines of one group, as one entry sees them.
 #[derive(Debug)]
 pub struct Pool {
@@ -40,7 +44,7 @@
         let servers = self.candidates(request, policy, now);
         let candidates: Vec<path::Candidate> = servers
             .iter()
-            .map(|server| self.candidate(server, policy, links))
+            .map(|server| self.candidate(server, policy, links, now))
             .collect();
         let steps = path::cheapest(&candidates, self.layers)?;
         let stages: Vec<Stage> = steps
@@ -79,13 +83,19 @@
         server: &id::Server,
         policy: &Policy,
         links: &Links,
+        now: Duration,
     ) -> path::Candidate {
         let random = self.random.f64();
         let engine = &self.engines[server];
+        let penalty = if engine.breaker.allows(now) {
+            1.0
+        } else {
+            OPEN_PENALTY
+        };
         let round_trip = links.round_trip(&engine.facts.zone, self.activation);
         path::Candidate {
             layers: engine.layers.expect("a usable engine holds layers"),
-            cost: (policy.cost)(engine, random),
+            cost: (policy.cost)(engine, random) * penalty,
             fixed: if policy.links {
                 round_trip.as_secs_f64()
             } else {
--- a/crates/routing/tests/outstanding.rs
+++ b/crates/routing/tests/outstanding.rs
@@ -75,3 +75,42 @@
     let fast = counts[&fast];
     assert!((78..=82).contains(&fast), "{counts:?}");
 }
+
+/// Guards against engines that fail at once and draw the most requests, because they have the fewest sessions
+/// and too many breakers are open to leave all of them out.
+#[test]
+fn failing_engines_beyond_the_ejection_cap_draw_few_requests() {
+    let engines: String = (1..=8)
+        .map(|port| engine(&format!("e{port}"), port, 100))
+        .collect();
+    let table = Table::new(
+        "e".parse().unwrap(),
+        "z".parse().unwrap(),
+        Name::Outstanding.policy(),
+    );
+    table.apply(&Document::parse(&format!("{DOCUMENT}{engines}")).unwrap());
+    let request = Request {
+        half: "h".parse().unwrap(),
+        model: "m".parse().unwrap(),
+        prefix: None,
+        exclude: Vec::new(),
+    };
+    let failing: Vec<id::Server> = ["e1", "e2", "e3"].map(|name| name.parse().unwrap()).into();
+    for server in &failing {
+        (0..3).for_each(|_| table.failed(server, Duration::ZERO));
+    }
+    let now = Duration::from_millis(500);
+    let mut failed = 0;
+    // Each good engine holds four sessions; a failing one ends its sessions at once.
+    for _ in 0..20 {
+        let chain = table.choose(&request, now).unwrap();
+        if failing.contains(&chain.stages()[0].server) {
+            table.closed(&chain, now);
+            failed += 1;
+        }
+    }
+    assert_eq!(
+        failed, 0,
+        "good engines are loaded lightly and should have got all"
+    );
+}
