--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 //! This program is also the stand-ins: with `fake` as its first argument it runs one of them.
 
 mod caller;
+mod condition;
 mod network;
 mod plan;
 mod process;
--- a/tests/all/script.rs
+++ b/tests/all/script.rs
@@ -8,7 +8,6 @@
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
-use std::time::Instant;
 
 use datadriven::TestCase;
 use rustix::process::Signal;
@@ -61,7 +60,7 @@
             "hosts" => self.hosts(case),
             "apply" => self.apply(case),
             "ctl" => self.ctl(case),
-            "await" => self.wait(case),
+            "await" => self.await_condition(case),
             "calls" => verdict::calls(self.world()),
             "layers" => verdict::layers(self.world()),
             "load" => verdict::load(self.world()),
@@ -85,13 +84,13 @@
         self.world.as_ref().map(World::logs).unwrap_or_default()
     }
 
-    fn world(&self) -> &World {
+    pub(crate) fn world(&self) -> &World {
         self.world
             .as_ref()
             .expect("a scenario starts with `cluster`")
     }
 
-    fn world_mut(&mut self) -> &mut World {
+    pub(crate) fn world_mut(&mut self) -> &mut World {
         self.world
             .as_mut()
             .expect("a scenario starts with `cluster`")
@@ -306,78 +305,6 @@
         format!("exit {code}")
     }
 
-    /// Waits for a condition and fails when it does not come; `within` bounds the time in milliseconds.
-    fn wait(&mut self, case: &mut TestCase) -> String {
-        let within: u64 = argument(
-            case,
-            "within",
-            u64::try_from(PATIENCE.as_millis()).expect("short"),
-        );
-        let started = Instant::now();
-        let held = if let Some(hosts) = case
-            .try_take_args::<String>("directory")
-            .expect("directory=(h0, …)")
-        {
-            let entries: Vec<u8> = self.host_indexes(case, "at");
-            self.world()
-                .until(|world| entries.iter().all(|entry| world.directory(*entry) == hosts))
-        } else if let Some(name) = case
-            .try_take_arg::<String>("executed")
-            .expect("executed=NAME")
-        {
-            self.world()
-                .until(|world| world.executions(&name).is_some_and(|list| !list.is_empty()))
-        } else if let Some(hosts) = case
-            .try_take_args::<String>("ready")
-            .expect("ready=(h0, …)")
-        {
-            let indexes: Vec<u8> = hosts.iter().map(|host| host_index(host)).collect();
-            self.world()
-                .until(|world| indexes.iter().all(|index| world.is_ready(*index)))
-        } else if let Some(part) = case.try_take_arg::<String>("key").expect("key=PART") {
-            self.world().until(|world| world.has_key(&part))
-        } else if let Some(generation) = case
-            .try_take_arg::<u64>("generation")
-            .expect("generation=N")
-        {
-            self.world().until(|world| world.generation() == generation)
-        } else if let Some(generation) = case
-            .try_take_arg::<u64>("platform-generation")
-            .expect("a number")
-        {
-            self.world()
-                .until(|world| world.platform_generation() == generation)
-        } else if let Some(reason) = case.try_take_arg::<String>("reason").expect("reason=TEXT") {
-            let entries = self.entries(case);
-            self.world().until(|_| chat(entries[0]).reason == reason)
-        } else if let Some(status) = case.try_take_arg::<u16>("chat").expect("chat=CODE") {
-            let entries = self.entries(case);
-            self.world()
-                .until(|_| entries.iter().all(|entry| chat(*entry).status == status))
-        } else if let Some(text) = case.try_take_arg::<String>("log").expect("log=TEXT") {
-            let target: String = case.take_arg("target").expect("target=NAME");
-            let needle = text.replace('_', " ");
-            let end = Instant::now() + PATIENCE;
-            let mut found = false;
-            while !found && Instant::now() < end {
-                found = self
-                    .world_mut()
-                    .process(&target)
-                    .log_text()
-                    .contains(&needle);
-                thread::sleep(Duration::from_millis(20));
-            }
-            found
-        } else {
-            panic!("await needs a condition")
-        };
-        match (held, started.elapsed().as_millis() <= u128::from(within)) {
-            (false, _) => "it did not come".to_owned(),
-            (true, false) => format!("it came after {} ms", started.elapsed().as_millis()),
-            (true, true) => String::new(),
-        }
-    }
-
     /// Number of steps or calls that a stand-in ran, in all or `since` a mark; `mark` only remembers it.
     fn executions(&mut self, case: &mut TestCase) -> String {
         let targets: Vec<String> = case.take_args("target").expect("target=NAME");
@@ -455,7 +382,7 @@
     }
 
     /// Addresses of the entries named by `entry=` or `entry=(h0, h1)`; all when it is left out.
-    fn entries(&self, case: &mut TestCase) -> Vec<std::net::SocketAddr> {
+    pub(crate) fn entries(&self, case: &mut TestCase) -> Vec<std::net::SocketAddr> {
         let network = self.world().network;
         self.host_indexes(case, "entry")
             .into_iter()
@@ -463,7 +390,7 @@
             .collect()
     }
 
-    fn host_indexes(&self, case: &mut TestCase, argument: &str) -> Vec<u8> {
+    pub(crate) fn host_indexes(&self, case: &mut TestCase, argument: &str) -> Vec<u8> {
         let names: Option<Vec<String>> = case.try_take_args(argument).expect("host names");
         names.map_or_else(
             || (0..self.world().hosts).collect(),
@@ -482,14 +409,14 @@
     }
 }
 
-fn host_index(name: &str) -> u8 {
+pub(crate) fn host_index(name: &str) -> u8 {
     name.trim_start_matches('h')
         .parse()
         .expect("a host name such as h0")
 }
 
 /// A short chat that is not judged.
-fn chat(entry: std::net::SocketAddr) -> Answer {
+pub(crate) fn chat(entry: std::net::SocketAddr) -> Answer {
     let body = json!({"model": MODEL, "max_tokens": 1, "messages": [{"role": "user", "content": "hello"}]});
     World::caller(0).post(entry, "/v1/chat/completions", &[], &body)
 }
@@ -501,7 +428,7 @@
     String::new()
 }
 
-fn argument<T: std::str::FromStr>(case: &mut TestCase, name: &str, default: T) -> T
+pub(crate) fn argument<T: std::str::FromStr>(case: &mut TestCase, name: &str, default: T) -> T
 where
     T::Err: std::error::Error + Send + Sync + 'static,
 {
