Prove that a draining engine is not asked for new sessions

Cause: leaving-engine-says passed with the entry ignoring the report of draining, because the engine stand-in refuses new sessions itself and refused steps are no executions.

--- a/crates/fake/src/engine/state.rs
+++ b/crates/fake/src/engine/state.rs
@@ -117,6 +117,7 @@
         match self.sessions.get(&step.session) {
             None if position > 0 => Err(failure(Code::SessionUnknown, "no such session")),
             None if self.draining || self.faults.drain => {
+                log::info!(session:% = step.session; "fake: refused a session while draining");
                 Err(failure(Code::Draining, "no new sessions"))
             }
             None => Ok(()),
