Call the planner's hold on its lease leadership

Cause: Seat is no term of the field.

Change: the type, its module and variables are named Leadership and leadership.

Measured: the tests of crates/control pass.

Conclusion: none.

--- a/crates/control/src/planner.rs
+++ b/crates/control/src/planner.rs
@@ -11,9 +11,9 @@
 use crate::document;
 use crate::placement;
 use crate::planner::bucket::Bucket;
+use crate::planner::leadership::Leadership;
 use crate::planner::orders::Orders;
 use crate::planner::orders::Refused;
-use crate::planner::seat::Seat;
 use crate::shared::Shared;
 use agatemill_config::Envelope;
 use agatemill_config::document::Engine;
@@ -28,9 +28,9 @@
 use agatemill_platform::Swap;
 
 pub mod bucket;
+mod leadership;
 mod orders;
 pub mod plan;
-mod seat;
 pub mod term;
 
 /// Time between two attempts to gain the lease, and longest duration of a pass over the engines. With the
@@ -79,8 +79,8 @@
     let orders = Orders::default();
     loop {
         if is_eligible(&shared) {
-            match Seat::gain(&shared, &client).await {
-                Ok(Some(seat)) => serve_term(&shared, &client, &orders, seat).await,
+            match Leadership::gain(&shared, &client).await {
+                Ok(Some(leadership)) => serve_term(&shared, &client, &orders, leadership).await,
                 Ok(None) => {}
                 Err(error) => log::debug!(error:%; "planner: cannot contend for the lease"),
             }
@@ -95,8 +95,13 @@
     own.state == State::Alive && placement::watches(own, machine.others())
 }
 
-async fn serve_term(shared: &Arc<Shared>, client: &Client, orders: &Orders, mut seat: Seat) {
-    let fence = seat.term.fence;
+async fn serve_term(
+    shared: &Arc<Shared>,
+    client: &Client,
+    orders: &Orders,
+    mut leadership: Leadership,
+) {
+    let fence = leadership.term.fence;
     log::info!(fence:%; "planner: term started");
     shared.planner.store(true, Ordering::Relaxed);
     let mut work = Work {
@@ -105,18 +110,18 @@
         wanted: None,
         compared: None,
     };
-    while seat.term.holds(agatemill_runtime::now()) && is_eligible(shared) {
-        if let Err(error) = write_back(shared, client, &seat, &mut work).await {
+    while leadership.term.holds(agatemill_runtime::now()) && is_eligible(shared) {
+        if let Err(error) = write_back(shared, client, &leadership, &mut work).await {
             log::debug!(error:%; "planner: cannot compare the configuration");
         }
         // Renewals must go on while engines are slow, so a pass may be cut short between two orders.
-        let pass = plan(shared, orders, &seat, &mut work);
+        let pass = plan(shared, orders, &leadership, &mut work);
         if let Some(Err(Refused::Fenced)) = agatemill_runtime::timeout(INTERVAL, pass).await {
             log::warn!(fence:%; "planner: an engine has seen a newer fencing number");
             break;
         }
         agatemill_runtime::sleep(INTERVAL / 2).await;
-        if let Err(error) = seat.renew(client).await {
+        if let Err(error) = leadership.renew(client).await {
             log::warn!(error:%; "planner: cannot renew the lease");
             if error == Error::LeaseLapsed {
                 break;
@@ -125,14 +130,14 @@
     }
     shared.planner.store(false, Ordering::Relaxed);
     log::info!(fence:%; "planner: term ended");
-    seat.close(shared, client).await;
+    leadership.close(shared, client).await;
 }
 
 /// Writes the configuration held back when the platform has lost it.
 async fn write_back(
     shared: &Shared,
     client: &Client,
-    seat: &Seat,
+    leadership: &Leadership,
     work: &mut Work,
 ) -> Result<(), Error> {
     let reverted = shared.configuration.reverted();
@@ -166,7 +171,7 @@
         return Ok(());
     }
     shared.configuration.note_reverted(Generation(found));
-    if !seat.term.holds(agatemill_runtime::now()) {
+    if !leadership.term.holds(agatemill_runtime::now()) {
         return Ok(());
     }
     let value = serde_json::to_vec(&held).map_err(|error| Error::Malformed(error.to_string()))?;
@@ -182,7 +187,7 @@
 async fn plan(
     shared: &Shared,
     orders: &Orders,
-    seat: &Seat,
+    leadership: &Leadership,
     work: &mut Work,
 ) -> Result<(), Refused> {
     let Some(wanted) = wanted(shared, work) else {
@@ -195,7 +200,7 @@
     let ordered: BTreeSet<_> = work.ordered.keys().cloned().collect();
     for engine in plan::loads(&wanted.engines, &statuses, &ordered) {
         let now = agatemill_runtime::now();
-        if !seat.term.may_order(now, engine.fencing) {
+        if !leadership.term.may_order(now, engine.fencing) {
             continue;
         }
         if !work.bucket.take(now, wanted.load_rate) {
@@ -203,20 +208,20 @@
         }
         // Noted before the order is sent, because a cancelled pass may have sent it.
         work.ordered.insert(engine.name.clone(), now);
-        order(orders, seat, engine).await?;
+        order(orders, leadership, engine).await?;
     }
     Ok(())
 }
 
-async fn order(orders: &Orders, seat: &Seat, engine: &Engine) -> Result<(), Refused> {
-    if !seat
+async fn order(orders: &Orders, leadership: &Leadership, engine: &Engine) -> Result<(), Refused> {
+    if !leadership
         .term
         .may_order(agatemill_runtime::now(), engine.fencing)
     {
         return Ok(());
     }
     let answer = orders
-        .send(engine, seat.term.fence, plan::load(engine))
+        .send(engine, leadership.term.fence, plan::load(engine))
         .await;
     match answer {
         Err(Refused::Fenced) => return Err(Refused::Fenced),
--- a/crates/control/src/planner/seat.rs
+++ b/crates/control/src/planner/leadership.rs
@@ -21,7 +21,7 @@
 
 /// The planner's lease, held by this process.
 #[derive(Debug)]
-pub(crate) struct Seat {
+pub(crate) struct Leadership {
     pub(crate) term: Term,
     lease: Lease,
 }
@@ -34,7 +34,7 @@
     claim: CompactString,
 }
 
-impl Seat {
+impl Leadership {
     /// Takes the lease if nobody holds it.
     pub(crate) async fn gain(shared: &Shared, client: &Client) -> Result<Option<Self>, Error> {
         let environment = &shared.settings.environment;
