--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -52,6 +52,7 @@
         Some(Ok(Service::Local)) => serve_local(shared, stream, connection).await,
         Some(Ok(Service::Peer)) => serve_peer(shared, stream).await,
         Some(Ok(Service::Operator)) => serve_operator(shared, stream).await,
+        Some(Ok(Service::Feed)) => log::debug!("members: a connection asked for another program"),
         Some(Err(error)) => log::debug!(error:%; "members: a connection named no service"),
         None => log::debug!("members: a connection named no service in time"),
     }
--- a/crates/fleet/src/census.rs
+++ b/crates/fleet/src/census.rs
@@ -15,6 +15,7 @@
 use crate::Member;
 use crate::Tally;
 use crate::load::Work;
+use crate::member;
 use crate::tally::Key;
 use agatemill_core::id;
 
@@ -103,7 +104,7 @@
         now: Duration,
     ) -> Vec<(SocketAddrV4, Message)> {
         self.told = own.clone();
-        match collector(members, &self.zone) {
+        match member::first(members, &self.zone) {
             Some(collector) if collector.host != self.host => {
                 self.hosts.clear();
                 self.zones.clear();
@@ -136,8 +137,8 @@
             total.add(&heard.tally);
         }
         let mut messages = Vec::new();
-        for zone in other_zones(members, &self.zone) {
-            if let Some(collector) = collector(members, zone) {
+        for zone in member::other_zones(members, &self.zone) {
+            if let Some(collector) = member::first(members, zone) {
                 let message = Message::Zone {
                     zone: self.zone.clone(),
                     tally: sum.clone(),
@@ -188,17 +189,3 @@
         }
     }
 }
-
-/// The host that collects for a zone: the one with the lowest name, so that all agree without a message.
-fn collector<'a>(members: &'a HashMap<id::Host, Member>, zone: &id::Zone) -> Option<&'a Member> {
-    let in_zone = members.values().filter(|member| &member.zone == zone);
-    in_zone.min_by(|a, b| a.host.cmp(&b.host))
-}
-
-fn other_zones<'a>(members: &'a HashMap<id::Host, Member>, zone: &id::Zone) -> Vec<&'a id::Zone> {
-    let mut zones: Vec<&id::Zone> = members.values().map(|member| &member.zone).collect();
-    zones.sort_unstable();
-    zones.dedup();
-    zones.retain(|other| *other != zone);
-    zones
-}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,9 +2,9 @@
 //!
 //! An entry host names the whole path of a request and the engines pass it along. This crate holds what
 //! has to be decided for that: which layers each engine holds ([`placement`]), which path a request takes
-//! ([`path`]), what is sent once more ([`budget`]), how hosts learn of each other's
-//! work ([`census`]), and whether the view of the
-//! configuration is recent enough ([`freshness`]). Nothing here does I/O; times are passed in.
+//! ([`path`]), what is sent once more ([`budget`]), how hosts learn of each other's work ([`census`]), where
+//! they learn of changes ([`upstream`]), and whether the view of the configuration is recent enough
+//! ([`freshness`]). Nothing here does I/O; times are passed in.
 
 pub mod budget;
 pub mod census;
@@ -20,6 +20,7 @@
 pub mod server;
 pub mod suspicion;
 pub mod tally;
+pub mod upstream;
 
 pub use budget::Budget;
 pub use census::Census;
@@ -34,3 +35,4 @@
 pub use server::Server;
 pub use suspicion::Suspicion;
 pub use tally::Tally;
+pub use upstream::Upstream;
--- /dev/null
+++ b/crates/fleet/tests/upstream.rs
@@ -0,0 +1,142 @@
+//! Whom a host asks for changes of the store.
+
+use core::time::Duration;
+use std::collections::HashMap;
+
+use agatemill_core::id;
+use agatemill_fleet::Member;
+use agatemill_fleet::Upstream;
+use agatemill_fleet::upstream::Source;
+
+const START: Duration = Duration::from_secs(100);
+
+/// Hosts `a0`, `a1` and so on in zone `a`, `b0` and so on in zone `b`.
+fn members(zones: &[(&str, usize)]) -> HashMap<id::Host, Member> {
+    let mut members = HashMap::new();
+    for (zone, hosts) in zones {
+        for number in 0..*hosts {
+            let name = format!("{zone}{number}");
+            let port = 1_000 + u16::try_from(members.len()).unwrap();
+            let address = core::net::SocketAddrV4::new([10, 0, 0, 1].into(), port);
+            let member = Member {
+                host: name.parse().unwrap(),
+                zone: zone.parse().unwrap(),
+                address,
+                exchange: address,
+            };
+            members.insert(member.host.clone(), member);
+        }
+    }
+    members
+}
+
+fn choose(upstream: &Upstream, host: &str, members: &HashMap<id::Host, Member>) -> String {
+    choose_at(upstream, host, members, START)
+}
+
+fn choose_at(
+    upstream: &Upstream,
+    host: &str,
+    members: &HashMap<id::Host, Member>,
+    now: Duration,
+) -> String {
+    let zone = host[..1].parse().unwrap();
+    let choice = upstream.choose(&host.parse().unwrap(), &zone, members, now);
+    match choice.source {
+        Source::Store => "store".to_owned(),
+        Source::Host { host, .. } => host.to_string(),
+    }
+}
+
+fn host(name: &str, members: &HashMap<id::Host, Member>) -> Source {
+    Source::from(&members[&name.parse::<id::Host>().unwrap()])
+}
+
+/// Guards against calls to the store that grow with the number of hosts.
+#[test]
+fn one_host_of_each_zone_asks_the_store() {
+    for hosts in [1, 27, 333] {
+        let members = members(&[("a", hosts), ("b", hosts), ("c", hosts)]);
+        let upstream = Upstream::default();
+        let asking = members
+            .keys()
+            .filter(|host| choose(&upstream, host.as_str(), &members) == "store");
+        assert_eq!(asking.count(), 3, "with {hosts} hosts in each zone");
+    }
+}
+
+/// Guards against hosts that stay without changes because the host that they follow is lost.
+#[test]
+fn a_lost_host_is_replaced_by_the_store() {
+    let members = members(&[("a", 3), ("b", 2)]);
+    let mut upstream = Upstream::default();
+    assert_eq!(choose(&upstream, "a2", &members), "a0");
+    upstream.failed(&host("a0", &members), START);
+    assert_eq!(choose(&upstream, "a2", &members), "store");
+    let later = START + Duration::from_secs(4);
+    assert_eq!(choose_at(&upstream, "a2", &members, later), "a0");
+}
+
+/// Guards against a host that refuses callers because the store turns it away while it serves other hosts.
+#[test]
+fn a_host_that_the_store_turns_away_follows_another() {
+    let members = members(&[("a", 2), ("b", 2)]);
+    let mut upstream = Upstream::default();
+    assert_eq!(choose(&upstream, "a0", &members), "store");
+    upstream.failed(&Source::Store, START);
+    assert_eq!(choose(&upstream, "a0", &members), "b0");
+    let later = START + Duration::from_secs(4);
+    assert_eq!(choose_at(&upstream, "a0", &members, later), "store");
+}
+
+/// Whom a host asks each 100 ms when nobody answers.
+fn asked(host: &str, members: &HashMap<id::Host, Member>, times: usize) -> Vec<String> {
+    let zone = host[..1].parse().unwrap();
+    let mut upstream = Upstream::default();
+    let mut now = START;
+    let mut asked = Vec::new();
+    for _ in 0..times {
+        let choice = upstream.choose(&host.parse().unwrap(), &zone, members, now);
+        asked.push(choose_at(&upstream, host, members, now));
+        upstream.failed(&choice.source, now);
+        now += Duration::from_millis(100);
+    }
+    asked
+}
+
+/// Guards against calls of every host to a store that is down, and against a store whose return is seen late.
+#[test]
+fn a_store_that_is_down_is_asked_by_few_hosts() {
+    let members = members(&[("a", 2), ("b", 2)]);
+    let calls = |host| {
+        let asked = asked(host, &members, 50);
+        asked.iter().filter(|source| *source == "store").count()
+    };
+    assert!(calls("a0") >= 40, "the host that watches goes on");
+    assert!(calls("a1") <= 2, "a host that follows asks in 5 s");
+    assert_eq!(
+        asked("a1", &members, 6),
+        ["a0", "store", "b0", "a0", "b0", "a0"]
+    );
+}
+
+/// Guards against a pause before a source that has not failed.
+#[test]
+fn only_sources_that_have_failed_are_a_last_resort() {
+    let members = members(&[("a", 2), ("b", 1)]);
+    let own: id::Host = "a1".parse().unwrap();
+    let mut upstream = Upstream::default();
+    for _ in 0..3 {
+        let choice = upstream.choose(&own, &"a".parse().unwrap(), &members, START);
+        assert!(!choice.is_last_resort, "{choice:?}");
+        upstream.failed(&choice.source, START);
+    }
+    let choice = upstream.choose(&own, &"a".parse().unwrap(), &members, START);
+    assert!(choice.is_last_resort);
+    upstream.answered(&Source::Store);
+    let choice = upstream.choose(&own, &"a".parse().unwrap(), &members, START);
+    assert_eq!(
+        (choice.source, choice.is_last_resort),
+        (Source::Store, false)
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/feed/serve.rs
@@ -0,0 +1,121 @@
+//! The service for hosts that follow the store through this one.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use async_compat::CompatExt;
+use futures::StreamExt;
+use serde_bytes::ByteBuf;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+use tarpc::context::Context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+
+use super::MAX_SILENCE;
+use super::News;
+use crate::State;
+use crate::clock;
+use agatemill_adapter::store::Change;
+use agatemill_core::number::Revision;
+use agatemill_wire::feed;
+use agatemill_wire::feed::Feed as _;
+use agatemill_wire::transport;
+use agatemill_wire::transport::Service;
+
+/// Pause after an error of the listener, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long a new connection may take to name its service.
+const NAME_LIMIT: Duration = Duration::from_secs(2);
+
+/// Accepts hosts that follow until the process ends.
+pub async fn run(state: Arc<State>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => agatemill_runtime::spawn(serve(Arc::clone(&state), stream)).detach(),
+            Err(error) => {
+                log::warn!(error:%; "feed: a connection was not accepted");
+                agatemill_runtime::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(state: Arc<State>, mut stream: TcpStream) {
+    let service = agatemill_runtime::timeout(NAME_LIMIT, transport::accept(&mut stream)).await;
+    let Some(Ok(Service::Feed)) = service else {
+        log::debug!("feed: a connection named no known service");
+        return;
+    };
+    let channel = BaseChannel::with_defaults(transport::frame(stream));
+    let requests = channel.execute(Handler { state }.serve());
+    requests
+        .for_each_concurrent(None, |request| request)
+        .compat()
+        .await;
+}
+
+#[derive(Clone)]
+struct Handler {
+    state: Arc<State>,
+}
+
+impl feed::Feed for Handler {
+    async fn changes(self, _: Context, after: u64, wait_ms: u32) -> Option<feed::Batch> {
+        let after = Revision(after);
+        let end = agatemill_runtime::now() + Duration::from_millis(wait_ms.into());
+        loop {
+            let notice = self.state.feed.listen();
+            let silence = self.state.feed.silence();
+            if silence > MAX_SILENCE {
+                return None;
+            }
+            let left = end.saturating_sub(agatemill_runtime::now());
+            match self.state.feed.news(after) {
+                News::Unknown => return None,
+                News::Since(changes, revision) => return Some(self.batch(changes, revision)),
+                News::None if left.is_zero() => return Some(self.batch(Vec::new(), after)),
+                News::None => {
+                    let silent = MAX_SILENCE.saturating_sub(silence) + Duration::from_millis(1);
+                    let wait = left.min(silent);
+                    agatemill_runtime::timeout(wait, notice).await;
+                }
+            }
+        }
+    }
+}
+
+impl Handler {
+    fn batch(&self, changes: Vec<Change>, revision: Revision) -> feed::Batch {
+        // Read last: the receiver must not take the view for more recent than it is.
+        let age = self.state.view().freshness.age(clock::boot_time());
+        let age = age.unwrap_or(Duration::MAX);
+        let lenient = self.state.view().leniency(agatemill_runtime::now());
+        feed::Batch {
+            changes: changes.into_iter().map(to_wire).collect(),
+            revision: revision.0,
+            age_ms: millis_up(age),
+            lenient_ms: millis_up(lenient),
+        }
+    }
+}
+
+/// Whole milliseconds, rounded up.
+fn millis_up(time: Duration) -> u32 {
+    u32::try_from(time.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
+}
+
+fn to_wire(change: Change) -> feed::Change {
+    match change {
+        Change::Put(item) => feed::Change {
+            key: item.key,
+            item: Some(feed::Item {
+                value: ByteBuf::from(item.value),
+                revision: item.revision.0,
+                created: item.created.0,
+            }),
+        },
+        Change::Deleted { key } => feed::Change { key, item: None },
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod directory;
 pub mod error;
 pub mod exchange;
+pub mod feed;
 pub mod gossip;
 pub mod journal;
 pub mod outstanding;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -7,6 +7,7 @@
 use crate::Error;
 use crate::Settings;
 use crate::State;
+use crate::feed;
 use crate::gossip;
 use crate::planner;
 use crate::registration::Registration;
@@ -38,6 +39,7 @@
         let directory = server::listen(settings.directory).await?;
         let metrics = server::listen(settings.metrics).await?;
         let exchange = gossip::open(settings.exchange).await?;
+        let followers = server::listen(settings.exchange).await?;
         let state = Arc::new(State::new(settings, Registry::new()?));
         let registration = Arc::new(Registration::default());
         let share = || Arc::clone(&state);
@@ -51,6 +53,7 @@
             agatemill_runtime::spawn(server::metrics(share(), metrics)),
             agatemill_runtime::spawn(gossip::send(share(), exchange.clone())),
             agatemill_runtime::spawn(gossip::receive(share(), exchange)),
+            agatemill_runtime::spawn(feed::serve::run(share(), followers)),
         ];
         Ok(Self {
             state,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -27,7 +27,7 @@
     pub directory: SocketAddrV4,
     /// Where metrics are served.
     pub metrics: SocketAddrV4,
-    /// Where other hosts send datagrams.
+    /// Where other hosts send datagrams, and connect to follow the store.
     pub exchange: SocketAddrV4,
     /// The platform's key-value store.
     pub store: SocketAddrV4,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
 use crate::Settings;
 use crate::View;
 use crate::clock;
+use crate::feed::Feed;
 use crate::stall;
 use agatemill_adapter::Store;
 use agatemill_core::id;
@@ -47,6 +48,8 @@
     pub single: agatemill_http::Client,
     /// Reports of engines that requests wait for.
     pub reports: stall::Reports,
+    /// Changes of the store for hosts that follow this one.
+    pub feed: Feed,
     view: Mutex<View>,
     load: Mutex<Load>,
     census: Mutex<Census>,
@@ -81,6 +84,7 @@
             shared: agatemill_http::Client::new(CONNECT_TIMEOUT),
             single: agatemill_http::Client::without_reuse(CONNECT_TIMEOUT),
             reports: stall::Reports::default(),
+            feed: Feed::default(),
             view: Mutex::default(),
             load: Mutex::default(),
             link: Mutex::default(),
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -75,6 +75,19 @@
         self.lenient_until = now + RETURN_TIME;
     }
 
+    /// How long entries that vanish are still kept.
+    #[must_use]
+    pub fn leniency(&self, now: Duration) -> Duration {
+        self.lenient_until.saturating_sub(now)
+    }
+
+    /// Keeps entries that vanish for at least `time`.
+    pub fn lenient_for(&mut self, time: Duration, now: Duration) {
+        if !time.is_zero() {
+            self.lenient_until = self.lenient_until.max(now + time);
+        }
+    }
+
     /// Drops the entries that have not come back in time.
     pub fn expire(&mut self, now: Duration) {
         let due: Vec<String> = self
--- /dev/null
+++ b/crates/gateway/tests/all/hosts.rs
@@ -0,0 +1,173 @@
+//! Hosts that start, stop, reload and take over from each other.
+
+use core::time::Duration;
+
+use crate::play;
+use crate::standin::engine::Behaviour;
+use crate::standin::engine::Engine;
+use crate::standin::system::document;
+use crate::standin::system::settings;
+
+/// Guards against a planned stop that cuts a request off, or goes on telling callers to come.
+#[test]
+fn a_planned_stop_cuts_nothing() {
+    play(2, |system| async move {
+        for server in &system.services {
+            server.behave(Behaviour::Slow(600));
+        }
+        let resolve = format!(
+            "http://{}/agatemill/resolve?name=office.example&zone=a",
+            system.directory
+        );
+        let (status, text) = system.get(&resolve).await;
+        assert_eq!(status, 200);
+        assert!(text.contains("\"ttl-s\":0.1"), "{text}");
+        let state = system.process.state().clone();
+        let leaving = async {
+            system
+                .until("the request runs", || system.runs("p1") > 0)
+                .await;
+            state.set_stage(agatemill_gateway::state::Stage::Leaving);
+            assert_eq!(system.ready().await, 503);
+            assert_eq!(
+                system.get(&resolve).await.0,
+                503,
+                "the only host must not be told to callers"
+            );
+            let late = system.ask("open", "o1").await;
+            assert_eq!(
+                late.status, 200,
+                "callers that have not heard are still served"
+            );
+            assert_eq!(late.headers["connection"], "close");
+        };
+        let (answer, ()) = futures::join!(system.ask("pay", "p1"), leaving);
+        assert_eq!(answer.status, 200);
+        system.process.close().await;
+        assert_eq!(system.store.value("agatemill/hosts/h1"), None);
+    });
+}
+
+/// Guards against a reload that hands out the retry budget of the window once more.
+#[test]
+fn a_reload_keeps_the_retry_budget() {
+    play(2, |system| async move {
+        let state = system.process.state();
+        let name: agatemill_core::id::Service = "plain".parse().unwrap();
+        let earn = || (0..20).for_each(|_| state.count_request(&name));
+        earn();
+        assert!(state.take_repeat(&name));
+        while state.take_repeat(&name) {}
+        let mut settings = agatemill_gateway::Settings::clone(&state.settings());
+        state.set_settings(settings.clone());
+        assert!(!state.take_repeat(&name));
+        settings.bounds.retry_ratio = 0.4;
+        state.set_settings(settings);
+        earn();
+        assert!(state.take_repeat(&name), "another allowance takes effect");
+    });
+}
+
+/// Guards against settings that are out of range and stop the process only later.
+#[test]
+fn settings_out_of_range_are_refused() {
+    let text = "host = \"h1\"\nzone = \"a\"\ncallers = \"127.0.0.1:1\"\nready = \"127.0.0.1:2\"\n\
+        directory = \"127.0.0.1:3\"\nmetrics = \"127.0.0.1:4\"\nexchange = \"127.0.0.1:5\"\nstore = \"127.0.0.1:6\"\n\
+        [bounds]\nretry_ratio = -1.0\nretry_base = 200\nretry_window = \"10s\"\nrevocation = \"4s\"\ngrace = \"3s\"\n";
+    let file = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(file.path(), text).unwrap();
+    let error = agatemill_gateway::Settings::load(file.path()).unwrap_err();
+    assert!(error.to_string().contains("bounds.retry_ratio"), "{error}");
+    std::fs::write(file.path(), text.replace("-1.0", "0.2")).unwrap();
+    assert!(agatemill_gateway::Settings::load(file.path()).is_ok());
+}
+
+/// Guards against orders of a planner that is gone, and against a fleet that nobody plans: the next planner's
+/// orders carry a higher fencing number.
+#[test]
+fn another_host_takes_the_planning_with_a_higher_fence() {
+    play(2, |system| async move {
+        let fence = |engine: &Engine| engine.orders().last().unwrap()["fence"].as_u64().unwrap();
+        let first = fence(&system.engines[0]);
+        let second = settings("h2", system.store_address);
+        let process = agatemill_gateway::Process::start(second).await.unwrap();
+        let listed = || system.store.value("agatemill/hosts/h2").is_some();
+        system.until("the second host is listed", listed).await;
+        let leader = || system.store.value("agatemill/planner").unwrap_or_default();
+        assert!(
+            leader().starts_with("h1-"),
+            "the first host goes on: {}",
+            leader()
+        );
+        let state = system.process.state().clone();
+        state.set_stage(agatemill_gateway::state::Stage::Closing);
+        system
+            .until("the second host leads", || leader().starts_with("h2-"))
+            .await;
+        let late = Engine::start(&system.store, "e9", "model", Some("card"));
+        system
+            .until("the new engine holds layers", || !late.orders().is_empty())
+            .await;
+        assert!(fence(&late) > first);
+        drop(process);
+    });
+}
+
+/// Guards against a host that is told to callers after it has died.
+#[test]
+fn the_directory_names_hosts_that_serve() {
+    play(2, |system| async move {
+        let second = settings("h2", system.store_address);
+        let address = second.callers.to_string();
+        let process = agatemill_gateway::Process::start(second).await.unwrap();
+        let name: agatemill_core::id::Host = "h2".parse().unwrap();
+        let state = system.process.state().clone();
+        let is_known = || state.view().members.contains_key(&name);
+        system.until("both hosts are known", is_known).await;
+        let resolve = format!("http://{}/agatemill/resolve?zone=a", system.directory);
+        assert!(system.get(&resolve).await.1.contains(&address));
+        drop(process);
+        system.until("the dead host is gone", || !is_known()).await;
+        assert!(!system.get(&resolve).await.1.contains(&address));
+    });
+}
+
+/// Guards against a planner of several models that forgets what it ordered for one while it plans another, and
+/// orders it again with every look.
+#[test]
+fn engines_of_two_models_are_ordered_once_each() {
+    play(2, |system| async move {
+        system.store.put("op/config", &two_models(4));
+        let others: Vec<Engine> = (0..2)
+            .map(|number| {
+                Engine::start(
+                    &system.store,
+                    &format!("f{number}"),
+                    "model-2",
+                    Some("card"),
+                )
+            })
+            .collect();
+        for engine in &others {
+            // The order is taken, and its effect is not seen for a while.
+            engine.behave(Behaviour::LoadSlowly);
+        }
+        system
+            .until("the engines are ordered", || {
+                others.iter().all(|engine| !engine.orders().is_empty())
+            })
+            .await;
+        agatemill_runtime::sleep(Duration::from_millis(1_500)).await;
+        for engine in &others {
+            assert_eq!(engine.orders().len(), 1, "{:?}", engine.orders());
+        }
+    });
+}
+
+/// The configuration with a second service that has the same model.
+fn two_models(version: u64) -> String {
+    let document = document(version, r#""k1""#);
+    let (start, end) = document.split_once(r#"{"name":"model","#).unwrap();
+    let (model, rest) = end.split_once("}]}}],").unwrap();
+    format!(r#"{start}{{"name":"model",{model}}}]}}}},{{"name":"model-2",{model}}}]}}}}],{rest}"#)
+}
--- /dev/null
+++ b/crates/gateway/tests/all/main.rs
@@ -0,0 +1,22 @@
+//! A host between callers and stand-ins of the platform.
+
+mod hosts;
+mod serving;
+mod standin;
+mod store;
+mod upstream;
+
+use crate::standin::engine::EVENTS;
+use crate::standin::system::System;
+
+/// Starts everything and runs a test.
+fn play<T: Future<Output = ()>>(engines: usize, test: impl FnOnce(System) -> T) {
+    smol::block_on(async { test(System::start(engines).await).await });
+}
+
+/// All events of a stream, each once and in order.
+fn whole_stream() -> String {
+    let event = |number| format!("id: {number}\ndata: t{number}\n\n");
+    let events: Vec<String> = (0..EVENTS).map(event).collect();
+    events.concat()
+}
--- a/crates/gateway/tests/standin/store.rs
+++ b/crates/gateway/tests/all/standin/store.rs
@@ -34,6 +34,28 @@
     calls: u64,
 }
 
+/// An address of the store.
+#[derive(Clone, Default)]
+pub struct Door(Arc<Mutex<Entrance>>);
+
+#[derive(Default)]
+struct Entrance {
+    is_shut: bool,
+    watches: u64,
+}
+
+impl Door {
+    /// Turns everyone away from now on.
+    pub fn shut(&self) {
+        self.0.lock().unwrap().is_shut = true;
+    }
+
+    /// Watches that were asked for here.
+    pub fn watches(&self) -> u64 {
+        self.0.lock().unwrap().watches
+    }
+}
+
 /// What the store does wrong.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -56,6 +78,25 @@
         (store, address)
     }
 
+    /// Another address of the same store, with faults of its own: the store turns single hosts away.
+    pub fn open_door(&self) -> (SocketAddrV4, Door) {
+        let door = Door::default();
+        let (store, shared) = (self.clone(), door.clone());
+        let address = http::serve(move |request| {
+            let (store, door) = (store.clone(), shared.clone());
+            async move {
+                let is_watch = request.uri().path() == "/agatemill/kv-watch";
+                door.0.lock().unwrap().watches += u64::from(is_watch);
+                let is_shut = door.0.lock().unwrap().is_shut;
+                if is_shut {
+                    return Some(http::whole(503, ""));
+                }
+                store.answer(request).await
+            }
+        });
+        (address, door)
+    }
+
     pub fn set_fault(&self, fault: Fault) {
         self.inner.lock().unwrap().fault = fault;
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod datagram;
 pub mod directory;
 pub mod envelope;
+pub mod feed;
 pub mod instruction;
 pub mod leaving;
 pub mod local;
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -1,7 +1,7 @@
 //! TCP transport for the tarpc services.
 //!
-//! One listener serves [`Local`](crate::local), [`Peer`](crate::peer) and [`Operator`](crate::operator):
-//! the first byte of a connection names the service.
+//! One listener serves [`Local`](crate::local), [`Peer`](crate::peer) and [`Operator`](crate::operator),
+//! another [`Feed`](crate::feed): the first byte of a connection names the service.
 
 use core::net::SocketAddr;
 use std::io;
@@ -32,6 +32,8 @@
     Peer,
     /// [`Operator`](crate::operator).
     Operator,
+    /// [`Feed`](crate::feed).
+    Feed,
 }
 
 impl From<Service> for u8 {
@@ -40,6 +42,7 @@
             Service::Local => b'L',
             Service::Peer => b'P',
             Service::Operator => b'O',
+            Service::Feed => b'F',
         }
     }
 }
@@ -52,6 +55,7 @@
             b'L' => Ok(Self::Local),
             b'P' => Ok(Self::Peer),
             b'O' => Ok(Self::Operator),
+            b'F' => Ok(Self::Feed),
             other => {
                 let text = format!("a connection asked for the unknown service {other:#04x}");
                 Err(io::Error::new(io::ErrorKind::InvalidData, text))
