--- a/crates/gateway/tests/all/hosts.rs
+++ b/crates/gateway/tests/all/hosts.rs
@@ -3,10 +3,10 @@
 use core::time::Duration;
 
 use crate::play;
-use crate::standin::engine::Behaviour;
-use crate::standin::engine::Engine;
-use crate::standin::system::document;
-use crate::standin::system::settings;
+use crate::system::settings;
+use agatemill_standin::Engine;
+use agatemill_standin::document;
+use agatemill_standin::engine::Behaviour;
 
 /// Guards against a planned stop that cuts a request off, or goes on telling callers to come.
 #[test]
@@ -166,7 +166,7 @@
 
 /// The configuration with a second service that has the same model.
 fn two_models(version: u64) -> String {
-    let document = document(version, r#""k1""#);
+    let document = document::routes(version, r#""k1""#);
     let (start, end) = document.split_once(r#"{"name":"model","#).unwrap();
     let (model, rest) = end.split_once("}]}}],").unwrap();
     format!(r#"{start}{{"name":"model",{model}}}]}}}},{{"name":"model-2",{model}}}]}}}}],{rest}"#)
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -2,12 +2,12 @@
 
 mod hosts;
 mod serving;
-mod standin;
 mod store;
+mod system;
 mod upstream;
 
-use crate::standin::engine::EVENTS;
-use crate::standin::system::System;
+use crate::system::System;
+use agatemill_standin::engine::EVENTS;
 
 /// Starts everything and runs a test.
 fn play<T: Future<Output = ()>>(engines: usize, test: impl FnOnce(System) -> T) {
--- a/crates/gateway/tests/all/serving.rs
+++ b/crates/gateway/tests/all/serving.rs
@@ -1,9 +1,9 @@
 //! Requests of callers.
 
 use crate::play;
-use crate::standin::engine::Behaviour;
-use crate::standin::engine::Engine;
 use crate::whole_stream;
+use agatemill_standin::Engine;
+use agatemill_standin::engine::Behaviour;
 
 /// Guards against layers that are run twice or left out, keys that reach engines, and changed answers.
 #[test]
--- a/crates/gateway/tests/all/store.rs
+++ b/crates/gateway/tests/all/store.rs
@@ -5,14 +5,16 @@
 use serde_json::json;
 
 use crate::play;
-use crate::standin::store::Fault;
-use crate::standin::system::document;
+use agatemill_standin::document;
+use agatemill_standin::store::Fault;
 
 /// Guards against keys that are honoured after they were taken away, in touch with the store and out of it.
 #[test]
 fn a_key_that_was_taken_away_is_refused_also_out_of_touch() {
     play(2, |system| async move {
-        system.store.put("op/config", &document(4, r#""k1""#));
+        system
+            .store
+            .put("op/config", &document::routes(4, r#""k1""#));
         let state = system.process.state();
         system
             .until("version 4 is in force", || {
@@ -25,7 +27,9 @@
             .await;
         assert_eq!(system.ask_with("pay", "p1", "k2", "").await.status, 401);
         system.store.set_fault(Fault::Silent);
-        system.store.put("op/config", &document(5, r#""k3""#));
+        system
+            .store
+            .put("op/config", &document::routes(5, r#""k3""#));
         system
             .until("the view is too old", || !state.is_fresh())
             .await;
@@ -53,13 +57,19 @@
     play(2, |system| async move {
         let state = system.process.state();
         let version = || state.view().configuration.as_ref().unwrap().version;
-        system.store.put("op/config", &document(2, r#""k9""#));
+        system
+            .store
+            .put("op/config", &document::routes(2, r#""k9""#));
         system.store.compact();
-        system.store.put("op/config", &document(6, r#""k1""#));
+        system
+            .store
+            .put("op/config", &document::routes(6, r#""k1""#));
         system
             .until("version 6 is in force", || version() == 6)
             .await;
-        system.store.put("op/config", &document(5, r#""k9""#));
+        system
+            .store
+            .put("op/config", &document::routes(5, r#""k9""#));
         system.store.put("servers/e9", "{}");
         system.store.compact();
         agatemill_runtime::sleep(Duration::from_millis(300)).await;
--- a/crates/gateway/tests/all/standin/system.rs
+++ b/crates/gateway/tests/all/system.rs
@@ -10,10 +10,11 @@
 use hyper::Request;
 use hyper::StatusCode;
 
-use super::engine::Engine;
-use super::store::Store;
 use agatemill_gateway::Process;
 use agatemill_gateway::Settings;
+use agatemill_standin::Engine;
+use agatemill_standin::Store;
+use agatemill_standin::document;
 
 /// How long a test waits for a state that it expects; far above what it takes on a busy machine.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -41,54 +42,10 @@
     pub is_whole: bool,
 }
 
-/// The operator's configuration: a resumable stream, a call that runs at most once, an idempotent call and
-/// a public one.
-pub fn document(version: u64, keys: &str) -> String {
-    let route = |name: &str, rest: &str| {
-        format!(
-            r#"{{"name":"{name}","host":"office.example","path-prefix":"/{name}/","timeout-ms":4000,
-            "target-latency-ms":500,"priority":1,{rest}}}"#
-        )
-    };
-    let routes = [
-        route("draft", r#""kind":"streaming","service":"model","max-attempts":2,"resumable":true,"gap-aim-ms":250"#),
-        route("once", r#""kind":"streaming","service":"model","max-attempts":2,"resumable":false,"gap-aim-ms":250"#),
-        route("pay", r#""kind":"non_idempotent","service":"plain","max-attempts":1"#),
-        route("read", r#""kind":"idempotent","service":"plain","max-attempts":2"#),
-        route("open", r#""kind":"idempotent","service":"plain","max-attempts":2,"public":true"#),
-    ]
-    .join(",");
-    format!(
-        r#"{{"version":{version},"routes":[{routes}],"services":[{{"name":"plain","max-conns":10}},
-        {{"name":"model","max-conns":100,"engine":{{"slots":64,"kv-bytes":80000,"models":[{{"name":"x","load-s":0.1}}],
-        "step_ms":1.0,"read_per_s":100000.0,"layers":8,"layer-mb":1000.0,"act-bytes":1000,"pipe-mbps":10000.0,
-        "usual":{{"prompt":100,"answer":50}},"kinds":[{{"name":"card","mb":5000.0,"pace":1.0,"read-x":1.0}}]}}}}],
-        "limits":{{"max-header-bytes":16384,"max-body-bytes":1000,"idle-timeout-ms":15000}},
-        "tenants":[{{"name":"office","api-keys":[{keys}]}}]}}"#
-    )
-}
-
-fn free_address() -> SocketAddrV4 {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    match listener.local_addr().unwrap() {
-        std::net::SocketAddr::V4(address) => address,
-        std::net::SocketAddr::V6(_) => panic!("the loopback address is not IPv4"),
-    }
-}
-
 /// Settings of a host on free addresses.
 pub fn settings(host: &str, store: SocketAddrV4) -> Settings {
-    let mut lines = vec![format!("host = \"{host}\""), "zone = \"a\"".to_owned()];
-    for key in ["callers", "ready", "directory", "metrics", "exchange"] {
-        lines.push(format!("{key} = \"{}\"", free_address()));
-    }
-    lines.push(format!(
-        "store = \"{store}\"\ndirectory_lifetime = \"100ms\"\n[bounds]"
-    ));
-    lines.push("retry_ratio = 0.2\nretry_base = 2000\nretry_window = \"10s\"".to_owned());
-    lines.push("revocation = \"4s\"\ngrace = \"3s\"".to_owned());
     let file = tempfile::NamedTempFile::new().unwrap();
-    std::fs::write(file.path(), lines.join("\n")).unwrap();
+    std::fs::write(file.path(), document::settings(host, store)).unwrap();
     Settings::load(file.path()).unwrap()
 }
 
@@ -98,7 +55,7 @@
         // Another test of this process may have set the logger up.
         let _ = env_logger::builder().is_test(true).try_init();
         let (store, address) = Store::listen();
-        store.put("op/config", &document(3, r#""k1","k2""#));
+        store.put("op/config", &document::routes(3, r#""k1","k2""#));
         let start = |number| Engine::start(&store, &format!("e{number}"), "model", Some("card"));
         let engines = (0..engines).map(start).collect();
         let services = (0..2)
--- a/crates/gateway/tests/all/upstream.rs
+++ b/crates/gateway/tests/all/upstream.rs
@@ -3,11 +3,11 @@
 use core::time::Duration;
 
 use crate::play;
-use crate::standin::store::Door;
-use crate::standin::system::System;
-use crate::standin::system::document;
-use crate::standin::system::settings;
+use crate::system::System;
+use crate::system::settings;
 use agatemill_gateway::Process;
+use agatemill_standin::document;
+use agatemill_standin::store::Door;
 
 /// Time within which a change is to be in force at every host.
 const IN_FORCE: Duration = Duration::from_secs(2);
@@ -33,7 +33,9 @@
 
 async fn takes(system: &System, process: &Process, new: u64) {
     let put = agatemill_runtime::now();
-    system.store.put("op/config", &document(new, r#""k1""#));
+    system
+        .store
+        .put("op/config", &document::routes(new, r#""k1""#));
     let what = format!("version {new} is in force");
     system.until(&what, || version(process) == new).await;
     let taken = agatemill_runtime::now().saturating_sub(put);
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,7 @@
+//! Randomized soak of the real programs on one machine.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    agatemill_soak::command::main()
+}
--- a/crates/gateway/tests/all/standin/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -17,9 +17,9 @@
 use serde_json::Value;
 use serde_json::json;
 
-use super::http;
-use super::http::Body;
-use super::store::Store;
+use crate::Store;
+use crate::http;
+use crate::http::Body;
 
 /// Events of every stream.
 pub const EVENTS: u32 = 6;
@@ -27,7 +27,9 @@
 /// A backend server; clones share it.
 #[derive(Clone)]
 pub struct Engine {
+    /// Its id.
     pub id: String,
+    /// Where it listens.
     pub address: SocketAddrV4,
     inner: Arc<Mutex<Inner>>,
 }
@@ -44,12 +46,22 @@
 /// A request as it arrived.
 #[derive(Clone, Debug)]
 pub struct Arrival {
+    /// The caller's attempt.
     pub attempt: String,
+    /// The path through the layers, for engines that hold some.
     pub path: Option<String>,
+    /// The last event that the caller has.
     pub last_event: Option<String>,
+    /// The organisation that the host names.
     pub organisation: Option<String>,
+    /// Whether the caller's key was passed on.
     pub has_key: bool,
+    /// The whole body.
     pub body: Bytes,
+    /// Whether the server began to work on it.
+    pub has_run: bool,
+    /// When it arrived.
+    pub at: Duration,
 }
 
 /// What the server does with requests.
@@ -77,6 +89,7 @@
 
 impl Engine {
     /// Starts a server and lists it in the store.
+    #[must_use]
     pub fn start(store: &Store, id: &str, service: &str, kind: Option<&str>) -> Self {
         let cell: Arc<Mutex<Option<Self>>> = Arc::default();
         let shared = Arc::clone(&cell);
@@ -114,11 +127,13 @@
             .put(&format!("servers/{}", self.id), &inner.entry.to_string());
     }
 
+    /// Changes a field of the entry in the store.
     pub fn set_entry(&self, field: &str, value: Value) {
         self.inner.lock().unwrap().entry[field] = value;
         self.list();
     }
 
+    /// Changes what the server does with requests.
     pub fn behave(&self, behaviour: Behaviour) {
         self.inner.lock().unwrap().behaviour = behaviour;
     }
@@ -129,10 +144,14 @@
         self.inner.lock().unwrap().stalled.push(row);
     }
 
+    /// Requests that arrived, in order.
+    #[must_use]
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.inner.lock().unwrap().arrivals.clone()
     }
 
+    /// Orders that arrived, in order.
+    #[must_use]
     pub fn orders(&self) -> Vec<Value> {
         self.inner.lock().unwrap().orders.clone()
     }
@@ -191,6 +210,8 @@
             organisation: header("x-tenant"),
             has_key: request.headers().contains_key("authorization"),
             body: Bytes::new(),
+            has_run: true,
+            at: agatemill_runtime::now(),
         };
         arrival.body = http::read(request).await;
         if expected.as_ref() != Some(&self.id) {
@@ -198,6 +219,7 @@
         }
         let behaviour = {
             let mut inner = self.inner.lock().unwrap();
+            arrival.has_run = inner.behaviour != Behaviour::Reject;
             inner.arrivals.push(arrival.clone());
             inner.behaviour
         };
--- a/crates/gateway/tests/all/standin/http.rs
+++ b/crates/standin/src/http.rs
@@ -17,6 +17,7 @@
 use smol::net::TcpListener;
 use smol_hyper::rt::FuturesIo;
 
+/// Body of an answer.
 pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 
 /// Serves requests on a free port of the loopback address. `None` resets the connection.
@@ -48,6 +49,7 @@
     address
 }
 
+/// An answer with a whole body.
 pub fn whole(status: u16, body: impl Into<Bytes>) -> Response<Body> {
     let body = Full::new(body.into()).map_err(|never: Infallible| match never {});
     Response::builder()
@@ -56,6 +58,7 @@
         .unwrap()
 }
 
+/// The whole body of a request.
 pub async fn read(request: Request<Incoming>) -> Bytes {
     request.into_body().collect().await.unwrap().to_bytes()
 }
--- a/crates/gateway/tests/all/standin/store.rs
+++ b/crates/standin/src/store.rs
@@ -15,8 +15,8 @@
 use serde_json::Value;
 use serde_json::json;
 
-use super::http;
-use super::http::Body;
+use crate::http;
+use crate::http::Body;
 
 /// The store; clones share it.
 #[derive(Clone, Default)]
@@ -51,6 +51,7 @@
     }
 
     /// Watches that were asked for here.
+    #[must_use]
     pub fn watches(&self) -> u64 {
         self.0.lock().unwrap().watches
     }
@@ -59,6 +60,7 @@
 /// What the store does wrong.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
+    /// It answers.
     #[default]
     None,
     /// Calls get no answer.
@@ -70,6 +72,8 @@
 }
 
 impl Store {
+    /// Starts a store on a free address.
+    #[must_use]
     pub fn listen() -> (Self, SocketAddrV4) {
         let store = Self::default();
         store.inner.lock().unwrap().revision = 1;
@@ -79,6 +83,7 @@
     }
 
     /// Another address of the same store, with faults of its own: the store turns single hosts away.
+    #[must_use]
     pub fn open_door(&self) -> (SocketAddrV4, Door) {
         let door = Door::default();
         let (store, shared) = (self.clone(), door.clone());
@@ -97,10 +102,13 @@
         (address, door)
     }
 
+    /// Changes what the store does wrong.
     pub fn set_fault(&self, fault: Fault) {
         self.inner.lock().unwrap().fault = fault;
     }
 
+    /// Calls that arrived.
+    #[must_use]
     pub fn calls(&self) -> u64 {
         self.inner.lock().unwrap().calls
     }
@@ -112,6 +120,7 @@
         inner.history.clear();
     }
 
+    /// Writes a key without a lease.
     pub fn put(&self, key: &str, value: &str) {
         self.inner
             .lock()
@@ -119,10 +128,13 @@
             .put(key, &BASE64_STANDARD.encode(value), 0);
     }
 
+    /// Deletes a key.
     pub fn remove(&self, key: &str) {
         self.inner.lock().unwrap().remove(key);
     }
 
+    /// The value of a key.
+    #[must_use]
     pub fn value(&self, key: &str) -> Option<String> {
         let inner = self.inner.lock().unwrap();
         let value = inner.items.get(key)?["value"].as_str()?.to_owned();
