--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -244,7 +244,7 @@
             .and_then(|id| id.parse().ok())
             .map_or(0, |last: u32| last + 1);
         let mut response = if is_stream {
-            self.stream(first)
+            self.stream(first, broken_at(behaviour, first))
         } else {
             http::whole(200, format!("done by {}", self.id))
         };
@@ -254,47 +254,52 @@
         Some(response)
     }
 
-    /// Events from `first` on, one each 20 ms.
-    fn stream(&self, first: u32) -> Response<Body> {
+    /// Events from `first` on, one each 20 ms, up to the event at which the run breaks off.
+    fn stream(&self, first: u32, broken_at: Option<u32>) -> Response<Body> {
         let engine = self.clone();
         let frames = futures::stream::unfold(first, move |number| {
             let engine = engine.clone();
-            async move { Some((engine.event(first, number).await?, number + 1)) }
+            async move { Some((engine.event(number, broken_at).await?, number + 1)) }
         });
         let body = StreamBody::new(frames.boxed());
         Response::new(body.boxed_unsync())
     }
 
-    async fn event(&self, first: u32, number: u32) -> Option<Result<Frame<Bytes>, io::Error>> {
+    async fn event(
+        &self,
+        number: u32,
+        broken_at: Option<u32>,
+    ) -> Option<Result<Frame<Bytes>, io::Error>> {
         if number >= EVENTS {
             return None;
         }
         agatemill_runtime::sleep(Duration::from_millis(20)).await;
-        loop {
-            let behaviour = self.inner.lock().unwrap().behaviour;
-            match behaviour {
-                Behaviour::BreakAfter(count) | Behaviour::BreakEachAfter(count)
-                    if breaks(behaviour, first) && number == first + count =>
-                {
-                    return Some(Ok(Frame::data(Bytes::from(format!("id: {number}\nda")))));
-                }
-                Behaviour::BreakAfter(count) | Behaviour::BreakEachAfter(count)
-                    if breaks(behaviour, first) && number > first + count =>
-                {
-                    return Some(Err(io::Error::other("broken off")));
-                }
-                Behaviour::StallAfter(count) if number >= count => {
-                    agatemill_runtime::sleep(Duration::from_millis(10)).await;
-                }
-                _ => break,
+        match broken_at {
+            Some(at) if number == at => {
+                return Some(Ok(Frame::data(Bytes::from(format!("id: {number}\nda")))));
             }
+            Some(at) if number > at => return Some(Err(io::Error::other("broken off"))),
+            _ => {}
+        }
+        while self.stalls(number) {
+            agatemill_runtime::sleep(Duration::from_millis(10)).await;
         }
         let event = format!("id: {number}\ndata: t{number}\n\n");
         Some(Ok(Frame::data(Bytes::from(event))))
     }
+
+    fn stalls(&self, number: u32) -> bool {
+        let behaviour = self.inner.lock().unwrap().behaviour;
+        matches!(behaviour, Behaviour::StallAfter(count) if number >= count)
+    }
 }
 
-/// Whether a run that begins at event `first` is broken off.
-fn breaks(behaviour: Behaviour, first: u32) -> bool {
-    first == 0 || matches!(behaviour, Behaviour::BreakEachAfter(_))
+/// The event within which a run that begins at event `first` breaks off. It is decided once for a run: one that
+/// went on behind half an event would be no stream that an engine sends.
+fn broken_at(behaviour: Behaviour, first: u32) -> Option<u32> {
+    match behaviour {
+        Behaviour::BreakAfter(count) if first == 0 => Some(count),
+        Behaviour::BreakEachAfter(count) => Some(first + count),
+        _ => None,
+    }
 }
