--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -18,6 +18,8 @@
 use crate::proxy::Mode;
 use crate::verdict;
 use crate::verdict::Change;
+use crate::verdict::Disturbance;
+use crate::verdict::Events;
 use agatemill_standin::Engine;
 use agatemill_standin::Store;
 use agatemill_standin::document;
@@ -56,7 +58,7 @@
     server_links: Vec<Proxy>,
     hosts: Vec<Host>,
     callers: Callers,
-    changes: Vec<Change>,
+    events: Events,
     broken: Vec<String>,
 }
 
@@ -83,7 +85,7 @@
     }
     let sent = play.callers.sent();
     let arrivals: Vec<_> = play.servers.iter().flat_map(Engine::arrivals).collect();
-    let mut broken = verdict::broken(&sent, &arrivals, &play.changes);
+    let mut broken = verdict::broken(&sent, &arrivals, &play.events);
     broken.append(&mut play.broken);
     let is_served = |answer: &crate::caller::Answer| answer.status.is_success() && answer.is_whole;
     Ok(Report {
@@ -126,10 +128,13 @@
             server_links,
             hosts,
             callers: Callers::default(),
-            changes: vec![Change {
-                at: agatemill_runtime::now(),
-                has_second_key: true,
-            }],
+            events: Events {
+                changes: vec![Change {
+                    at: agatemill_runtime::now(),
+                    has_second_key: true,
+                }],
+                disturbances: Vec::new(),
+            },
             broken: Vec::new(),
         })
     }
@@ -143,6 +148,7 @@
             let time = agatemill_runtime::now().saturating_sub(start);
             for fault in extract(&mut waiting, |fault| fault.at <= time) {
                 self.begin(&fault.kind)?;
+                self.note(fault);
                 lasting.push(fault);
             }
             for fault in extract(&mut lasting, |fault| fault.at + fault.lasts <= time) {
@@ -171,10 +177,10 @@
                 } else {
                     r#""k1""#
                 };
-                let version = 2 + u64::try_from(self.changes.len()).unwrap_or(u64::MAX);
+                let version = 2 + u64::try_from(self.events.changes.len()).unwrap_or(u64::MAX);
                 self.store
                     .put("op/config", &document::routes(version, keys));
-                self.changes.push(Change {
+                self.events.changes.push(Change {
                     at: agatemill_runtime::now(),
                     has_second_key,
                 });
@@ -183,6 +189,17 @@
         Ok(())
     }
 
+    fn note(&mut self, fault: &Fault) {
+        if let Kind::ServerLink(server, _) | Kind::Server(server, _) = fault.kind {
+            let from = agatemill_runtime::now();
+            self.events.disturbances.push(Disturbance {
+                server: self.servers[server].id.clone(),
+                from,
+                until: from + fault.lasts + TICK,
+            });
+        }
+    }
+
     fn end(&mut self, kind: &Kind) -> io::Result<()> {
         match *kind {
             Kind::Freeze(host) => self.hosts[host].signal(Signal::CONT)?,
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -26,34 +26,73 @@
     pub has_second_key: bool,
 }
 
+/// When the links to a server were disturbed, or the server itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Disturbance {
+    /// The server's id.
+    pub server: String,
+    /// From when on.
+    pub from: Duration,
+    /// Until when.
+    pub until: Duration,
+}
+
+/// What was done during a play.
+#[derive(Clone, Debug, Default)]
+pub struct Events {
+    /// Configurations, in order.
+    pub changes: Vec<Change>,
+    /// Disturbances of servers.
+    pub disturbances: Vec<Disturbance>,
+}
+
+impl Events {
+    /// Whether an engine that runs a request counts towards the most engines of its route: those that were
+    /// cut off meanwhile do not.
+    fn counts(&self, request: &Sent, arrival: &Arrival) -> bool {
+        let is_cut = |disturbance: &Disturbance| {
+            disturbance.server == arrival.server
+                && disturbance.from <= arrival.at
+                && disturbance.until >= request.at
+        };
+        request.route == "pay" || !self.disturbances.iter().any(is_cut)
+    }
+}
+
 /// The promises that were broken, one line each.
 #[must_use]
-pub fn broken(sent: &[Sent], arrivals: &[Arrival], changes: &[Change]) -> Vec<String> {
+pub fn broken(sent: &[Sent], arrivals: &[Arrival], events: &Events) -> Vec<String> {
     let by_attempt: HashMap<&str, &Sent> = sent
         .iter()
         .map(|sent| (sent.attempt.as_str(), sent))
         .collect();
     let mut runs: HashMap<&str, usize> = HashMap::new();
+    let mut counted: HashMap<&str, usize> = HashMap::new();
     let mut broken = Vec::new();
     for arrival in arrivals {
         let Some(request) = by_attempt.get(arrival.attempt.as_str()) else {
             broken.push(format!("nobody sent what a server got: {arrival:?}"));
             continue;
         };
-        if let Some(fault) = wrong_arrival(request, arrival, changes) {
+        if let Some(fault) = wrong_arrival(request, arrival, &events.changes) {
             broken.push(format!("{fault}: {arrival:?} of {request:?}"));
         }
-        *runs.entry(arrival.attempt.as_str()).or_default() += usize::from(arrival.has_run);
+        let attempt = arrival.attempt.as_str();
+        let is_counted = arrival.has_run && events.counts(request, arrival);
+        *runs.entry(attempt).or_default() += usize::from(arrival.has_run);
+        *counted.entry(attempt).or_default() += usize::from(is_counted);
     }
     for request in sent {
-        let runs = runs.get(request.attempt.as_str()).copied().unwrap_or(0);
+        let attempt = request.attempt.as_str();
+        let runs = runs.get(attempt).copied().unwrap_or(0);
+        let counted = counted.get(attempt).copied().unwrap_or(0);
         let most = if request.route == "pay" {
             1
         } else {
             MAX_ATTEMPTS
         };
-        if runs > most {
-            broken.push(format!("{runs} runs: {request:?}"));
+        if counted > most {
+            broken.push(format!("{counted} runs: {request:?}"));
         }
         if let Some(fault) = request
             .answer
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -46,6 +46,8 @@
 /// A request as it arrived.
 #[derive(Clone, Debug)]
 pub struct Arrival {
+    /// Id of the server.
+    pub server: String,
     /// The caller's attempt.
     pub attempt: String,
     /// The path through the layers, for engines that hold some.
@@ -83,6 +85,8 @@
     AnswerOther,
     /// It takes placement orders and does not list their layers.
     LoadSlowly,
+    /// It resets every connection, as a process that is gone.
+    Gone,
     /// It answers after this many milliseconds.
     Slow(u64),
 }
@@ -157,6 +161,9 @@
     }
 
     async fn answer(self, request: Request<Incoming>) -> Option<Response<Body>> {
+        if self.inner.lock().unwrap().behaviour == Behaviour::Gone {
+            return None;
+        }
         match request.uri().path() {
             "/agatemill/report" => Some(http::whole(200, self.report().to_string())),
             "/agatemill/order" => {
@@ -204,6 +211,7 @@
         let expected = header("x-expect-instance");
         let is_stream = header("x-hop-count").is_some();
         let mut arrival = Arrival {
+            server: self.id.clone(),
             attempt: header("x-attempt-id").unwrap_or_default(),
             path: header("x-hop-count"),
             last_event: header("last-event-id"),
