--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -20,13 +20,17 @@
 /// Pause between looks at the fleet while this host leads.
 const PERIOD: Duration = Duration::from_millis(200);
 
-/// How long the fleet must be unchanged before empty engines get layers: engines that start together are
-/// listed one after the other, and ranges chosen for half of them do not fit the whole.
+/// How long the fleet must be unchanged before empty engines get layers while most are empty: engines that
+/// start together are listed one after the other, and ranges chosen for half of them do not fit the whole.
 const SETTLING: Duration = Duration::from_millis(1_300);
 
 /// Longest time for which a fleet that keeps changing leaves its empty engines without layers.
 const MAX_SETTLING: Duration = Duration::from_secs(5);
 
+/// Divisor of the largest part of an engine fleet that the planner takes for lost while listed. When more look
+/// lost, the planner's own host is probably cut off.
+const MAX_LOST_SHARE: usize = 3;
+
 /// Longest call to an engine.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -61,11 +65,16 @@
             continue;
         };
         let settling = settling.get_or_insert_with(|| Settling::new(now));
-        if !settling.is_over(&state, now) || !state.is_fresh() {
+        let is_settled = settling.is_over(&state, now);
+        if !state.is_fresh() {
             continue;
         }
         for (service, model, servers) in fleets(&state) {
+            let servers = present(&state, servers, now).await;
             let plan = plans.entry(service).or_default();
+            if !is_settled && plan.is_mostly_empty(&servers) {
+                continue;
+            }
             let moves = plan.next(&model, &servers, now);
             carry_out(
                 &state,
@@ -91,6 +100,15 @@
 }
 
 impl Plan {
+    /// Whether most engines neither hold layers nor load any.
+    #[must_use]
+    pub fn is_mostly_empty(&self, servers: &[Arc<Server>]) -> bool {
+        let is_empty = |server: &&Arc<Server>| {
+            server.layers.is_none() && !self.pending.contains_key(&server.id)
+        };
+        2 * servers.iter().filter(is_empty).count() > servers.len()
+    }
+
     /// The next orders, which count as pending from now on.
     pub fn next(&mut self, model: &Model, servers: &[Arc<Server>], now: Duration) -> Vec<Move> {
         settle(&mut self.pending, servers, now);
@@ -163,6 +181,28 @@
     models.collect()
 }
 
+/// The engines without those that are lost: the platform lists an engine for some seconds after its loss,
+/// and its layers are missing at once. An engine counts as lost when requests met it as lost and it does not
+/// report to the planner either.
+async fn present(state: &Arc<State>, servers: Vec<Arc<Server>>, now: Duration) -> Vec<Arc<Server>> {
+    let suspects: Vec<Arc<Server>> = {
+        let suspicion = state.suspicion();
+        let is_suspect = |server: &&Arc<Server>| suspicion.is_lost(&server.address, now);
+        servers.iter().filter(is_suspect).cloned().collect()
+    };
+    if suspects.len() * MAX_LOST_SHARE > servers.len() {
+        return servers;
+    }
+    let reports = suspects.into_iter().map(async |server| {
+        let report = engine::report(&state.shared, server.address, CALL_TIMEOUT).await;
+        report.is_err().then_some(server)
+    });
+    let lost = futures::future::join_all(reports).await;
+    let lost: Vec<Arc<Server>> = lost.into_iter().flatten().collect();
+    let is_present = |server: &Arc<Server>| !lost.iter().any(|lost| lost.id == server.id);
+    servers.into_iter().filter(is_present).collect()
+}
+
 /// Forgets the orders whose effect is seen, whose engine has started again, or that seem to be lost.
 fn settle(pending: &mut HashMap<id::Server, Pending>, servers: &[Arc<Server>], now: Duration) {
     pending.retain(|id, order| {
--- a/crates/gateway/tests/all/hosts.rs
+++ b/crates/gateway/tests/all/hosts.rs
@@ -3,6 +3,7 @@
 use core::time::Duration;
 
 use crate::play;
+use crate::system::System;
 use crate::system::settings;
 use agatemill_standin::Engine;
 use agatemill_standin::document;
@@ -164,6 +165,102 @@
     });
 }
 
+/// A fleet with one holder of one half of the layers and two of the other: the single holder and one of the two.
+async fn uneven(system: &System) -> (Engine, Vec<Engine>) {
+    let range = |engine: &Engine| engine.orders().last().map(|order| order["from"].clone());
+    system
+        .until("all engines hold layers", || {
+            system.engines.iter().all(|engine| range(engine).is_some())
+        })
+        .await;
+    let holders = |of: &Engine| -> Vec<Engine> {
+        let same = system
+            .engines
+            .iter()
+            .filter(|other| range(other) == range(of));
+        same.cloned().collect()
+    };
+    let single = system
+        .engines
+        .iter()
+        .find(|engine| holders(engine).len() == 1);
+    let single = single.expect("three engines hold two halves").clone();
+    let others = system
+        .engines
+        .iter()
+        .filter(|engine| engine.id != single.id);
+    (single.clone(), others.cloned().collect())
+}
+
+/// Time within which a gap is closed: far below the seconds for which the platform lists a lost engine.
+const CLOSED: Duration = Duration::from_millis(2_500);
+
+async fn closes(system: &System, lost: &Engine, others: &[Engine]) {
+    let from = lost.orders().last().unwrap()["from"].clone();
+    let start = agatemill_runtime::now();
+    let is_closed = || {
+        others
+            .iter()
+            .any(|engine| engine.orders().last().unwrap()["from"] == from)
+    };
+    system
+        .until("another engine takes the layers", is_closed)
+        .await;
+    let taken = agatemill_runtime::now().saturating_sub(start);
+    assert!(taken < CLOSED, "{taken:?}");
+}
+
+/// Guards against layers that are missing for as long as the platform lists an engine that is lost.
+#[test]
+fn the_layers_of_a_lost_engine_move_before_its_entry_goes() {
+    play(3, |system| async move {
+        let (lost, others) = uneven(&system).await;
+        lost.behave(Behaviour::Gone);
+        let state = system.process.state();
+        state.suspect(lost.address, Duration::from_secs(4), "test");
+        closes(&system, &lost, &others).await;
+    });
+}
+
+/// Guards against moves for an engine that only looked lost to a request.
+#[test]
+fn an_engine_that_reports_keeps_its_layers() {
+    play(3, |system| async move {
+        let (suspect, others) = uneven(&system).await;
+        let orders = |engines: &[Engine]| {
+            engines
+                .iter()
+                .map(|engine| engine.orders().len())
+                .sum::<usize>()
+        };
+        let before = orders(&others);
+        let state = system.process.state();
+        state.suspect(suspect.address, Duration::from_secs(4), "test");
+        agatemill_runtime::sleep(CLOSED).await;
+        assert_eq!(orders(&others), before);
+    });
+}
+
+/// Guards against gaps that stay open while engines come and go elsewhere.
+#[test]
+fn a_gap_is_closed_while_the_fleet_changes() {
+    play(3, |system| async move {
+        let (lost, others) = uneven(&system).await;
+        let store = system.store.clone();
+        let entry = store.value("servers/s0").unwrap();
+        let changes = agatemill_runtime::spawn(async move {
+            for number in 0.. {
+                store.put(&format!("servers/t{number}"), &entry);
+                agatemill_runtime::sleep(Duration::from_millis(300)).await;
+            }
+        });
+        agatemill_runtime::sleep(Duration::from_secs(1)).await;
+        system.store.remove(&format!("servers/{}", lost.id));
+        closes(&system, &lost, &others).await;
+        changes.cancel().await;
+    });
+}
+
 /// The configuration with a second service that has the same model.
 fn two_models(version: u64) -> String {
     let document = document::routes(version, r#""k1""#);
