--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -63,6 +63,8 @@
 struct Link {
     /// Revision up to which the view is known; `None` when everything has to be read.
     revision: Option<Revision>,
+    /// Revision up to which the view was known before the store dropped its history.
+    before: Option<Revision>,
     /// Calls that failed since the last answer.
     failures: u32,
     /// Chooses whom to ask.
@@ -123,9 +125,14 @@
     let revision = snapshot.revision;
     log::info!(revision:%, items = snapshot.items.len(); "store: read");
     link.answered(state, Source::Store);
-    state.view().reset(snapshot, agatemill_runtime::now());
-    state.feed.reset(revision);
-    link.revision = Some(revision);
+    let changes = state.view().changes_to(snapshot);
+    if let Some(after) = link.before.take() {
+        // The hosts that follow go on without reading everything themselves.
+        apply(state, link, after, changes, revision);
+    } else {
+        state.feed.reset(revision);
+        apply(state, link, revision, changes, revision);
+    }
     state.view().freshness.confirm(started);
     Ok(())
 }
@@ -164,7 +171,7 @@
         Changes::Compacted => {
             log::info!(after:%; "store: history dropped, reading everything");
             // A history that was dropped says nothing about the state now.
-            link.revision = None;
+            link.before = link.revision.take();
         }
         Changes::Since { changes, revision } => {
             link.answered(state, Source::Store);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -50,16 +50,14 @@
 }
 
 impl View {
-    /// Takes a reading of the whole store. Whatever it lacks is gone.
-    pub fn reset(&mut self, snapshot: Snapshot, now: Duration) {
-        let mut gone: Vec<String> = self.keys();
-        for item in snapshot.items {
-            gone.retain(|key| key != &item.key);
-            self.put(&item);
-        }
-        for key in gone {
-            self.vanish(key, now);
-        }
+    /// The changes that lead to a reading of the whole store. Whatever it lacks is gone.
+    #[must_use]
+    pub fn changes_to(&self, snapshot: Snapshot) -> Vec<Change> {
+        let mut gone = self.keys();
+        gone.retain(|key| !snapshot.items.iter().any(|item| &item.key == key));
+        let puts = snapshot.items.into_iter().map(Change::Put);
+        let deletions = gone.into_iter().map(|key| Change::Deleted { key });
+        puts.chain(deletions).collect()
     }
 
     /// Takes one change.
@@ -129,8 +127,11 @@
         } else if item.key.starts_with(host::PREFIX) {
             match host::decode(&item.key, &item.value) {
                 Ok(member) => {
-                    log::info!(host:% = member.host, revision:% = item.revision; "members: serves");
-                    self.members.insert(member.host.clone(), member);
+                    let (host, revision) = (member.host.clone(), item.revision);
+                    let known = self.members.insert(host.clone(), member.clone());
+                    if known.as_ref() != Some(&member) {
+                        log::info!(host:%, revision:%; "members: serves");
+                    }
                 }
                 Err(error) => log::warn!(key = item.key, error; "members: an entry is ignored"),
             }
--- a/crates/gateway/tests/all/upstream.rs
+++ b/crates/gateway/tests/all/upstream.rs
@@ -87,3 +87,29 @@
         takes(&system, &process, 11).await;
     });
 }
+
+/// Guards against a reading of the whole store by every host when the store drops its history.
+#[test]
+fn a_dropped_history_is_read_by_one_host() {
+    play(2, |system| async move {
+        let (process, door) = second(&system).await;
+        agatemill_runtime::sleep(Duration::from_secs(1)).await;
+        let before = door.calls();
+        let watches = door.watches();
+        system.store.compact();
+        system.store.remove("servers/s1");
+        takes(&system, &process, 10).await;
+        let name: agatemill_core::id::Service = "plain".parse().unwrap();
+        let servers = || process.state().view().servers(&name).len();
+        system
+            .until("the removed server is gone", || servers() == 1)
+            .await;
+        assert_eq!(door.watches(), watches);
+        // Renewals of the lease are all that this host asks for.
+        assert!(
+            door.calls() <= before + 6,
+            "{} calls",
+            door.calls() - before
+        );
+    });
+}
