--- /dev/null
+++ b/crates/load/src/bound.rs
@@ -0,0 +1,228 @@
+//! What a fleet can serve at most, computed from its cards and its traffic.
+//!
+//! The bound takes the layers as the planner places them and lets every holder of a layer pass requests to
+//! every holder of the next. Two things bind: the time that engines need to read prompts and to write answers,
+//! and the memory that requests hold while they run. The layer with the least of either bounds the fleet.
+
+pub mod document;
+
+use core::fmt;
+use std::path::Path;
+
+use agatemill_fleet::Model;
+use agatemill_fleet::model::Accelerator;
+use agatemill_fleet::placement;
+use agatemill_fleet::placement::Card;
+
+pub use document::Document;
+
+/// What a fleet can serve at most.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bound {
+    /// Requests that arrive in a second.
+    pub offered_per_s: f64,
+    /// Requests in a second that the engines of the weakest layer have time for.
+    pub time_per_s: f64,
+    /// Requests in a second whose tokens fit into the memory of the weakest layer.
+    pub memory_per_s: f64,
+    /// Tokens of requests that fit beside the weakest layer.
+    pub room_tokens: f64,
+    /// Tokens in flight at the offered load.
+    pub flight_tokens: f64,
+    /// Mean time of a request in milliseconds, when the engines of each layer share the load evenly.
+    pub request_ms: f64,
+    /// Least number of holders of a layer.
+    pub holders: u32,
+    /// For each kind, the share of the bound that is left when one card of it is lost, in the worst case.
+    pub after_loss: Vec<(String, f64)>,
+}
+
+impl Bound {
+    /// The bound of a fleet.
+    #[must_use]
+    pub fn of(document: &Document) -> Self {
+        let model = document.model();
+        let mut cards = document.cards();
+        for change in placement::fill(&model, &cards) {
+            if let Some(card) = cards.iter_mut().find(|card| card.server == change.server) {
+                card.held = Some(change.target);
+            }
+        }
+        let mut bound = capacity(&model, &cards, document.requests_per_s);
+        let whole = bound.per_s();
+        for accelerator in &model.accelerators {
+            let losses = cards
+                .iter()
+                .enumerate()
+                .filter(|(_, card)| card.accelerator == accelerator.name);
+            let left = losses.map(|(lost, _)| {
+                let mut rest = cards.clone();
+                rest.remove(lost);
+                capacity(&model, &rest, document.requests_per_s).per_s()
+            });
+            let worst = left.fold(whole, f64::min);
+            let share = if whole > 0.0 { worst / whole } else { 0.0 };
+            bound.after_loss.push((accelerator.name.to_string(), share));
+        }
+        bound
+    }
+
+    /// Requests in a second that can be served.
+    #[must_use]
+    pub fn per_s(&self) -> f64 {
+        self.time_per_s.min(self.memory_per_s)
+    }
+
+    /// Share of the offered requests that can be served.
+    #[must_use]
+    pub fn share(&self) -> f64 {
+        (self.per_s() / self.offered_per_s).min(1.0)
+    }
+}
+
+/// Reads a document and prints its bound.
+///
+/// # Errors
+///
+/// A document that cannot be read or that makes no sense.
+pub fn main(path: &Path, is_json: bool) -> Result<(), Box<dyn core::error::Error + Send + Sync>> {
+    let bound = Bound::of(&Document::load(path)?);
+    if is_json {
+        println!("{}", bound.to_json());
+    } else {
+        print!("{bound}");
+    }
+    Ok(())
+}
+
+impl Bound {
+    /// The bound as a JSON object.
+    #[must_use]
+    pub fn to_json(&self) -> serde_json::Value {
+        serde_json::json!({
+            "offered_per_s": self.offered_per_s,
+            "time_per_s": self.time_per_s,
+            "memory_per_s": self.memory_per_s,
+            "room_tokens": self.room_tokens,
+            "flight_tokens": self.flight_tokens,
+            "request_ms": self.request_ms,
+            "holders": self.holders,
+            "share": self.share(),
+            "after_loss": self.after_loss.iter().cloned().collect::<std::collections::BTreeMap<_, _>>(),
+        })
+    }
+}
+
+impl fmt::Display for Bound {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "offered          {:10.1} requests/s",
+            self.offered_per_s
+        )?;
+        writeln!(
+            formatter,
+            "bound by time    {:10.1} requests/s",
+            self.time_per_s
+        )?;
+        writeln!(
+            formatter,
+            "bound by memory  {:10.1} requests/s",
+            self.memory_per_s
+        )?;
+        writeln!(formatter, "share            {:10.2}", self.share())?;
+        writeln!(
+            formatter,
+            "room             {:10.0} tokens, {:.0} in flight",
+            self.room_tokens, self.flight_tokens
+        )?;
+        writeln!(formatter, "request          {:10.0} ms", self.request_ms)?;
+        writeln!(
+            formatter,
+            "holders          {:10} of the weakest layer",
+            self.holders
+        )?;
+        for (kind, share) in &self.after_loss {
+            writeln!(formatter, "without one {kind:8} {share:6.2} of the bound")?;
+        }
+        Ok(())
+    }
+}
+
+/// What one card gives to each layer that it holds.
+struct Part {
+    /// Requests in a second.
+    per_s: f64,
+    /// Tokens.
+    room: f64,
+    /// Milliseconds that one layer adds to a request.
+    layer_ms: f64,
+}
+
+/// The bound of placed cards; losses are not computed.
+fn capacity(model: &Model, cards: &[Card], offered_per_s: f64) -> Bound {
+    let tokens = model.usual_prompt + model.usual_answer / 2.0;
+    let mut bound = Bound {
+        offered_per_s,
+        time_per_s: f64::INFINITY,
+        memory_per_s: f64::INFINITY,
+        room_tokens: f64::INFINITY,
+        flight_tokens: 0.0,
+        request_ms: 0.0,
+        holders: u32::MAX,
+        after_loss: Vec::new(),
+    };
+    for layer in 0..model.layers {
+        let holders = cards.iter().filter_map(|card| {
+            let held = card
+                .held
+                .filter(|held| held.start() <= layer && layer < held.end())?;
+            Some(part(
+                model,
+                model.accelerator(&card.accelerator)?,
+                held.count(),
+            ))
+        });
+        let holders: Vec<Part> = holders.collect();
+        // The sum of nothing is a negative zero.
+        let per_s = holders.iter().map(|part| part.per_s).sum::<f64>().max(0.0);
+        let room = holders.iter().map(|part| part.room).sum::<f64>().max(0.0);
+        // Each holder takes its share of the requests.
+        let weighted = holders.iter().map(|part| part.layer_ms * part.per_s);
+        if per_s > 0.0 {
+            bound.request_ms += weighted.sum::<f64>() / per_s;
+        }
+        bound.time_per_s = bound.time_per_s.min(per_s);
+        bound.room_tokens = bound.room_tokens.min(room);
+        bound.holders = bound
+            .holders
+            .min(u32::try_from(holders.len()).unwrap_or(u32::MAX));
+    }
+    let request_s = bound.request_ms / 1_000.0;
+    bound.flight_tokens = offered_per_s * request_s * tokens;
+    bound.memory_per_s = if request_s > 0.0 {
+        bound.room_tokens / tokens / request_s
+    } else {
+        0.0
+    };
+    bound
+}
+
+fn part(model: &Model, accelerator: &Accelerator, held: u32) -> Part {
+    let tokens = model.usual_prompt + model.usual_answer / 2.0;
+    let room = model.room(accelerator, held);
+    let requests = (room / tokens).min(f64::from(model.slots)).max(1.0);
+    let share = 1.0 / f64::from(model.layers);
+    let step_ms = model.step_ms
+        + requests * (model.step_request_ms + model.step_context_ms * tokens / 1_000.0);
+    let layer_step_ms = share * step_ms * accelerator.step_factor;
+    let layer_read_ms =
+        share * model.usual_prompt / model.read_tokens_per_ms * accelerator.read_factor;
+    // All requests of a batch get a token from each step.
+    let layer_busy_ms = layer_read_ms + model.usual_answer * layer_step_ms / requests;
+    Part {
+        per_s: 1_000.0 / (layer_busy_ms * f64::from(held)),
+        room,
+        layer_ms: layer_read_ms + model.usual_answer * layer_step_ms,
+    }
+}
--- /dev/null
+++ b/crates/load/src/bound/document.rs
@@ -0,0 +1,194 @@
+//! A fleet and its traffic, as a TOML file states them.
+
+use std::path::Path;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+
+use agatemill_core::id;
+use agatemill_fleet::Model;
+use agatemill_fleet::model::Accelerator;
+use agatemill_fleet::placement::Card;
+
+/// A fleet and its traffic.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Requests that arrive in a second.
+    pub requests_per_s: f64,
+    /// Mean length of a prompt in tokens.
+    pub prompt_tokens: f64,
+    /// Mean length of an answer in tokens.
+    pub answer_tokens: f64,
+    model: ModelTable,
+    /// Kinds of cards.
+    kinds: Vec<Kind>,
+    /// Cards.
+    cards: Vec<Cards>,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ModelTable {
+    layers: u32,
+    layer_mb: f64,
+    /// Memory of a token in all layers together.
+    token_bytes: f64,
+    /// Requests that an engine takes at once.
+    slots: u32,
+    step_ms: f64,
+    step_request_ms: f64,
+    step_context_ms: f64,
+    read_tokens_per_ms: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Kind {
+    name: CompactString,
+    memory_mb: f64,
+    step_factor: f64,
+    read_factor: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Cards {
+    zone: id::Zone,
+    kind: CompactString,
+    count: u32,
+}
+
+/// Why a document cannot be used.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+pub enum Error {
+    /// The file cannot be read.
+    #[display("{path}: {source}")]
+    Read {
+        /// The file.
+        path: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The file is no such document.
+    #[display("{path}: {source}")]
+    Parse {
+        /// The file.
+        path: String,
+        /// Why.
+        source: toml::de::Error,
+    },
+    /// A value is out of range.
+    #[display("{path}: {reason}")]
+    Invalid {
+        /// The file.
+        path: String,
+        /// Which, and what is expected.
+        #[error(not(source))]
+        reason: String,
+    },
+}
+
+impl Document {
+    /// Reads and checks a document.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`].
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
+            path: name.clone(),
+            source,
+        })?;
+        let document: Self = toml::from_str(&text).map_err(|source| Error::Parse {
+            path: name.clone(),
+            source,
+        })?;
+        document
+            .check()
+            .map_err(|reason| Error::Invalid { path: name, reason })?;
+        Ok(document)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let positive = [
+            ("requests_per_s", self.requests_per_s),
+            ("prompt_tokens", self.prompt_tokens),
+            ("answer_tokens", self.answer_tokens),
+            ("model.layers", f64::from(self.model.layers)),
+            ("model.layer_mb", self.model.layer_mb),
+            ("model.token_bytes", self.model.token_bytes),
+            ("model.slots", f64::from(self.model.slots)),
+            ("model.step_ms", self.model.step_ms),
+            ("model.read_tokens_per_ms", self.model.read_tokens_per_ms),
+        ];
+        let kinds = self.kinds.iter().flat_map(|kind| {
+            [
+                ("kinds.memory_mb", kind.memory_mb),
+                ("kinds.step_factor", kind.step_factor),
+                ("kinds.read_factor", kind.read_factor),
+            ]
+        });
+        for (key, value) in positive.into_iter().chain(kinds) {
+            if !(value.is_finite() && value > 0.0) {
+                return Err(format!("{key}: a number above 0 is expected, not {value}"));
+            }
+        }
+        for cards in &self.cards {
+            if !self.kinds.iter().any(|kind| kind.name == cards.kind) {
+                return Err(format!("cards.kind: {} is not among the kinds", cards.kind));
+            }
+        }
+        Ok(())
+    }
+
+    /// The model with the usual lengths of requests. What binds links and loads is left out.
+    #[must_use]
+    pub fn model(&self) -> Model {
+        let kinds = self.kinds.iter().map(|kind| Accelerator {
+            name: kind.name.clone(),
+            memory_mb: kind.memory_mb,
+            step_factor: kind.step_factor,
+            read_factor: kind.read_factor,
+        });
+        Model {
+            layers: self.model.layers,
+            layer_mb: self.model.layer_mb,
+            token_bytes: self.model.token_bytes,
+            slots: self.model.slots,
+            step_ms: self.model.step_ms,
+            step_request_ms: self.model.step_request_ms,
+            step_context_ms: self.model.step_context_ms,
+            read_tokens_per_ms: self.model.read_tokens_per_ms,
+            load_s: 0.0,
+            activation_bytes: 0.0,
+            zone_link_mbps: 0.0,
+            usual_prompt: self.prompt_tokens,
+            usual_answer: self.answer_tokens,
+            accelerators: kinds.collect(),
+            delays: Vec::new(),
+        }
+    }
+
+    /// The cards, empty.
+    #[must_use]
+    pub fn cards(&self) -> Vec<Card> {
+        let mut all = Vec::new();
+        for cards in &self.cards {
+            for _ in 0..cards.count {
+                let name = format!("card-{}", all.len());
+                let Ok(server) = name.parse() else {
+                    continue;
+                };
+                all.push(Card {
+                    server,
+                    zone: cards.zone.clone(),
+                    accelerator: cards.kind.clone(),
+                    held: None,
+                });
+            }
+        }
+        all
+    }
+}
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -1,11 +1,13 @@
 //! The program `agatemill-load`.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::Parser;
 use clap::Subcommand;
 
 use crate::Report;
+use crate::bound;
 use crate::control;
 use crate::experiment;
 use crate::run;
@@ -30,6 +32,11 @@
     /// Measure membership, recovery and the cost of control, as docs/CAPACITY.md says.
     #[command(subcommand)]
     Control(control::Action),
+    /// Compute what a fleet can serve at most, from its cards and its traffic.
+    Bound {
+        /// The fleet and its traffic in TOML, as in examples/bounds.
+        document: PathBuf,
+    },
     /// Run a named experiment of docs/measurements.md.
     Experiment {
         /// Name of the experiment.
@@ -73,6 +80,7 @@
             let report = run::main(options)?;
             right &= print(&[report], arguments.json);
         }
+        Action::Bound { document } => bound::main(document, arguments.json)?,
         Action::Control(action) => control::print(&action.run()?, arguments.json),
         Action::Experiment {
             name,
