--- a/crates/fleet/src/path.rs
+++ b/crates/fleet/src/path.rs
@@ -251,6 +251,10 @@
     if let Some(parts) = cheapest(model, candidates, &roomy, need, span) {
         return Ok(parts);
     }
+    let need = Need {
+        may_cross: true,
+        ..need
+    };
     match cheapest(model, candidates, &free, need, span) {
         Some(_) => Err(Missing::Room),
         None => Err(Missing::Layers),
--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -9,6 +9,7 @@
 use agatemill_fleet::load::Work;
 use agatemill_fleet::path::Candidate;
 use agatemill_fleet::path::Missing;
+use agatemill_fleet::path::Need;
 use agatemill_fleet::placement;
 
 fn engines(model: &Model) -> Vec<Candidate> {
@@ -146,6 +147,25 @@
     assert_eq!(gap, Err(Missing::Layers));
 }
 
+/// Guards against a log that says that layers have no engine while only the links between zones are full.
+#[test]
+fn full_links_and_missing_layers_are_told_apart() {
+    let model = fleet::model();
+    let mut engines = engines(&model);
+    let (here, there) = (fleet::zone("a"), fleet::zone("b"));
+    for engine in &mut engines {
+        let is_low = engine.layers.end() <= model.layers / 2;
+        engine.zone = if is_low { here.clone() } else { there.clone() };
+    }
+    let need = fleet::need(&here);
+    let need = Need {
+        may_cross: false,
+        ..need
+    };
+    let full = Path::choose(&model, &engines, need);
+    assert_eq!(full, Err(Missing::Room));
+}
+
 /// Guards against a repair that moves healthy parts, whose engines would read the whole request again.
 #[test]
 fn a_repair_replaces_only_the_lost_part() {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -233,7 +233,11 @@
         };
         return Refusal::new(reason, Phase::Sent, cause, "the engines did not answer");
     }
-    Refusal::not_run(Reason::Overloaded, "the engines are full").retry_after(spread(RETRY_AFTER))
+    Refusal::not_run(
+        Reason::Overloaded,
+        "the engines or the links between zones are full",
+    )
+    .retry_after(spread(RETRY_AFTER))
 }
 
 fn no_path(tries: &Tries, missing: Missing) -> Refusal {
@@ -242,7 +246,10 @@
     }
     let (reason, detail) = match missing {
         Missing::Layers => (Reason::NoChain, "some layers have no engine"),
-        Missing::Room => (Reason::Overloaded, "the engines are full"),
+        Missing::Room => (
+            Reason::Overloaded,
+            "the engines or the links between zones are full",
+        ),
         Missing::Time => (Reason::Overloaded, "the engines have too much to read"),
     };
     Refusal::not_run(reason, detail).retry_after(spread(RETRY_AFTER))
