--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -21,6 +21,9 @@
 /// Pause between renewals: two may be lost before the lease ends.
 const RENEWAL: Duration = Duration::from_millis(900);
 
+/// Pause between looks for the first configuration.
+const CONFIGURATION_PAUSE: Duration = Duration::from_millis(50);
+
 /// How much longer each further host waits before it tries to lead, so that not all try at once.
 const TURN: Duration = Duration::from_millis(150);
 
@@ -64,6 +67,11 @@
     /// Keeps this host listed until the process ends.
     pub async fn run(self: Arc<Self>, state: Arc<State>) {
         let name = format!("{}-{:08x}", state.settings().host, fastrand::u32(..));
+        // Without a configuration there is nothing to list or to plan. Looking again with the next renewal only
+        // would keep a host that has just started off the list for that long.
+        while state.view().configuration.is_none() && state.stage() == Stage::Serving {
+            agatemill_runtime::sleep(CONFIGURATION_PAUSE).await;
+        }
         while state.stage() == Stage::Serving {
             if let Err(error) = self.renew(&state).await {
                 log::warn!(error:%; "registration: not renewed");
@@ -102,7 +110,7 @@
             state.store.grant(LIFETIME).await?
         };
         self.renewed(lease, started);
-        if !held.is_listed && state.view().configuration.is_some() {
+        if !held.is_listed {
             self.list(state, lease).await?;
         }
         Ok(())
--- a/crates/gateway/tests/all/hosts.rs
+++ b/crates/gateway/tests/all/hosts.rs
@@ -165,6 +165,22 @@
     });
 }
 
+/// Guards against a host that is ready and not listed for the time of a renewal.
+#[test]
+fn a_host_is_listed_as_soon_as_it_is_ready() {
+    play(2, |system| async move {
+        let second = settings("h2", system.store_address);
+        let process = agatemill_gateway::Process::start(second).await.unwrap();
+        let is_ready = || process.state().is_ready();
+        system.until("the second host is ready", is_ready).await;
+        let ready = agatemill_runtime::now();
+        let is_listed = || system.store.value("agatemill/hosts/h2").is_some();
+        system.until("the second host is listed", is_listed).await;
+        let waited = agatemill_runtime::now().saturating_sub(ready);
+        assert!(waited < Duration::from_millis(500), "{waited:?}");
+    });
+}
+
 /// A fleet with one holder of one half of the layers and two of the other: the single holder and one of the two.
 async fn uneven(system: &System) -> (Engine, Vec<Engine>) {
     let range = |engine: &Engine| engine.orders().last().map(|order| order["from"].clone());
