--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -4,6 +4,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use hyper::StatusCode;
+
 use crate::State;
 use crate::registration::Registration;
 use agatemill_adapter::engine;
@@ -37,6 +39,10 @@
 /// How much longer than the load itself an order may take before it counts as lost.
 const LOAD_SLACK: Duration = Duration::from_secs(3);
 
+/// Time after which an order without an answer is given once more. Orders state how many the engine has
+/// accepted, so that one that is carried out late is refused when the next was accepted before.
+const REPEAT_PAUSE: Duration = Duration::from_secs(1);
+
 /// Pause between looks for moves of cards that hold layers.
 const MOVE_PAUSE: Duration = Duration::from_secs(1);
 
@@ -251,8 +257,12 @@
     for (id, result) in futures::future::join_all(orders).await {
         match result {
             Err(engine::Failure::Fenced) => registration.step_down(fence),
-            // Lost orders may still be carried out: they count as pending until they expire.
-            Ok(()) | Err(engine::Failure::Lost(_)) => {}
+            Ok(()) => {}
+            Err(engine::Failure::Lost(_)) => {
+                if let Some(order) = pending.get_mut(&id) {
+                    order.expires = agatemill_runtime::now() + REPEAT_PAUSE;
+                }
+            }
             Err(engine::Failure::Refused { .. }) => {
                 pending.remove(&id);
             }
@@ -268,6 +278,18 @@
 ) -> (id::Server, Result<(), engine::Failure>) {
     let result = async {
         let report = engine::report(&state.shared, server.address, CALL_TIMEOUT).await?;
+        if report.layers == Some(target) {
+            // An earlier order whose answer was lost.
+            return Ok(());
+        }
+        if report.is_busy {
+            // As the engine would answer; its layers are seen when it is done.
+            let status = StatusCode::CONFLICT.as_u16();
+            return Err(engine::Failure::Refused {
+                status,
+                address: None,
+            });
+        }
         let order = engine::Placement {
             layers: target,
             fence,
--- a/crates/gateway/tests/all/hosts.rs
+++ b/crates/gateway/tests/all/hosts.rs
@@ -181,6 +181,26 @@
     });
 }
 
+/// Guards against an engine that stays empty for seconds because the answer to one order was lost.
+#[test]
+fn an_order_without_an_answer_is_given_again() {
+    play(2, |system| async move {
+        let late = Engine::start(&system.store, "e9", "model", Some("card"));
+        late.behave(Behaviour::Deaf);
+        // The fleet has to be calm, and the first order has to meet the deaf engine.
+        agatemill_runtime::sleep(Duration::from_millis(900)).await;
+        late.behave(Behaviour::Serve);
+        let start = agatemill_runtime::now();
+        system
+            .until("the engine is ordered again", || !late.orders().is_empty())
+            .await;
+        let waited = agatemill_runtime::now().saturating_sub(start);
+        assert!(waited < CLOSED, "{waited:?}");
+        agatemill_runtime::sleep(CLOSED).await;
+        assert_eq!(late.orders().len(), 1);
+    });
+}
+
 /// A fleet with one holder of one half of the layers and two of the other: the single holder and one of the two.
 async fn uneven(system: &System) -> (Engine, Vec<Engine>) {
     let range = |engine: &Engine| engine.orders().last().map(|order| order["from"].clone());
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -85,6 +85,8 @@
     AnswerOther,
     /// It takes placement orders and does not list their layers.
     LoadSlowly,
+    /// It answers no orders, and does not carry them out.
+    Deaf,
     /// It resets every connection, as a process that is gone.
     Gone,
     /// It answers after this many milliseconds.
@@ -168,6 +170,9 @@
             "/agatemill/report" => Some(http::whole(200, self.report().to_string())),
             "/agatemill/order" => {
                 let body = http::read(request).await;
+                if self.inner.lock().unwrap().behaviour == Behaviour::Deaf {
+                    core::future::pending::<()>().await;
+                }
                 self.order(serde_json::from_slice(&body).unwrap());
                 Some(http::whole(202, ""))
             }
