--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -9,8 +9,12 @@
 /// Time over which the faults of the short soak begin.
 const SHORT: Duration = Duration::from_secs(6);
 
-/// Seeds of the short soak. Seeds that ever failed stay here, each with a line on its cause.
-const SEEDS: [u64; 2] = [1, 2];
+/// Seeds of the short soak. Seeds that ever failed stay here:
+///
+/// - 9, 22 and 41: a port was taken between its choice and the start of a host.
+/// - 18: a stand-in went on behind half an event.
+/// - 50: as 18; and engines that were cut off counted towards the limit of runs.
+const SEEDS: [u64; 7] = [1, 2, 9, 18, 22, 41, 50];
 
 /// Guards against a seed that cannot be played again.
 #[test]
@@ -39,10 +43,16 @@
         program.is_file(),
         "build agatemill-gateway first: {program:?}"
     );
-    for seed in SEEDS {
+    let program = &program;
+    let play = |seed| {
         let folder = tempfile::tempdir().unwrap();
-        let report = smol::block_on(play::run(&program, folder.path(), seed, SHORT)).unwrap();
+        let report = smol::block_on(play::run(program, folder.path(), seed, SHORT)).unwrap();
         assert_eq!(report.broken, Vec::<String>::new(), "seed {seed}");
         assert!(report.served > 0, "seed {seed}");
-    }
+    };
+    std::thread::scope(|scope| {
+        for seed in SEEDS {
+            scope.spawn(move || play(seed));
+        }
+    });
 }
