--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -3,8 +3,9 @@
 use core::time::Duration;
 use std::collections::VecDeque;
 
-/// Parts into which the window is cut; counts leave the window one part at a time.
-const PARTS: u32 = 10;
+/// Parts into which the window is cut. The part that is not over counts besides, so that no window of exact
+/// length holds repeats that are not counted.
+const PARTS: u32 = 20;
 
 /// Part of the allowance that hosts use. A process that was killed forgets what it has sent in the window,
 /// and a host may know for a moment of fewer hosts than there are.
@@ -92,7 +93,7 @@
         let number = now.as_nanos() / length.as_nanos().max(1);
         let number = u64::try_from(number).unwrap_or(u64::MAX);
         while let Some(oldest) = self.parts.front() {
-            if oldest.number + u64::from(PARTS) > number {
+            if oldest.number + u64::from(PARTS) >= number {
                 break;
             }
             self.parts.pop_front();
