--- a/crates/fleet/tests/budget.rs
+++ b/crates/fleet/tests/budget.rs
@@ -52,7 +52,7 @@
 #[test]
 fn no_window_holds_more_than_half_of_the_allowance() {
     let requests = f64::from(REQUESTS_PER_S * HOSTS) * ALLOWANCE.window.as_secs_f64();
-    let half = (ALLOWANCE.base + ALLOWANCE.ratio * requests) / 2.0;
+    let half = 0.5 * (ALLOWANCE.base + ALLOWANCE.ratio * requests);
     let patterns: [fn(u32, Duration) -> bool; 4] = [
         |_, _| true,
         |host, _| host < 10,
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -114,12 +114,39 @@
 fn a_server_that_rejects_is_avoided_but_not_lost() {
     let server = "10.0.0.1:8080".parse().unwrap();
     let mut suspicion = Suspicion::default();
-    assert!(suspicion.avoid(server, seconds(1.0), seconds(1.3)));
+    assert!(
+        suspicion
+            .avoid(server, seconds(1.0), seconds(0.3))
+            .is_some()
+    );
     assert!(suspicion.is_avoided(&server, seconds(1.2)));
     assert!(!suspicion.is_lost(&server, seconds(1.2)));
     assert!(!suspicion.is_avoided(&server, seconds(1.3)));
 }
 
+/// Guards against a lost engine that every one of many hosts tries again after each moment: one engine rejected
+/// some 320 requests of a day so, and each took a repeat of the budget.
+#[test]
+fn a_server_that_goes_on_rejecting_is_avoided_longer() {
+    let server = "10.0.0.1:8080".parse().unwrap();
+    let mut suspicion = Suspicion::default();
+    let mut now = seconds(1.0);
+    let mut times = Vec::new();
+    for _ in 0..4 {
+        let time = suspicion.avoid(server, now, seconds(0.25)).unwrap();
+        assert_eq!(suspicion.avoid(server, now, seconds(0.25)), None);
+        times.push(time.as_secs_f64());
+        now += time;
+    }
+    assert_eq!(times, [0.25, 0.5, 1.0, 1.0]);
+    // After it has served for a while, it is avoided for a moment only.
+    now += seconds(2.0);
+    assert_eq!(
+        suspicion.avoid(server, now, seconds(0.25)),
+        Some(seconds(0.25))
+    );
+}
+
 fn route(name: &str, prefix: &str) -> Route {
     Route {
         name: name.into(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -177,7 +177,7 @@
     /// Sends a server no new requests for `time`, because of `reason`.
     pub fn avoid(&self, server: core::net::SocketAddrV4, time: Duration, reason: &'static str) {
         let now = agatemill_runtime::now();
-        if self.suspicion().avoid(server, now, now + time) {
+        if let Some(time) = self.suspicion().avoid(server, now, time) {
             let ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
             log::info!(server:% = server, reason, for_ms = ms; "servers: avoided");
             self.metrics.event("servers", "avoided");
