--- a/crates/load/src/bound.rs
+++ b/crates/load/src/bound.rs
@@ -13,6 +13,7 @@
 use agatemill_fleet::model::Accelerator;
 use agatemill_fleet::placement;
 use agatemill_fleet::placement::Card;
+use agatemill_fleet::placement::Move;
 
 pub use document::Document;
 
@@ -44,9 +45,10 @@
         let model = document.model();
         let mut cards = document.cards();
         for change in placement::fill(&model, &cards) {
-            if let Some(card) = cards.iter_mut().find(|card| card.server == change.server) {
-                card.held = Some(change.target);
-            }
+            apply(&mut cards, &change);
+        }
+        while let Some(change) = placement::improve(&model, &cards) {
+            apply(&mut cards, &change);
         }
         let mut bound = capacity(&model, &cards, document.requests_per_s);
         let whole = bound.per_s();
@@ -149,6 +151,12 @@
     }
 }
 
+fn apply(cards: &mut [Card], change: &Move) {
+    if let Some(card) = cards.iter_mut().find(|card| card.server == change.server) {
+        card.held = Some(change.target);
+    }
+}
+
 /// What one card gives to each layer that it holds.
 struct Part {
     /// Requests in a second.
