--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -57,6 +57,8 @@
     let journal = Journal::open().map_err(Error::Signals)?;
     env_logger::Builder::new()
         .filter_level(options.log)
+        // tarpc logs every call at the level "info".
+        .filter_module("tarpc", options.log.min(LevelFilter::Warn))
         .target(env_logger::Target::Pipe(Box::new(journal)))
         .init();
     let signals = signal::termination_and_reload().map_err(Error::Signals)?;
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -126,10 +126,11 @@
     log::info!(revision:%, items = snapshot.items.len(); "store: read");
     link.answered(state, Source::Store);
     let changes = state.view().changes_to(snapshot);
-    if let Some(after) = link.before.take() {
+    if let Some(after) = link.before.take().filter(|after| *after <= revision) {
         // The hosts that follow go on without reading everything themselves.
         apply(state, link, after, changes, revision);
     } else {
+        // The first reading, or that of a store that has lost its newest revisions.
         state.feed.reset(revision);
         apply(state, link, revision, changes, revision);
     }
--- a/crates/gateway/tests/all/store.rs
+++ b/crates/gateway/tests/all/store.rs
@@ -153,3 +153,26 @@
         assert!(calls <= 9, "{calls} calls in 3 s");
     });
 }
+
+/// Guards against a host that reads everything over and over, because it holds on to a revision that the store
+/// has lost.
+#[test]
+fn a_store_that_lost_its_newest_revisions_is_followed_again() {
+    play(2, |system| async move {
+        system.store.rewind(3);
+        agatemill_runtime::sleep(Duration::from_secs(1)).await;
+        let before = system.store.calls();
+        agatemill_runtime::sleep(Duration::from_secs(2)).await;
+        let calls = system.store.calls() - before;
+        // Two renewals a second at most, and a watch in 0.7 s.
+        assert!(calls <= 9, "{calls} calls in 2 s");
+        system
+            .store
+            .put("op/config", &document::routes(9, r#""k1""#));
+        let state = system.process.state().clone();
+        let version = || state.view().configuration.as_ref().map(|held| held.version);
+        system
+            .until("the new version is in force", || version() == Some(9))
+            .await;
+    });
+}
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -131,6 +131,13 @@
         inner.history.clear();
     }
 
+    /// Loses the newest revisions and the history, and keeps the items.
+    pub fn rewind(&self, revisions: i64) {
+        let mut inner = self.inner.lock().unwrap();
+        inner.revision -= revisions;
+        inner.history.clear();
+    }
+
     /// Writes a key without a lease.
     pub fn put(&self, key: &str, value: &str) {
         self.inner
@@ -187,7 +194,7 @@
                 let mut inner = self.inner.lock().unwrap();
                 inner.expire();
                 let oldest = inner.revision - i64::try_from(inner.history.len()).unwrap();
-                if after < oldest {
+                if after < oldest || after > inner.revision {
                     return (410, json!({}));
                 }
                 let events: Vec<&Value> = inner
