--- a/crates/gateway/tests/all/system.rs
+++ b/crates/gateway/tests/all/system.rs
@@ -3,7 +3,6 @@
 use core::net::SocketAddrV4;
 use core::time::Duration;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::HeaderMap;
@@ -14,6 +13,8 @@
 use agatemill_gateway::Settings;
 use agatemill_standin::Engine;
 use agatemill_standin::Store;
+use agatemill_standin::caller;
+use agatemill_standin::caller::Call;
 use agatemill_standin::document;
 
 /// How long a test waits for a state that it expects; far above what it takes on a busy machine.
@@ -113,14 +114,14 @@
     }
 
     pub async fn ask_with(&self, route: &str, attempt: &str, key: &str, body: &str) -> Answer {
-        let request = Request::post(format!("http://{}/{route}/1", self.callers))
-            .header("host", "office.example")
-            .header("authorization", format!("Bearer {key}"))
-            .header("x-attempt-id", attempt)
-            .header("x-deadline-ms", "4000")
-            .header("x-token-usage", "100,50")
-            .body(Full::new(Bytes::from(body.to_owned())))
-            .unwrap();
+        let request = Request::from(Call {
+            host: self.callers,
+            route,
+            attempt,
+            key,
+            body,
+            deadline: Duration::from_secs(4),
+        });
         let response = self.http.send(request, PATIENCE).await.unwrap();
         let (head, mut body) = response.into_parts();
         let mut answer = Answer {
@@ -142,9 +143,9 @@
 
     /// Status of the readiness check.
     pub async fn ready(&self) -> u16 {
-        self.get(&format!("http://{}/agatemill/readyz", self.ready))
-            .await
-            .0
+        let request = caller::ready(self.ready);
+        let answer = self.http.fetch(request, PATIENCE, 1 << 20).await.unwrap();
+        answer.status().as_u16()
     }
 
     pub async fn get(&self, uri: &str) -> (u16, String) {
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -9,13 +9,14 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 
+use agatemill_standin::caller;
+use agatemill_standin::caller::Call;
+
 /// Time that callers give a request, which they also state in it.
 pub const DEADLINE: Duration = Duration::from_secs(4);
 
@@ -91,14 +92,14 @@
             at: agatemill_runtime::now(),
             answer: None,
         };
-        let request = Request::post(format!("http://{host}/{route}/1"))
-            .header("host", "office.example")
-            .header("authorization", format!("Bearer {key}"))
-            .header("x-attempt-id", &sent.attempt)
-            .header("x-deadline-ms", DEADLINE.as_millis().to_string())
-            .header("x-token-usage", "100,50")
-            .body(Full::new(Bytes::from(sent.body.clone())))
-            .expect("a valid request");
+        let request = Request::from(Call {
+            host,
+            route,
+            attempt: &sent.attempt,
+            key,
+            body: &sent.body,
+            deadline: DEADLINE,
+        });
         // A connection that fails or closes gives no answer, which the verdict allows.
         if let Ok(response) = http.send(request, DEADLINE + PATIENCE).await {
             sent.answer = Some(read(response).await);
@@ -129,10 +130,9 @@
 
 async fn read(response: hyper::Response<Incoming>) -> Answer {
     let (head, mut body) = response.into_parts();
-    let seal = head.headers.get("x-response-seal");
     let mut answer = Answer {
         status: head.status,
-        seal: seal.and_then(|seal| Some(seal.to_str().ok()?.to_owned())),
+        seal: caller::seal(&head.headers),
         body: String::new(),
         is_whole: false,
     };
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -5,8 +5,6 @@
 use std::io;
 use std::path::Path;
 
-use http_body_util::Full;
-use hyper::Request;
 use rustix::process::Signal;
 
 use crate::Fault;
@@ -102,7 +100,7 @@
 impl Play {
     fn start(program: &Path, folder: &Path) -> io::Result<Self> {
         let (store, address) = Store::listen();
-        store.put("op/config", &document::routes(1, r#""k1","k2""#));
+        store.put(document::KEY, &document::routes(1, r#""k1","k2""#));
         let engines = (0..plan::ENGINES)
             .map(|number| Engine::start(&store, &format!("e{number}"), "model", Some("card")));
         let services = (0..plan::SERVICES)
@@ -179,7 +177,7 @@
                 };
                 let version = 2 + u64::try_from(self.events.changes.len()).unwrap_or(u64::MAX);
                 self.store
-                    .put("op/config", &document::routes(version, keys));
+                    .put(document::KEY, &document::routes(version, keys));
                 self.events.changes.push(Change {
                     at: agatemill_runtime::now(),
                     has_second_key,
@@ -274,8 +272,7 @@
 }
 
 async fn is_ready(http: &agatemill_http::Client, address: SocketAddrV4) -> bool {
-    let request = Request::get(format!("http://{address}/agatemill/readyz")).body(Full::default());
-    let request = request.expect("a valid request");
+    let request = agatemill_standin::caller::ready(address);
     let answer = http.fetch(request, Duration::from_secs(1), 1 << 10).await;
     answer.is_ok_and(|answer| answer.status().is_success())
 }
