Count a lost engine as an attempt until the platform drops it

What callers and engines see: a streaming request of a route that allows two engines runs on a third engine while the first two still live. The operator's rule on retries bounds this per attempt of a caller.

Cause: Attempts took each run off its count that ended because this host held an engine for lost. That is an opinion: an engine that does not answer a status query within 350 ms counts as lost although it may be slow, and a run was also taken off when a later engine of the path was lost while the first one, which runs the request, lived.

Engines that stay silent but live, in a test with stand-ins: 3 runs where 2 are allowed before the change, 2 after it.

Change: Attempts is a type of fleet now, testable without a network. A run whose first engine seems lost counts until the platform no longer lists that engine; all other runs always count. The logs name the engine, the runs and the losses.

Ruled out: a refused connection as proof that an engine has ended, since an engine at its connection limit resets connections too.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,10 +2,11 @@
 //!
 //! An entry host selects the whole path of a request, and each engine forwards to the next. This crate decides
 //! which layers each engine holds ([`placement`]), which path a request takes ([`path`]) and which requests
-//! may be retried ([`budget`]). It aggregates the load from all hosts ([`census`]), selects the source from
+//! may be retried ([`budget`], [`attempts`]). It aggregates the load from all hosts ([`census`]), selects the source from
 //! which a host receives changes ([`upstream`]) and checks that the view of the platform is recent enough
 //! ([`freshness`]). Nothing here does I/O; times are passed in.
 
+pub mod attempts;
 pub mod budget;
 pub mod census;
 pub mod configuration;
@@ -22,6 +23,7 @@
 pub mod tally;
 pub mod upstream;
 
+pub use attempts::Attempts;
 pub use budget::Budget;
 pub use census::Census;
 pub use configuration::Configuration;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,8 +23,8 @@
 use crate::stall::Finding;
 use crate::state::RequestGuard;
 use crate::stream;
-use crate::stream::Attempts;
 use agatemill_core::Outcome;
+use agatemill_fleet::Attempts;
 use agatemill_fleet::Path;
 use agatemill_fleet::route::Kind;
 
@@ -131,11 +131,9 @@
                 }
                 // The stream ended within an event: the connection broke.
                 Step::Frame(None | Some(Err(_))) => {
-                    // A live server that breaks a response has run the request; that counts as an attempt. The
-                    // loss of an engine does not.
                     let attempt = &self.job.parameters.attempt;
                     let finding = stall::investigate(&self.state, &self.path, attempt).await;
-                    if finding != Finding::Slow {
+                    if finding == Finding::FirstLost {
                         self.attempts.record_loss();
                     }
                     if !self.resume("the connection broke").await {
@@ -202,7 +200,6 @@
                     self.path = path;
                     pause = REPAIR_GRACE;
                 } else if self.job.route.is_repeatable() {
-                    self.attempts.record_loss();
                     return self
                         .resume("an engine is lost and has no replacement")
                         .await;
@@ -223,7 +220,8 @@
         let is_resumable = self.job.route.kind == Kind::Stream { is_resumable: true };
         log::warn!(
             request:% = self.job.parameters.attempt, server:% = self.path.first().server, why,
-            last_event:? = self.last_event, is_resumable; "stream: interrupted"
+            last_event:? = self.last_event, is_resumable, runs = self.attempts.runs(), losses = self.attempts.losses();
+            "stream: interrupted"
         );
         if !is_resumable {
             return false;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -32,6 +32,7 @@
 use agatemill_core::Phase;
 use agatemill_core::Reason;
 use agatemill_core::Refusal;
+use agatemill_fleet::Attempts;
 use agatemill_fleet::Path;
 use agatemill_fleet::path::Missing;
 
@@ -55,15 +56,9 @@
 /// Time for which an engine that refused a connection is suspected to be lost.
 const SUSPECT_DURATION: Duration = Duration::from_millis(1_500);
 
-/// Maximum number of paths that reject a request, stating that they did not run it, before it fails.
-const MAX_REJECTIONS: u32 = 4;
-
 /// Timeout of a call that sends a request along another path.
 const REPATH_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Maximum number of engine losses in a stream before it fails.
-const MAX_LOSSES: u32 = 4;
-
 /// A stream that an engine has started.
 pub struct OpenStream {
     /// Response of the first engine; its body has not been read.
@@ -80,8 +75,8 @@
     NotRun(Cause),
     /// The request may have run.
     Unknown(Cause),
-    /// The request may have run, and an engine of its path is lost.
-    Lost,
+    /// The request may have run, and the first engine is lost.
+    FirstLost,
 }
 
 /// Opens a stream and returns its response, whose body is relayed as it is read.
@@ -128,31 +123,6 @@
     Ok(Response::from_parts(head, body.boxed_unsync()))
 }
 
-/// Counts the times that a request was sent, and their outcomes.
-#[derive(Debug, Default)]
-pub struct Attempts {
-    /// Times that the request was sent.
-    sent: u32,
-    /// Times that the request may have run.
-    runs: u32,
-    rejections: u32,
-    /// Runs that ended because an engine was lost; they do not count towards the route's limit.
-    losses: u32,
-}
-
-impl Attempts {
-    /// Records that the last run ended because an engine was lost.
-    pub fn record_loss(&mut self) {
-        self.losses += 1;
-    }
-
-    /// Whether no further attempt is allowed.
-    fn is_exhausted(&self, max_attempts: u32) -> bool {
-        let runs = self.runs.saturating_sub(self.losses);
-        runs >= max_attempts || self.losses >= MAX_LOSSES || self.rejections >= MAX_REJECTIONS
-    }
-}
-
 /// Sends a request along paths until an engine starts the stream. With `last_event`, the stream continues after
 /// that event.
 ///
@@ -172,7 +142,7 @@
     let size = Size::of(job, &model);
     let began = agatemill_runtime::now();
     loop {
-        if attempts.is_exhausted(job.route.max_attempts) {
+        if is_exhausted(state, job, attempts) {
             return Err(failure(attempts, Cause::ConnectionLost));
         }
         let now = agatemill_runtime::now();
@@ -194,45 +164,58 @@
                 continue;
             }
         };
-        if attempts.sent > 0 && !state.take_retry(&job.service) {
+        if attempts.sent() > 0 && !state.take_retry(&job.service) {
             log::warn!(request:% = job.parameters.attempt; "stream: retry budget used up");
             return Err(failure(attempts, Cause::Refused));
         }
-        attempts.sent += 1;
+        attempts.record_send();
+        let first = path.first().clone();
         let cause = match send(state, job, path, size, last_event).await {
             Ok(opened) => {
-                attempts.runs += 1;
+                attempts.record_run(first.server, first.address);
                 return Ok(opened);
             }
             Err(OpenError::NotRun(cause)) => {
-                attempts.rejections += 1;
+                attempts.record_rejection();
                 cause
             }
             Err(OpenError::Unknown(cause)) => {
-                attempts.runs += 1;
+                attempts.record_run(first.server.clone(), first.address);
                 cause
             }
-            Err(OpenError::Lost) => {
-                attempts.runs += 1;
+            Err(OpenError::FirstLost) => {
+                attempts.record_run(first.server.clone(), first.address);
                 attempts.record_loss();
                 Cause::ConnectionLost
             }
         };
         state.metrics.count_retry("stream");
         log::info!(
-            request:% = job.parameters.attempt, cause:%, runs = attempts.runs, rejections = attempts.rejections;
+            request:% = job.parameters.attempt, server:% = first.server, cause:%, runs = attempts.runs(),
+            losses = attempts.losses(), rejections = attempts.rejections();
             "stream: attempt failed"
         );
-        let may_have_run = attempts.runs > 0 && !job.route.is_repeatable();
-        if attempts.is_exhausted(job.route.max_attempts) || may_have_run {
+        let may_have_run = attempts.runs() > 0 && !job.route.is_repeatable();
+        if is_exhausted(state, job, attempts) || may_have_run {
             return Err(failure(attempts, cause));
         }
     }
 }
 
+/// Whether the route of a request allows no further attempt.
+fn is_exhausted(state: &State, job: &Job, attempts: &Attempts) -> bool {
+    let view = state.view();
+    let servers = view.servers(&job.service);
+    attempts.is_exhausted(job.route.max_attempts, |id, address| {
+        servers
+            .iter()
+            .any(|server| &server.id == id && server.address == address)
+    })
+}
+
 /// The refusal of a request that no engine started.
 fn failure(attempts: &Attempts, cause: Cause) -> Refusal {
-    if attempts.runs > 0 {
+    if attempts.runs() > 0 {
         let reason = if cause == Cause::DeadlinePassed {
             Reason::DeadlineExceeded
         } else {
@@ -248,7 +231,7 @@
 }
 
 fn no_path(attempts: &Attempts, missing: Missing) -> Refusal {
-    if attempts.runs > 0 {
+    if attempts.runs() > 0 {
         return failure(attempts, Cause::Refused);
     }
     let (reason, detail) = match missing {
@@ -295,13 +278,13 @@
         }
         match stall::investigate(state, &path, &job.parameters.attempt).await {
             Finding::Slow => {}
-            Finding::FirstLost => return Err(OpenError::Lost),
+            Finding::FirstLost => return Err(OpenError::FirstLost),
             Finding::PartLost => {
                 if let Some(repaired) = repair(state, job, &path).await {
                     reservation = Reservation::on_path(state, &repaired, size.prompt, size.answer);
                     path = repaired;
                 } else if job.route.is_repeatable() {
-                    return Err(OpenError::Lost);
+                    return Err(OpenError::Unknown(Cause::ConnectionLost));
                 }
             }
         }
--- a/crates/gateway/tests/all/serving.rs
+++ b/crates/gateway/tests/all/serving.rs
@@ -67,6 +67,19 @@
     });
 }
 
+/// Guards against a stream that runs on more engines than its route allows because engines that live are silent.
+#[test]
+fn a_stream_at_silent_engines_runs_no_more_often_than_allowed() {
+    run_test(6, |system| async move {
+        for engine in &system.engines {
+            engine.set_behaviour(Behaviour::Silent);
+        }
+        let response = system.send("draft", "a1").await;
+        assert_eq!(response.status, 502, "{response:?}");
+        assert_eq!(system.run_count("a1"), 2);
+    });
+}
+
 /// Guards against a second run of a stream whose route does not allow one, and against a truncated body that
 /// looks complete.
 #[test]
