Bound the retries of hosts that restart or are not listed

What services see: more retries in a window than their operator allows, after all hosts were killed more than once in it, or while the store has turned hosts away for longer than the window.

Cause: the allowance is divided among hosts on two assumptions. A process that has started took its whole share of the free retries at once, although its predecessor may have sent them already; and hosts that are no longer listed were counted for one window only, although they serve on. The half that is never used covers one kill, and no second one.

Change: the free retries of a process that may have a predecessor grow with its age over one window, so that all processes of a host together send less than two shares in any window, however often it restarts. The number of hosts is the largest of the last two to four minutes (fleet::Headcount). The platform's `bootstrap` tells a process that has no predecessor (setting first_start).

Observability: a refused retry is logged with the hosts, requests, retries and the allowed number, and counted (retry/sent, retry/denied).

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -3,12 +3,14 @@
 use core::time::Duration;
 use std::collections::VecDeque;
 
+use crate::Headcount;
+
 /// Buckets into which the window is divided. The bucket in progress is counted in addition to these, so that
 /// the count covers every retry of the last window.
 const BUCKETS_PER_WINDOW: u32 = 20;
 
-/// Share of the allowance that hosts use. A process that was killed loses its count of the retries in the
-/// window, and a host may briefly know of fewer hosts than there are.
+/// Share of the allowance that hosts use. The rest covers processes that were killed and lost their count of the
+/// retries in the window, and changes of the rate of requests.
 const USED_SHARE: f64 = 0.5;
 
 /// Minimum number of hosts assumed to share the free retries, in the first window of a process.
@@ -27,17 +29,36 @@
 
 /// This host's share of the retries that a service may receive in any window.
 ///
-/// The free retries are divided evenly among the hosts; the others are earned by this host's own requests.
-/// When a host joins, the shares of the others shrink as soon as they learn of it.
+/// The free retries are divided evenly among the hosts; the others are earned by this host's own requests. When a
+/// host joins, the shares of the others shrink as soon as they learn of it.
+///
+/// A process may follow one that was killed and whose retries in the window are unknown. Its free retries grow
+/// with its age over one window, so that all processes of a host together send less than two shares of them in
+/// any window, however often the host restarts.
 #[derive(Clone, Debug)]
 pub struct Budget {
     allowance: Allowance,
     /// When the budget was created.
     created: Duration,
+    /// Whether an earlier process of this host may have sent retries.
+    has_predecessor: bool,
     /// Buckets of the window, oldest first.
     buckets: VecDeque<Bucket>,
 }
 
+/// The inputs of a decision on a retry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Balance {
+    /// Hosts among which the free retries are divided.
+    pub hosts: usize,
+    /// Requests that this host received in the window.
+    pub requests: u32,
+    /// Retries that this host sent in the window.
+    pub retries: u32,
+    /// Retries that this host may send in the window.
+    pub allowed: f64,
+}
+
 /// Counts of one bucket of the window.
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
@@ -45,52 +66,73 @@
     number: u64,
     requests: u32,
     retries: u32,
-    /// Largest number of hosts that shared the budget.
-    hosts: usize,
 }
 
 impl Budget {
-    /// Creates an unused budget. In the first window at least `MIN_HOSTS_IN_FIRST_WINDOW` hosts are assumed to
-    /// share it: a process that has just started knows neither what it sent before nor how many hosts have
-    /// started with it.
+    /// Creates an unused budget of a process that may follow a killed one. In the first window at least
+    /// `MIN_HOSTS_IN_FIRST_WINDOW` hosts are assumed to share it: a process that has just started does not know how
+    /// many hosts have started with it.
     #[must_use]
     pub fn new(allowance: Allowance, now: Duration) -> Self {
         Self {
             allowance,
             created: now,
+            has_predecessor: true,
             buckets: VecDeque::new(),
         }
     }
 
+    /// Creates an unused budget of the first process of a host, whose free retries are available at once.
+    #[must_use]
+    pub fn without_predecessor(allowance: Allowance, now: Duration) -> Self {
+        Self {
+            has_predecessor: false,
+            ..Self::new(allowance, now)
+        }
+    }
+
     /// Records a request from a caller.
     pub fn record_request(&mut self, now: Duration) {
         self.current_bucket(now).requests += 1;
     }
 
-    /// Takes a retry while `hosts` hosts share the budget; returns false when the budget is exhausted.
+    /// Takes a retry while `hosts` share the budget; returns false when the budget is exhausted.
     #[must_use]
-    pub fn take(&mut self, hosts: usize, now: Duration) -> bool {
+    pub fn take(&mut self, hosts: &Headcount, now: Duration) -> bool {
+        let balance = self.balance(hosts, now);
+        if f64::from(balance.retries) + 1.0 > balance.allowed {
+            return false;
+        }
+        self.current_bucket(now).retries += 1;
+        true
+    }
+
+    /// Returns what a decision on a retry depends on while `hosts` share the budget.
+    pub fn balance(&mut self, hosts: &Headcount, now: Duration) -> Balance {
         self.current_bucket(now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        // Hosts that seem gone may only have lost their leases, so the largest number in the window counts.
-        let bucket = self.current_bucket(now);
-        bucket.hosts = bucket.hosts.max(hosts);
-        let hosts = self.buckets.iter().map(|bucket| bucket.hosts).max();
-        let is_first_window = now < self.created + self.allowance.window;
-        let min_hosts = if is_first_window {
+        let window = self.allowance.window;
+        let age = now.saturating_sub(self.created);
+        let min_hosts = if age < window {
             MIN_HOSTS_IN_FIRST_WINDOW
         } else {
             1
         };
-        let hosts = u32::try_from(hosts.unwrap_or(1).max(min_hosts)).unwrap_or(u32::MAX);
-        let free = self.allowance.base / f64::from(hosts);
+        let hosts = hosts.largest().max(min_hosts);
+        let free = self.allowance.base / f64::from(u32::try_from(hosts).unwrap_or(u32::MAX));
+        let available = if self.has_predecessor {
+            age.div_duration_f64(window).min(1.0)
+        } else {
+            1.0
+        };
         let earned = self.allowance.ratio * f64::from(requests);
-        if f64::from(retries) + 1.0 > (free + earned) * USED_SHARE {
-            return false;
+        Balance {
+            hosts,
+            requests,
+            retries,
+            allowed: (free * available + earned) * USED_SHARE,
         }
-        self.current_bucket(now).retries += 1;
-        true
     }
 
     /// Returns the bucket that contains `now`, after dropping the buckets that have left the window.
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -66,7 +66,12 @@
             break;
         };
         if !tried.is_empty() && !state.take_retry(&job.service) {
-            log::info!(request:% = job.parameters.attempt, service:% = job.service; "request: retry budget used up");
+            let balance = state.retry_balance(&job.service);
+            log::info!(
+                request:% = job.parameters.attempt, service:% = job.service, hosts = balance.hosts,
+                requests = balance.requests, retries = balance.retries, allowed = balance.allowed;
+                "request: retry budget used up"
+            );
             break;
         }
         let is_last = runs + 1 >= job.route.max_attempts;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -33,7 +33,10 @@
     /// [`Error::Listen`] when an address cannot be bound, [`Error::Metrics`] when the metrics cannot
     /// be set up.
     pub async fn start(settings: Settings) -> Result<Self, Error> {
-        log::info!(host:% = settings.host, zone:% = settings.zone, callers:% = settings.callers; "gateway: starting");
+        log::info!(
+            host:% = settings.host, zone:% = settings.zone, callers:% = settings.callers,
+            first_start = settings.first_start; "gateway: starting"
+        );
         let callers = server::listen(settings.callers).await?;
         let ready = server::listen(settings.ready).await?;
         let directory = server::listen(settings.directory).await?;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,9 @@
     /// Time for which callers may cache the directory's response.
     #[serde(default = "directory_lifetime")]
     pub directory_lifetime: Time,
+    /// Whether the system starts for the first time, so that no earlier process of this host has sent retries.
+    #[serde(default)]
+    pub first_start: bool,
     /// Limits set by the operator of the platform.
     pub bounds: Bounds,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,10 +19,12 @@
 use agatemill_core::id;
 use agatemill_fleet::Budget;
 use agatemill_fleet::Census;
+use agatemill_fleet::Headcount;
 use agatemill_fleet::Link;
 use agatemill_fleet::Load;
 use agatemill_fleet::Server;
 use agatemill_fleet::Suspicion;
+use agatemill_fleet::budget::Balance;
 use agatemill_metrics::Registry;
 
 /// Timeout for connecting to a backend server: many round trips within a region, and a small part of the target
@@ -55,6 +57,7 @@
     census: Mutex<Census>,
     link: Mutex<Link>,
     suspicion: Mutex<Suspicion>,
+    headcount: Mutex<Headcount>,
     budgets: Mutex<HashMap<id::Service, Budget>>,
     stage: AtomicU8,
     /// Number of requests in progress.
@@ -89,6 +92,7 @@
             load: Mutex::default(),
             link: Mutex::default(),
             suspicion: Mutex::default(),
+            headcount: Mutex::default(),
             budgets: Mutex::default(),
             stage: AtomicU8::new(0),
             active: AtomicUsize::new(0),
@@ -152,18 +156,46 @@
     /// Takes a retry from a service's budget; returns false if the budget is used up.
     #[must_use]
     pub fn take_retry(&self, service: &id::Service) -> bool {
-        let hosts = self.host_count();
+        let hosts = self.count_hosts();
+        let is_taken = self.with_budget(service, |budget| {
+            budget.take(&hosts, agatemill_runtime::now())
+        });
+        let event = if is_taken { "sent" } else { "denied" };
+        self.metrics.count_event("retry", event);
+        is_taken
+    }
+
+    /// What a decision on a retry for a service depends on.
+    #[must_use]
+    pub fn retry_balance(&self, service: &id::Service) -> Balance {
+        let hosts = self.count_hosts();
         self.with_budget(service, |budget| {
-            budget.take(hosts, agatemill_runtime::now())
+            budget.balance(&hosts, agatemill_runtime::now())
         })
     }
 
+    /// Records the number of listed hosts and returns the number that limits of the fleet are divided by.
+    pub fn count_hosts(&self) -> Headcount {
+        let listed = self.view().members.len();
+        let mut headcount = lock(&self.headcount);
+        headcount.record(listed, agatemill_runtime::now());
+        *headcount
+    }
+
     fn with_budget<T>(&self, service: &id::Service, act: impl FnOnce(&mut Budget) -> T) -> T {
-        let allowance = self.settings().bounds.allowance();
+        let settings = self.settings();
+        let since = lock(&self.headcount).since();
         let mut budgets = lock(&self.budgets);
-        let budget = budgets.entry(service.clone());
-        let now = agatemill_runtime::now();
-        act(budget.or_insert_with(|| Budget::new(allowance, now)))
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let allowance = settings.bounds.allowance();
+            let created = since.unwrap_or_else(agatemill_runtime::now);
+            if settings.first_start {
+                Budget::without_predecessor(allowance, created)
+            } else {
+                Budget::new(allowance, created)
+            }
+        });
+        act(budget)
     }
 
     /// Marks a server as lost for `time` and logs the `reason`.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -165,7 +165,12 @@
             }
         };
         if attempts.sent() > 0 && !state.take_retry(&job.service) {
-            log::warn!(request:% = job.parameters.attempt; "stream: retry budget used up");
+            let balance = state.retry_balance(&job.service);
+            log::warn!(
+                request:% = job.parameters.attempt, service:% = job.service, hosts = balance.hosts,
+                requests = balance.requests, retries = balance.retries, allowed = balance.allowed;
+                "stream: retry budget used up"
+            );
             return Err(failure(attempts, Cause::Refused));
         }
         attempts.record_send();
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -271,4 +271,6 @@
     for change in changes {
         view.apply(change, now);
     }
+    drop(view);
+    state.count_hosts();
 }
