Keep the count of retries when the allowance changes

What services see: retries of a window twice, when a settings file with another allowance arrives in the middle of it.

Cause: set_settings discarded the budgets when the allowance changed, and new ones start with a whole share. It is the fault of restarted processes again: state that bounds a window was lost before the window was over.

Change: the allowance is replaced in place. With a window of another length the counts cannot be assigned, so the budget continues like that of a restarted process, with free retries that grow over the window.

Test: another_allowance_keeps_the_count_of_retries failed before (a retry was given out at once after the allowance had shrunk by one) and passes.

Looked at for the same cause: Suspicion, Link and Census are kept over a reload; Link starts without credit, so a restart gains none.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -91,6 +91,16 @@
         }
     }
 
+    /// Replaces the allowance. Requests and retries of the window still count. With a window of another length they
+    /// cannot be assigned to its buckets, so the budget continues like that of a restarted process.
+    pub fn set_allowance(&mut self, allowance: Allowance, now: Duration) {
+        if allowance.window == self.allowance.window {
+            self.allowance = allowance;
+        } else {
+            *self = Self::new(allowance, now);
+        }
+    }
+
     /// Records a request from a caller.
     pub fn record_request(&mut self, now: Duration) {
         self.current_bucket(now).requests += 1;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -105,13 +105,13 @@
         Arc::clone(&lock(&self.settings))
     }
 
-    /// Replaces the settings. Retry budgets are reset only if the allowance changed: resetting them at each
-    /// reload would allow more retries per window than configured.
+    /// Replaces the settings.
     pub fn set_settings(&self, settings: Settings) {
         let allowance = settings.bounds.allowance();
-        let before = core::mem::replace(&mut *lock(&self.settings), Arc::new(settings));
-        if before.bounds.allowance() != allowance {
-            lock(&self.budgets).clear();
+        *lock(&self.settings) = Arc::new(settings);
+        let now = agatemill_runtime::now();
+        for budget in lock(&self.budgets).values_mut() {
+            budget.set_allowance(allowance, now);
         }
     }
 
--- a/crates/gateway/tests/all/hosts.rs
+++ b/crates/gateway/tests/all/hosts.rs
@@ -69,6 +69,23 @@
     });
 }
 
+/// Guards against a changed allowance that gives out the retries of the current window again.
+#[test]
+fn another_allowance_keeps_the_count_of_retries() {
+    run_test(2, |system| async move {
+        let state = system.process.state();
+        let name: agatemill_core::id::Service = "plain".parse().unwrap();
+        while state.take_retry(&name) {}
+        let mut settings = agatemill_gateway::Settings::clone(&state.settings());
+        settings.bounds.retry_base -= 1.0;
+        state.set_settings(settings.clone());
+        assert!(!state.take_retry(&name));
+        settings.bounds.retry_window = "20s".parse().unwrap();
+        state.set_settings(settings);
+        assert!(!state.take_retry(&name));
+    });
+}
+
 /// Guards against out-of-range settings that are accepted at the start and stop the process later.
 #[test]
 fn settings_out_of_range_are_refused() {
