Resume a stream whose engine sends an event without end

What callers see: their stream is cut off although other engines could go on with it, when an engine sends bytes that contain no end of an event.

Cause: an event longer than 1 MB ended the stream. Up to that size each stream kept the bytes, so that some hundred streams of a host of 160 MB would not fit, and each read searched all of them again for the end of the event.

Change: the limit is 64 KB, the search goes on where it stopped, and a longer event counts as a broken response: the engine is avoided for a moment and the stream is resumed at another one.

Tests: a_stream_with_an_endless_event_is_resumed failed before (the connection of the caller was closed). Two more pass before and after: an idempotent call is retried after a head or a body without end, and a payment is not sent again.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -38,8 +38,9 @@
 /// Time until the next check after a stream was sent along another path: the new engines read the whole prompt.
 const REPAIR_GRACE: Duration = Duration::from_millis(350);
 
-/// Maximum size of an event, in bytes; a response with a longer one is not an event stream.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of an event, in bytes; a response with a longer one is not an event stream. Each stream may buffer
+/// this much.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// Terminator of an event.
 const EVENT_END: &[u8] = b"\n\n";
@@ -122,7 +123,12 @@
                         return Some(Ok(events));
                     }
                     if self.partial.len() > MAX_EVENT_BYTES {
-                        return Some(Err(self.fail("an event is too long")));
+                        let first = self.path.first().address;
+                        self.state
+                            .avoid(first, stream::AVOID_DURATION, "an event is too long");
+                        if !self.resume("an event is too long").await {
+                            return Some(Err(self.fail("an event is too long")));
+                        }
                     }
                 }
                 Step::Frame(None) if self.partial.is_empty() => {
@@ -176,8 +182,9 @@
             self.state.metrics.record_next_token(pause);
             self.longest_pause = self.longest_pause.max(pause);
         }
+        let searched = self.partial.len();
         self.partial.extend_from_slice(data);
-        let end = last_event_end(&self.partial)?;
+        let end = last_event_end(&self.partial, searched)?;
         let events = self.partial.split_to(end).freeze();
         if let Some(id) = last_event_id(&events) {
             self.last_event = Some(id);
@@ -277,12 +284,13 @@
     }
 }
 
-/// End offset of the last complete event.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let start = bytes
+/// End offset of the last complete event, given that none ends within the first `searched` bytes.
+fn last_event_end(bytes: &[u8], searched: usize) -> Option<usize> {
+    let from = searched.saturating_sub(EVENT_END.len() - 1);
+    let start = bytes[from..]
         .windows(EVENT_END.len())
         .rposition(|pair| pair == EVENT_END);
-    start.map(|start| start + EVENT_END.len())
+    start.map(|start| from + start + EVENT_END.len())
 }
 
 /// The id of the last event that has one.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -51,7 +51,7 @@
 const RETRY_AFTER: Duration = Duration::from_millis(1_200);
 
 /// Time for which an engine that rejected a request is avoided; some of its requests end meanwhile.
-const AVOID_DURATION: Duration = Duration::from_millis(300);
+pub const AVOID_DURATION: Duration = Duration::from_millis(300);
 
 /// Time for which an engine that refused a connection is suspected to be lost.
 const SUSPECT_DURATION: Duration = Duration::from_millis(1_500);
