Read an engine's error response whole before it is passed on

What callers see: bytes without end, past their deadline, when an engine answers a streaming request with an error whose body does not end.

Cause: the body of a response other than 200 was relayed as it arrived, without a limit on its size or time; the relay of events has both.

Change: it is read whole, up to 64 KB and the deadline of the request, and then passed on. One that breaks off or is longer ends with 502, outcome unknown.

Test: an_endless_error_of_a_stream_ends_by_the_deadline failed before (no end within 6 s, with a deadline of 4 s) and passes.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,9 +1,9 @@
 //! Opens event streams along paths of engines.
 
 use core::time::Duration;
-use std::io;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use futures::FutureExt;
 use futures::StreamExt;
 use futures::stream;
@@ -21,6 +21,7 @@
 use crate::exchange::Job;
 use crate::relay::Relay;
 use crate::reservation::Reservation;
+use crate::response;
 use crate::response::Body;
 use crate::stall;
 use crate::stall::Finding;
@@ -56,6 +57,9 @@
 /// Time for which an engine that refused a connection is suspected to be lost.
 const SUSPECT_DURATION: Duration = Duration::from_millis(1_500);
 
+/// Maximum size of the body of an engine's error response, in bytes.
+const MAX_ERROR_BYTES: usize = 64 << 10;
+
 /// Timeout of a call that sends a request along another path.
 const REPATH_TIMEOUT: Duration = Duration::from_millis(350);
 
@@ -99,13 +103,12 @@
     let opened = begin(state, &job, None, &mut attempts).await?;
     let (mut head, body) = opened.response.into_parts();
     head.headers = header::end_to_end(&head.headers);
-    if head.status != StatusCode::OK {
-        // Passes the engine's error response through.
-        let body = body.map_err(io::Error::other);
-        return Ok(Response::from_parts(head, body.boxed_unsync()));
-    }
     // A resumed stream may differ in length from what its first engine stated.
     head.headers.remove(hyper::header::CONTENT_LENGTH);
+    if head.status != StatusCode::OK {
+        let body = read_error(&job, body).await?;
+        return Ok(Response::from_parts(head, response::full(body)));
+    }
     let relay = Relay::new(
         state,
         &job,
@@ -123,6 +126,24 @@
     Ok(Response::from_parts(head, body.boxed_unsync()))
 }
 
+/// Reads the body of an engine's error response, which is passed on only when it is complete.
+async fn read_error(job: &Job, body: Incoming) -> Result<Bytes, Refusal> {
+    let left = job.time_left(agatemill_runtime::now());
+    let read = agatemill_http::client::read(body, MAX_ERROR_BYTES);
+    let (cause, error) = match agatemill_runtime::timeout(left, read).await {
+        Some(Ok(body)) => return Ok(body),
+        Some(Err(error)) => (Cause::ConnectionLost, error),
+        None => (Cause::DeadlinePassed, agatemill_http::Error::TimedOut),
+    };
+    log::warn!(request:% = job.parameters.attempt, error:%; "stream: incomplete error response of the engine");
+    Err(Refusal::new(
+        Reason::BackendFailed,
+        Phase::Sent,
+        cause,
+        "the engine's error response is incomplete",
+    ))
+}
+
 /// Sends a request along paths until an engine starts the stream. With `last_event`, the stream continues after
 /// that event.
 ///
--- a/crates/gateway/tests/all/endless.rs
+++ b/crates/gateway/tests/all/endless.rs
@@ -1,5 +1,7 @@
 //! Servers that send bytes without end.
 
+use core::time::Duration;
+
 use serde_json::json;
 
 use crate::complete_stream;
@@ -7,6 +9,24 @@
 use agatemill_standin::engine::Behaviour;
 use agatemill_standin::http;
 
+/// Deadline of the test callers' requests, with a margin for a busy machine.
+const DEADLINE: Duration = Duration::from_secs(6);
+
+/// Guards against callers that get bytes without end, past their deadline, because an engine fails with a body
+/// that does not end.
+#[test]
+fn an_endless_error_of_a_stream_ends_by_the_deadline() {
+    run_test(2, |system| async move {
+        for engine in &system.engines {
+            engine.set_behaviour(Behaviour::EndlessBody(500));
+        }
+        let sending = system.send("draft", "a1");
+        let response = agatemill_runtime::timeout(DEADLINE, sending).await;
+        let response = response.expect("the response ends by the deadline");
+        assert_eq!(response.status, 502, "{:?}", response.headers);
+    });
+}
+
 /// Guards against a stream that fails although other engines could serve it, because an engine sends an event
 /// without end.
 #[test]
