Limit the memory of responses that are buffered at once

What hosts do: they run out of memory, and lose all of their requests, when many servers send large responses or bodies without end at the same time. A response may take 8 MB and nothing limited their number; hosts have 160 MB.

Change: http::Buffers limits the bytes of all responses of backend servers that are read whole, 32 MB for both clients of the gateway; a response over it fails like one that broke off. Its memory counts until the response has left for the caller. The first 16 KB of each response are exempt, so that small responses are delivered while large ones use the memory up. A head has at most 64 KB, which each connection may buffer (408 KB by default).

Ruled out: a smaller limit for each response, which would turn away whole responses that are only large.

A small response is read while the buffers are full, and one response over its own limit releases its memory.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,7 @@
 use agatemill_fleet::Server;
 use agatemill_fleet::Suspicion;
 use agatemill_fleet::budget::Balance;
+use agatemill_http::Buffers;
 use agatemill_metrics::Registry;
 
 /// Timeout for connecting to a backend server: many round trips within a region, and a small part of the target
@@ -35,6 +36,10 @@
 /// call is probably on a dead connection.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Maximum size of all responses of backend servers that are buffered at once, in bytes: a fifth of the memory of
+/// a small host.
+const MAX_BUFFERED_BYTES: usize = 32 << 20;
+
 /// Shared state of the process.
 #[derive(Debug)]
 pub struct State {
@@ -79,13 +84,16 @@
     /// Creates the initial state, with an empty view.
     #[must_use]
     pub fn new(settings: Settings, metrics: Registry) -> Self {
+        let buffers = Buffers::new(MAX_BUFFERED_BYTES);
+        let pooled = agatemill_http::Client::new(CONNECT_TIMEOUT);
+        let unpooled = agatemill_http::Client::without_reuse(CONNECT_TIMEOUT);
         Self {
             census: Mutex::new(Census::new(settings.host.clone(), settings.zone.clone())),
             store: Store::new(settings.store, STORE_TIMEOUT),
             settings: Mutex::new(Arc::new(settings)),
             metrics,
-            pooled: agatemill_http::Client::new(CONNECT_TIMEOUT),
-            unpooled: agatemill_http::Client::without_reuse(CONNECT_TIMEOUT),
+            pooled: pooled.with_buffers(buffers.clone()),
+            unpooled: unpooled.with_buffers(buffers),
             reports: stall::Reports::default(),
             feed: Feed::default(),
             view: Mutex::default(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -106,7 +106,7 @@
     // A resumed stream may differ in length from what its first engine stated.
     head.headers.remove(hyper::header::CONTENT_LENGTH);
     if head.status != StatusCode::OK {
-        let body = read_error(&job, body).await?;
+        let body = read_error(state, &job, body).await?;
         return Ok(Response::from_parts(head, response::full(body)));
     }
     let relay = Relay::new(
@@ -127,9 +127,9 @@
 }
 
 /// Reads the body of an engine's error response, which is passed on only when it is complete.
-async fn read_error(job: &Job, body: Incoming) -> Result<Bytes, Refusal> {
+async fn read_error(state: &State, job: &Job, body: Incoming) -> Result<Bytes, Refusal> {
     let left = job.time_left(agatemill_runtime::now());
-    let read = agatemill_http::client::read(body, MAX_ERROR_BYTES);
+    let read = state.pooled.read(body, MAX_ERROR_BYTES);
     let (cause, error) = match agatemill_runtime::timeout(left, read).await {
         Some(Ok(body)) => return Ok(body),
         Some(Err(error)) => (Cause::ConnectionLost, error),
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -5,13 +5,12 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper_util::client::legacy;
 
+use crate::Buffers;
 use crate::Error;
 use crate::connector::Connector;
 use crate::spawner::Spawner;
@@ -19,10 +18,15 @@
 /// How long an idle connection stays in the pool.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Maximum size of the head of a response, in bytes. Each connection may buffer this much.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// HTTP/1.1 client with a connection pool. Clones share the pool.
 #[derive(Clone, Debug)]
 pub struct Client {
     inner: legacy::Client<Connector, Full<Bytes>>,
+    /// Memory for the responses that are read whole.
+    buffers: Buffers,
 }
 
 impl Client {
@@ -44,8 +48,19 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(max_idle)
             .retry_canceled_requests(max_idle > 0)
+            .http1_max_buf_size(MAX_HEAD_BYTES)
             .build(Connector { timeout });
-        Self { inner }
+        Self {
+            inner,
+            buffers: Buffers::new(usize::MAX),
+        }
+    }
+
+    /// Buffers responses in `buffers`, which other clients may share. Without this, only the size of each response
+    /// is limited.
+    #[must_use]
+    pub fn with_buffers(self, buffers: Buffers) -> Self {
+        Self { buffers, ..self }
     }
 
     /// Sends a request and waits for the head of the response for at most `limit`.
@@ -73,7 +88,7 @@
     ///
     /// # Errors
     ///
-    /// As [`Client::send`], and [`Error::TooLarge`].
+    /// As [`Client::send`] and [`Client::read`].
     pub async fn fetch(
         &self,
         request: Request<Full<Bytes>>,
@@ -82,26 +97,47 @@
     ) -> Result<Response<Bytes>, Error> {
         let exchange = async {
             let (head, body) = self.send(request, limit).await?.into_parts();
-            let body = read(body, max_bytes).await?;
+            let body = self.read(body, max_bytes).await?;
             Ok(Response::from_parts(head, body))
         };
         agatemill_runtime::timeout(limit, exchange)
             .await
             .unwrap_or(Err(Error::TimedOut))
     }
+
+    /// Reads a complete body of at most `max_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::TooLarge`] when the body is longer, [`Error::BuffersFull`] when the buffers of this client are full,
+    /// and [`Error::Lost`] when the connection breaks before the end of the body.
+    pub async fn read(&self, body: Incoming, max_bytes: usize) -> Result<Bytes, Error> {
+        read_into(&self.buffers, body, max_bytes).await
+    }
 }
 
-/// Reads a complete body of at most `max_bytes`.
+/// Reads a complete body of at most `max_bytes`, for clients of connections without a pool.
 ///
 /// # Errors
 ///
-/// [`Error::TooLarge`] when the body is longer and [`Error::Lost`] when the connection breaks before its end.
+/// As [`Client::read`], without a limit on the buffers.
 pub async fn read(body: Incoming, max_bytes: usize) -> Result<Bytes, Error> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Error::TooLarge { limit: max_bytes }),
-        Err(error) => Err(Error::Lost(error.to_string())),
+    read_into(&Buffers::new(usize::MAX), body, max_bytes).await
+}
+
+async fn read_into(
+    buffers: &Buffers,
+    mut body: Incoming,
+    max_bytes: usize,
+) -> Result<Bytes, Error> {
+    let mut buffer = buffers.start();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| Error::Lost(error.to_string()))?;
+        if let Some(data) = frame.data_ref() {
+            buffer.extend(data, max_bytes)?;
+        }
     }
+    Ok(buffer.close())
 }
 
 /// Formats an error with all its sources, because hyper's `Display` text covers only the outermost error.
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -21,6 +21,12 @@
         /// The limit in bytes.
         limit: usize,
     },
+    /// The memory for buffered responses is used up.
+    #[display("no memory for the answer, {used} bytes are buffered")]
+    BuffersFull {
+        /// Bytes of all responses that are buffered.
+        used: usize,
+    },
 }
 
 impl Error {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! Errors distinguish requests that cannot have reached the server from those that may have.
 
+pub mod buffers;
 pub mod client;
 pub mod connector;
 pub mod error;
 pub mod spawner;
 
+pub use buffers::Buffers;
 pub use client::Client;
 pub use error::Error;
