Test that connections of endless responses are closed

Servers may send bytes without end, in a head or a body, until the caller closes. The test plays eight places in which they may do so (a header, headers, interim responses, a body, chunks, a chunk extension, trailers, no HTTP at all): calls go on to another server, and the connection is closed.

--- a/crates/gateway/tests/all/endless.rs
+++ b/crates/gateway/tests/all/endless.rs
@@ -1,5 +1,6 @@
 //! Servers that send bytes without end.
 
+use core::sync::atomic::Ordering;
 use core::time::Duration;
 
 use serde_json::json;
@@ -56,11 +57,51 @@
             let response = system.send("read", &format!("r{number}")).await;
             assert_eq!(response.body, "done by s1");
         }
-        let address = http::serve_endless_heads().to_string();
-        system.services[0].set_entry("address", json!(address));
-        for number in 4..8 {
-            let response = system.send("read", &format!("r{number}")).await;
-            assert_eq!(response.body, "done by s1");
+    });
+}
+
+/// Guards against connections that stay open, and read bytes without end, after their request was given up.
+#[test]
+fn connections_of_endless_responses_are_closed() {
+    let head = "HTTP/1.1 200 OK\r\n";
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let endless = [
+        ("a header", format!("{head}filler: "), "x"),
+        ("headers", head.to_owned(), "filler: x\r\n"),
+        (
+            "interim responses",
+            String::new(),
+            "HTTP/1.1 100 Continue\r\n\r\n",
+        ),
+        ("a body", format!("{head}\r\n"), "x"),
+        ("chunks", chunked.to_owned(), "1\r\nx\r\n"),
+        ("a chunk extension", format!("{chunked}1;"), "x"),
+        ("trailers", format!("{chunked}0\r\n"), "filler: x\r\n"),
+        ("no HTTP", String::new(), "x"),
+    ];
+    run_test(2, |system| async move {
+        for (name, start, piece) in endless {
+            let faulty = http::serve_endless(start.leak(), piece);
+            system.services[0].set_entry("address", json!(faulty.address.to_string()));
+            let service: agatemill_core::id::Service = "plain".parse().unwrap();
+            system
+                .wait_until("the new address is known", || {
+                    let view = system.process.state().view();
+                    let servers = view.servers(&service);
+                    servers
+                        .iter()
+                        .any(|server| server.address == faulty.address)
+                })
+                .await;
+            let mut number = 0;
+            while faulty.accepted.load(Ordering::Relaxed) == 0 {
+                let response = system.send("read", &format!("{name}-{number}")).await;
+                assert_eq!(response.body, "done by s1", "{name}");
+                number += 1;
+            }
+            system
+                .wait_until(name, || faulty.open.load(Ordering::Relaxed) == 0)
+                .await;
         }
     });
 }
