Count a stream that an engine failed as ended

Operators see agatemill_in_flight grow by one for each streaming request that an engine answered with an error: only the relay of events recorded the end of a stream.

Test: a_failed_stream_is_no_longer_in_flight failed before (1 in flight) and passes.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -30,6 +30,7 @@
 use agatemill_adapter::engine;
 use agatemill_adapter::header;
 use agatemill_core::Cause;
+use agatemill_core::Outcome;
 use agatemill_core::Phase;
 use agatemill_core::Reason;
 use agatemill_core::Refusal;
@@ -107,6 +108,8 @@
     head.headers.remove(hyper::header::CONTENT_LENGTH);
     if head.status != StatusCode::OK {
         let body = read_error(state, &job, body).await?;
+        let time = agatemill_runtime::now().saturating_sub(job.arrived);
+        state.metrics.end_request(Outcome::Complete, time);
         return Ok(Response::from_parts(head, response::full(body)));
     }
     let relay = Relay::new(
--- a/crates/gateway/tests/all/serving.rs
+++ b/crates/gateway/tests/all/serving.rs
@@ -80,6 +80,27 @@
     });
 }
 
+/// Guards against failed streams that count as in progress for ever.
+#[test]
+fn a_failed_stream_is_no_longer_in_flight() {
+    run_test(2, |system| async move {
+        for engine in &system.engines {
+            engine.set_behaviour(Behaviour::Fail);
+        }
+        let response = system.send("draft", "a1").await;
+        assert_eq!(
+            (response.status.as_u16(), response.body.as_str()),
+            (500, "failed")
+        );
+        let uri = format!("http://{}/", system.process.state().settings().metrics);
+        let (_, metrics) = system.get(&uri).await;
+        let line = metrics
+            .lines()
+            .find(|line| line.starts_with("agatemill_in_flight"));
+        assert!(line.unwrap().ends_with(" 0"), "{line:?}");
+    });
+}
+
 /// Guards against a second run of a stream whose route does not allow one, and against a truncated body that
 /// looks complete.
 #[test]
