Remove what nothing uses and name a literal

Table::has_model had no caller. A watch that the service cancelled without a compaction printed an empty revision.

No behaviour changes but for the text of that error.

--- a/crates/fake/src/engine/prefix.rs
+++ b/crates/fake/src/engine/prefix.rs
@@ -8,7 +8,7 @@
 use agatemill_engine::Event;
 
 /// Positions in a block, the unit of the cache.
-const BLOCK_POSITIONS: usize = 16;
+const BLOCK_POSITIONS: u32 = 16;
 
 /// Cache of prompt prefixes in blocks, with LRU eviction.
 ///
@@ -34,7 +34,7 @@
     pub fn new(positions: u32) -> Self {
         Self {
             blocks: VecDeque::new(),
-            capacity: positions as usize / BLOCK_POSITIONS,
+            capacity: (positions / BLOCK_POSITIONS) as usize,
             events: Vec::new(),
         }
     }
@@ -44,12 +44,12 @@
         let mut cached = 0;
         let mut is_prefix = true;
         let mut bytes = layers.to_string().into_bytes();
-        for block in inputs.chunks_exact(BLOCK_POSITIONS) {
+        for block in inputs.chunks_exact(BLOCK_POSITIONS as usize) {
             bytes.extend(block.iter().flat_map(|input| input.to_le_bytes()));
             let digest = Digest::of(&bytes);
             bytes = digest.as_bytes().to_vec();
             is_prefix = self.touch(digest, now) && is_prefix;
-            cached += if is_prefix { 16 } else { 0 };
+            cached += if is_prefix { BLOCK_POSITIONS } else { 0 };
         }
         cached
     }
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -86,10 +86,13 @@
         let line: gateway::Line<gateway::WatchAnswer> =
             serde_json::from_slice(line).map_err(|error| Error::Malformed(error.to_string()))?;
         if line.result.canceled {
-            return Err(Error::Unavailable(format!(
-                "the service cancelled the watch; history is compacted up to revision {:?}",
-                line.result.compact_revision
-            )));
+            let reason = match line.result.compact_revision.as_str() {
+                "" => "the service cancelled the watch".to_owned(),
+                revision => format!(
+                    "the service cancelled the watch; history is compacted up to revision {revision}"
+                ),
+            };
+            return Err(Error::Unavailable(reason));
         }
         for event in line.result.events.into_iter().rev() {
             let change = match event.kind.as_str() {
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -181,13 +181,6 @@
         });
     }
 
-    /// Whether the table has any engine for a model in this half.
-    #[must_use]
-    pub fn has_model(&self, half: &id::Half, model: &id::Model) -> bool {
-        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
-        state.pools.contains_key(&(half.clone(), model.clone()))
-    }
-
     /// Chooses a chain of the newest version that has one, and records its sessions as opened. The caller must pass
     /// the chain to [`Table::record_close`] when the sessions end. `None` if no chain covers the model.
     #[must_use]
