Yield to other tasks between reads of a connection

What callers see: a host that stops to answer, when a server sends interim responses (1xx) without end and faster than the host reads them.

Cause: the HTTP library reads interim responses in a loop that ends only when a read has to wait. It does not look meanwhile whether the request was given up, so neither its timeout nor its deadline ends the connection, and the gateway has one thread.

Change: a connection yields after 32 reads in a row, and the library then finds that the request was given up.

--- a/crates/http/src/connector.rs
+++ b/crates/http/src/connector.rs
@@ -20,6 +20,10 @@
 
 use agatemill_runtime::traffic::Meter;
 
+/// Reads in a row after which a connection yields to other tasks. The HTTP library reads interim responses for as long
+/// as there are bytes, and looks only between reads that have to wait whether the request was given up.
+const MAX_READS_IN_A_ROW: u32 = 32;
+
 /// Opens TCP connections to the IP address and port in a URI.
 #[derive(Clone, Copy, Debug)]
 pub struct Connector {
@@ -30,7 +34,11 @@
 /// A TCP stream of the pool.
 ///
 /// A newtype, because the pool requires the I/O type to implement its `Connection` trait.
-pub struct Stream(FuturesIo<Meter<TcpStream>>);
+pub struct Stream {
+    io: FuturesIo<Meter<TcpStream>>,
+    /// Reads since the last one that had to wait.
+    reads_in_a_row: u32,
+}
 
 impl Service<Uri> for Connector {
     type Response = Stream;
@@ -48,7 +56,10 @@
             let connect = agatemill_runtime::timeout(limit, TcpStream::connect(address)).await;
             let stream = connect.ok_or(io::ErrorKind::TimedOut)??;
             stream.set_nodelay(true)?;
-            Ok(Stream(FuturesIo::new(Meter(stream))))
+            Ok(Stream {
+                io: FuturesIo::new(Meter(stream)),
+                reads_in_a_row: 0,
+            })
         })
     }
 }
@@ -73,7 +84,18 @@
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_read(cx, buf)
+        if self.reads_in_a_row >= MAX_READS_IN_A_ROW {
+            self.reads_in_a_row = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let read = Pin::new(&mut self.io).poll_read(cx, buf);
+        self.reads_in_a_row = if read.is_ready() {
+            self.reads_in_a_row + 1
+        } else {
+            0
+        };
+        read
     }
 }
 
@@ -83,14 +105,14 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(cx, buf)
+        Pin::new(&mut self.io).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
+        Pin::new(&mut self.io).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(cx)
+        Pin::new(&mut self.io).poll_shutdown(cx)
     }
 }
--- a/crates/http/tests/buffers.rs
+++ b/crates/http/tests/buffers.rs
@@ -34,7 +34,9 @@
             let respond = async move {
                 let mut request = [0; 4_096];
                 let _ = stream.read(&mut request).await;
-                let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n"
+                );
                 let body = vec![b'x'; length - 1];
                 // A client may close the connection before the end.
                 let _ = stream.write_all(head.as_bytes()).await;
