--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -36,8 +36,8 @@
 /// call is probably on a dead connection.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Maximum size of all responses of backend servers that are buffered at once, in bytes: a fifth of the memory of
-/// a small host.
+/// Maximum size of all responses of backend servers that are buffered at once, in bytes. Small hosts have 160 MB
+/// for everything.
 const MAX_BUFFERED_BYTES: usize = 32 << 20;
 
 /// Shared state of the process.
@@ -182,7 +182,7 @@
         })
     }
 
-    /// Records the number of listed hosts and returns the number that limits of the fleet are divided by.
+    /// Records the number of listed hosts, and returns the headcount by which limits of the fleet are divided.
     pub fn count_hosts(&self) -> Headcount {
         let listed = self.view().members.len();
         let mut headcount = lock(&self.headcount);
--- a/crates/http/src/buffers.rs
+++ b/crates/http/src/buffers.rs
@@ -81,16 +81,21 @@
         }
         let capacity = self.bytes.capacity();
         if length > capacity {
-            let grown = length.max(capacity * 2).min(max_bytes);
-            let counted = grown.saturating_sub(EXEMPT_BYTES);
-            self.buffers.reserve(counted.saturating_sub(self.counted))?;
-            self.counted = counted;
-            self.bytes.reserve_exact(grown - self.bytes.len());
+            self.grow(length.max(capacity * 2).min(max_bytes))?;
         }
         self.bytes.extend_from_slice(data);
         Ok(())
     }
 
+    /// Grows to a capacity of `bytes`, if the limit allows that.
+    fn grow(&mut self, bytes: usize) -> Result<(), Error> {
+        let counted = bytes.saturating_sub(EXEMPT_BYTES);
+        self.buffers.reserve(counted.saturating_sub(self.counted))?;
+        self.counted = counted;
+        self.bytes.reserve_exact(bytes - self.bytes.len());
+        Ok(())
+    }
+
     /// Completes the buffer.
     #[must_use]
     pub fn close(self) -> Bytes {
