--- a/crates/soak/src/command.rs
+++ b/crates/soak/src/command.rs
@@ -7,6 +7,7 @@
 
 use clap::Parser;
 
+use crate::plan;
 use crate::run;
 
 /// Randomized soak of the real programs on one machine.
@@ -25,6 +26,9 @@
     /// Seconds within which the faults of a seed start.
     #[arg(long, default_value_t = 12)]
     pub seconds: u64,
+    /// Number of hosts, each in a process of its own.
+    #[arg(long, default_value_t = plan::HOSTS, value_parser = clap::value_parser!(u32).range(1..=200))]
+    pub hosts: u32,
     /// Gateway binary; by default the one in the directory of this program.
     #[arg(long, value_name = "FILE")]
     pub gateway: Option<PathBuf>,
@@ -77,7 +81,7 @@
                 .keep(),
         };
         let over = Duration::from_secs(options.seconds);
-        let report = smol::block_on(run::execute(&program, &folder, seed, over))?;
+        let report = smol::block_on(run::execute(&program, &folder, seed, over, options.hosts))?;
         println!(
             "seed {seed}: {} faults, {} of {} requests served, {} violations",
             report.faults,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -8,8 +8,8 @@
 use agatemill_standin::engine;
 use agatemill_standin::store;
 
-/// Gateway hosts of a run.
-pub const HOSTS: usize = 3;
+/// Gateway hosts of a run, unless another number is given.
+pub const HOSTS: u32 = 3;
 
 /// Engines of a run, two for each half of the layers.
 pub const ENGINES: usize = 4;
@@ -17,7 +17,8 @@
 /// Application servers of a run.
 pub const SERVICES: usize = 2;
 
-/// Mean interval between the starts of faults; shorter than most faults, so that they overlap.
+/// Mean interval between the starts of faults with [`HOSTS`] hosts; shorter than most faults, so that they overlap. With
+/// more hosts there are more faults in proportion.
 const MEAN_FAULT_INTERVAL_MS: u64 = 700;
 
 /// Upper bound of the duration of a fault.
@@ -62,18 +63,19 @@
     },
 }
 
-/// Faults of a seed that start within `over`, in the order in which they are drawn.
+/// Faults of a seed for a number of hosts that start within `over`, in the order in which they are drawn.
 #[must_use]
-pub fn faults(seed: u64, over: Duration) -> Vec<Fault> {
+pub fn faults(seed: u64, over: Duration, hosts: u32) -> Vec<Fault> {
     let mut rng = Rng::with_seed(seed);
     let mut faults = Vec::new();
     let mut start = Duration::ZERO;
     loop {
-        start += Duration::from_millis(rng.u64(0..2 * MEAN_FAULT_INTERVAL_MS));
+        let interval = Duration::from_millis(rng.u64(0..2 * MEAN_FAULT_INTERVAL_MS));
+        start += interval * HOSTS / hosts;
         if start >= over {
             return faults;
         }
-        let kind = random_kind(&mut rng);
+        let kind = random_kind(&mut rng, hosts);
         let duration = Duration::from_millis(rng.u64(100..MAX_FAULT_DURATION_MS));
         // A quarter of the faults occur twice, 400 ms apart.
         for repeat in 0..if rng.u8(..4) == 0 { 2 } else { 1 } {
@@ -88,8 +90,8 @@
     }
 }
 
-fn random_kind(rng: &mut Rng) -> Kind {
-    let host = rng.usize(0..HOSTS);
+fn random_kind(rng: &mut Rng, hosts: u32) -> Kind {
+    let host = rng.usize(0..hosts as usize);
     let server = rng.usize(0..ENGINES + SERVICES);
     match rng.u8(0..12) {
         0 => Kind::Freeze(host),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -61,7 +61,8 @@
     violations: Vec<String>,
 }
 
-/// Runs the faults of a seed against `program`, the gateway binary; settings and logs go to `folder`.
+/// Runs the faults of a seed against `hosts` processes of `program`, the gateway binary; settings and logs go to
+/// `folder`.
 ///
 /// # Errors
 ///
@@ -71,10 +72,11 @@
     folder: &Path,
     seed: u64,
     over: Duration,
+    hosts: u32,
 ) -> io::Result<Report> {
     std::fs::create_dir_all(folder)?;
-    let faults = plan::faults(seed, over);
-    let mut run = Run::start(program, folder)?;
+    let faults = plan::faults(seed, over, hosts);
+    let mut run = Run::start(program, folder, hosts)?;
     run.recover("the start").await?;
     let addresses: Vec<SocketAddrV4> = run.hosts.iter().map(|host| host.callers).collect();
     let callers: Vec<_> = (0..CALLERS)
@@ -105,7 +107,7 @@
 }
 
 impl Run {
-    fn start(program: &Path, folder: &Path) -> io::Result<Self> {
+    fn start(program: &Path, folder: &Path, hosts: u32) -> io::Result<Self> {
         let (store, address) = Store::listen();
         store.put(document::KEY, &document::routes(1, r#""k1","k2""#));
         let engines = (0..plan::ENGINES)
@@ -120,7 +122,7 @@
         for (server, link) in servers.iter().zip(&server_links) {
             server.set_entry("address", link.address.to_string().into());
         }
-        let store_links: Vec<Proxy> = (0..plan::HOSTS).map(|_| Proxy::start(address)).collect();
+        let store_links: Vec<Proxy> = (0..hosts).map(|_| Proxy::start(address)).collect();
         let hosts = store_links
             .iter()
             .enumerate()
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -21,14 +21,20 @@
 #[test]
 fn a_seed_gives_the_same_faults() {
     let over = Duration::from_mins(1);
-    assert_eq!(plan::faults(7, over), plan::faults(7, over));
-    assert_ne!(plan::faults(7, over), plan::faults(8, over));
+    assert_eq!(
+        plan::faults(7, over, plan::HOSTS),
+        plan::faults(7, over, plan::HOSTS)
+    );
+    assert_ne!(
+        plan::faults(7, over, plan::HOSTS),
+        plan::faults(8, over, plan::HOSTS)
+    );
 }
 
 /// Guards against schedules without concurrent faults: failures that coincide are the ones that other tests miss.
 #[test]
 fn faults_overlap() {
-    let faults = plan::faults(1, Duration::from_mins(1));
+    let faults = plan::faults(1, Duration::from_mins(1), plan::HOSTS);
     let overlapping = faults
         .windows(2)
         .filter(|pair| pair[1].start < pair[0].start + pair[0].duration);
@@ -47,7 +53,8 @@
     let program = &program;
     let run_seed = |seed| {
         let folder = tempfile::tempdir().unwrap();
-        let report = smol::block_on(run::execute(program, folder.path(), seed, SHORT)).unwrap();
+        let run = run::execute(program, folder.path(), seed, SHORT, plan::HOSTS);
+        let report = smol::block_on(run).unwrap();
         if !report.violations.is_empty() {
             let folder = folder.keep();
             panic!("seed {seed}: {:#?}\nlogs: {folder:?}", report.violations);
