--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -12,7 +12,8 @@
 /// Seeds of the short soak. Seeds that have failed stay here:
 ///
 /// - 9, 22 and 41: another process took a port between its selection and the start of a host.
-/// - 9 and 50: a process that was started meanwhile had a copy of the socket with which a port was checked.
+/// - 9 and 50: a host exited at its start; probably a process that was started meanwhile had a copy of the socket with
+///   which its port was checked.
 /// - 18: a stand-in engine continued a stream after half an event.
 /// - 50: like 18; besides, engines that were cut off counted towards the limit of runs.
 const SEEDS: [u64; 7] = [1, 2, 9, 18, 22, 41, 50];
