Log the parts of a prompt with each failed attempt of a stream

Neither lines nor metrics could tell which parts were in flight on an engine when it ended, so three explanations could not be told apart: a request that crashes engines and is sent again, the streams of a lost engine that crowd the next one, and layers that no engine holds.

Change: the adapter decodes the parts that requests share, and the lines 'stream: attempt failed' and 'stream: interrupted' name them; the latter says whether an event of the run had arrived.

Ruled out: an engine behind the first one ends (the first engine of the path refuses connections within a millisecond in each case).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod model;
 pub mod path;
 pub mod placement;
+pub mod prompt;
 pub mod route;
 pub mod server;
 pub mod suspicion;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -227,7 +227,8 @@
         let is_resumable = self.job.route.kind == Kind::Stream { is_resumable: true };
         log::warn!(
             request:% = self.job.parameters.attempt, server:% = self.path.first().server, why,
-            last_event:? = self.last_event, is_resumable, runs = self.attempts.runs(), losses = self.attempts.losses();
+            last_event:? = self.last_event, has_begun = !self.is_first, is_resumable, runs = self.attempts.runs(),
+            losses = self.attempts.losses(), segments:? = self.job.parameters.segments;
             "stream: interrupted"
         );
         if !is_resumable {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -221,7 +221,8 @@
         state.metrics.count_retry("stream");
         log::info!(
             request:% = job.parameters.attempt, server:% = first.server, cause:%, runs = attempts.runs(),
-            losses = attempts.losses(), rejections = attempts.rejections();
+            losses = attempts.losses(), rejections = attempts.rejections(),
+            segments:? = job.parameters.segments;
             "stream: attempt failed"
         );
         let may_have_run = attempts.runs() > 0 && !job.route.is_repeatable();
