--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod endless;
 mod hosts;
+mod quarantine;
 mod serving;
 mod store;
 mod system;
--- /dev/null
+++ b/crates/gateway/tests/all/quarantine.rs
@@ -0,0 +1,54 @@
+//! Tests of requests on which engines crash.
+
+use crate::complete_stream;
+use crate::run_test;
+use agatemill_standin::Engine;
+use agatemill_standin::caller::Call;
+use agatemill_standin::engine::Behaviour;
+use agatemill_standin::engine::DEADLY_PART;
+
+/// Engines that one part of a prompt may crash.
+const MAX_CRASHES: usize = 4;
+
+/// Guards against requests that crash one engine after another because they share a part of their prompts.
+#[test]
+fn a_part_of_a_prompt_on_which_engines_crash_stops_reaching_them() {
+    run_test(8, |system| async move {
+        for engine in &system.engines {
+            engine.set_behaviour(Behaviour::CrashOnPart);
+        }
+        let sound = |number: usize| format!("5eed0001:40,{number:x}:60");
+        let deadly = |number: usize| format!("5eed0001:40,{DEADLY_PART}:20,{number:x}:60");
+        for number in 0..4 {
+            let (attempt, prompt) = (format!("s{number}"), sound(number));
+            let call = Call {
+                prompt: &prompt,
+                ..system.call("draft", &attempt)
+            };
+            assert_eq!(system.send_call(call).await.body, complete_stream());
+        }
+        let mut last = None;
+        for number in 0..8 {
+            let (attempt, prompt) = (format!("d{number}"), deadly(number));
+            let call = Call {
+                prompt: &prompt,
+                ..system.call("draft", &attempt)
+            };
+            last = Some(system.send_call(call).await);
+            system.wait_for_restarts().await;
+        }
+        let arrivals: Vec<_> = system.engines.iter().flat_map(Engine::arrivals).collect();
+        let crashes = arrivals
+            .iter()
+            .filter(|arrival| arrival.prompt.contains(DEADLY_PART));
+        assert!(crashes.count() <= MAX_CRASHES);
+        let last = last.unwrap();
+        assert_eq!(last.status, 503, "{last:?}");
+        assert!(last.headers.contains_key("retry-after"));
+        let call = Call {
+            prompt: "5eed0001:40,ffff:60",
+            ..system.call("draft", "s9")
+        };
+        assert_eq!(system.send_call(call).await.body, complete_stream());
+    });
+}
--- a/crates/gateway/tests/all/system.rs
+++ b/crates/gateway/tests/all/system.rs
@@ -85,18 +85,31 @@
                     .all(|engine| !engine.orders().is_empty())
             })
             .await;
-        let name: agatemill_core::id::Service = "model".parse().unwrap();
-        system
-            .wait_until("the view lists the layers", || {
-                let view = system.process.state().view();
-                let servers = view.servers(&name);
-                servers.len() == system.engines.len()
-                    && servers.iter().all(|server| server.layers.is_some())
-            })
-            .await;
+        system.wait_for_layers().await;
         system
     }
 
+    /// Waits until this host's view lists layers for every engine.
+    pub async fn wait_for_layers(&self) {
+        let name: agatemill_core::id::Service = "model".parse().unwrap();
+        self.wait_until("the view lists the layers", || {
+            let view = self.process.state().view();
+            let servers = view.servers(&name);
+            servers.len() == self.engines.len()
+                && servers.iter().all(|server| server.layers.is_some())
+        })
+        .await;
+    }
+
+    /// Waits until every engine that crashed has restarted and holds layers again.
+    pub async fn wait_for_restarts(&self) {
+        self.wait_until("the engines are up", || {
+            !self.engines.iter().any(Engine::is_down)
+        })
+        .await;
+        self.wait_for_layers().await;
+    }
+
     /// Waits until a condition is true.
     pub async fn wait_until(&self, what: &str, mut condition: impl FnMut() -> bool) {
         let end = agatemill_runtime::now() + WAIT_TIMEOUT;
@@ -115,14 +128,29 @@
     }
 
     pub async fn send_with(&self, route: &str, attempt: &str, key: &str, body: &str) -> Response {
-        let request = Request::from(Call {
+        let call = Call {
+            key,
+            body,
+            ..self.call(route, attempt)
+        };
+        self.send_call(call).await
+    }
+
+    /// A request with key `k1`.
+    pub fn call<'a>(&self, route: &'a str, attempt: &'a str) -> Call<'a> {
+        Call {
             host: self.callers,
             route,
             attempt,
-            key,
-            body,
+            key: "k1",
+            prompt: "",
+            body: "please",
             deadline: Duration::from_secs(4),
-        });
+        }
+    }
+
+    pub async fn send_call(&self, call: Call<'_>) -> Response {
+        let request = Request::from(call);
         let response = self.http.send(request, WAIT_TIMEOUT).await.unwrap();
         let (head, mut body) = response.into_parts();
         let mut response = Response {
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -97,6 +97,7 @@
             route,
             attempt: &exchange.attempt,
             key,
+            prompt: "",
             body: &exchange.body,
             deadline: DEADLINE,
         });
