Log the rates of requests that servers name

Server-Limit was read nowhere, so the logs could not tell whether a host knew a limit, when it learned of it, and whether answers without the header come in between.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -207,6 +207,9 @@
         .fetch(request(job, server, left), limit, MAX_RESPONSE_BYTES)
         .await;
     drop(reservation);
+    if let Ok(response) = &result {
+        state.note_request_limit(&server.id, header::request_limit(response.headers()));
+    }
     match result {
         Ok(response) if header::is_not_run(response.status(), response.headers()) => {
             if response.status() == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,6 +20,7 @@
 use crate::stall;
 use agatemill_adapter::Store;
 use agatemill_core::id;
+use agatemill_core::quantity::Rate;
 use agatemill_fleet::Budget;
 use agatemill_fleet::Census;
 use agatemill_fleet::Headcount;
@@ -71,6 +72,8 @@
     quarantine: Mutex<Quarantine>,
     headcount: Mutex<Headcount>,
     budgets: Mutex<HashMap<id::Service, Budget>>,
+    /// Rates of requests that servers have named.
+    request_limits: Mutex<HashMap<id::Server, Rate>>,
     stage: AtomicU8,
     /// Number of requests in progress.
     active: AtomicUsize,
@@ -111,6 +114,7 @@
             quarantine: Mutex::default(),
             headcount: Mutex::default(),
             budgets: Mutex::default(),
+            request_limits: Mutex::default(),
             stage: AtomicU8::new(0),
             active: AtomicUsize::new(0),
         }
@@ -250,6 +254,20 @@
         }
     }
 
+    /// Logs the rate of requests that a server names in a response, when it changes.
+    pub fn note_request_limit(&self, server: &id::Server, limit: Option<Rate>) {
+        let mut limits = lock(&self.request_limits);
+        match limit {
+            Some(limit) if limits.insert(server.clone(), limit) != Some(limit) => {
+                log::info!(server:%, limit:%; "servers: request limit named");
+            }
+            None if limits.remove(server).is_some() => {
+                log::info!(server:%; "servers: request limit lifted");
+            }
+            _ => {}
+        }
+    }
+
     /// Whether the view is recent enough for requests with keys.
     #[must_use]
     pub fn is_fresh(&self) -> bool {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -362,6 +362,7 @@
         }
         Err(_) => return Err(OpenError::Unknown(Cause::ConnectionLost)),
     };
+    state.note_request_limit(&first.server, header::request_limit(response.headers()));
     if header::is_not_run(response.status(), response.headers()) {
         let faulty = header::faulty_server(response.headers()).unwrap_or(first.address);
         state.avoid(faulty, AVOID_DURATION, "it rejected a request");
