Send requests to servers with a limit only for credits of the leader

What callers see: nothing yet, but a back end in need gets several times the rate of requests that it names in Server-Limit for all hosts together (LIMIT).

Cause: the header was passed over.

Change: hosts tell each other the limits with the load. A request goes to a server with a limit only for a credit. The leader of the fleet, which a lease of the store makes unique, gives credits out at 0.9 of the rate to the hosts that ask. A credit ends 1 s after it was asked for, and repeated or late answers bring none. A new term starts with empty buckets. Without a leader nothing is given out. Streams begin at other engines meanwhile; calls wait for up to half of their target latency and are then refused as not run. An answer without the header to a request sent after the last one with it lifts the limit. Decisions: crates/fleet/src/throttle.rs and throttle/allocator.rs, without I/O.

Failed before: requests_of_all_hosts_stay_within_the_limits_of_the_servers (990 requests in 4 s where 23 are allowed), streams_begin_at_engines_without_a_limit (71 of 23). a_lifted_limit_is_noticed passed before and guards the other side. all_hosts_together_keep_a_limit plays up to 100 hosts with restarts, changes of the leader and lost, repeated and late messages.

Placement does not know the lost capacity.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod server;
 pub mod suspicion;
 pub mod tally;
+pub mod throttle;
 pub mod upstream;
 
 pub use attempts::Attempts;
@@ -44,4 +45,5 @@
 pub use server::Server;
 pub use suspicion::Suspicion;
 pub use tally::Tally;
+pub use throttle::Throttle;
 pub use upstream::Upstream;
--- a/crates/fleet/src/path.rs
+++ b/crates/fleet/src/path.rs
@@ -77,6 +77,8 @@
     pub preference: f64,
     /// Whether it may be used.
     pub is_usable: bool,
+    /// Whether it may be the first of a path: its limit on requests, if it has one, is not reached.
+    pub may_start: bool,
 }
 
 /// Requirements of the request that a path is chosen for.
@@ -90,6 +92,8 @@
     pub answer: f64,
     /// Whether the path may pass from one zone to another.
     pub may_cross: bool,
+    /// Whether the path may start at engines that have reached their limits on requests.
+    pub ignores_limits: bool,
 }
 
 /// Why there is no path.
@@ -101,10 +105,13 @@
     Room,
     /// Reading the prompts that are queued at the engines takes too long.
     Time,
+    /// The engines that a path may start at have reached their limits on requests.
+    Limit,
 }
 
-/// Key of a group of engines that hold the same layers in the same zone: zone, first layer and end of the layers.
-type GroupKey<'a> = (&'a id::Zone, u32, u32);
+/// Key of a group of engines that hold the same layers in the same zone: zone, first layer, end of the layers, and
+/// whether a path may start there.
+type GroupKey<'a> = (&'a id::Zone, u32, u32, bool);
 
 /// A partial path.
 #[derive(Clone, Copy, Debug)]
@@ -272,8 +279,15 @@
         ..request
     };
     let free = cheapest_per_group(model, candidates, &free, request);
+    if search(model, candidates, &free, request, span).is_some() {
+        return Err(Missing::Room);
+    }
+    let request = Request {
+        ignores_limits: true,
+        ..request
+    };
     match search(model, candidates, &free, request, span) {
-        Some(_) => Err(Missing::Room),
+        Some(_) => Err(Missing::Limit),
         None => Err(Missing::Layers),
     }
 }
@@ -291,7 +305,12 @@
         let candidate = &candidates[index];
         let layers = candidate.layers;
         let cost = run_cost(model, candidate, layers.count(), request);
-        let group = groups.entry((&candidate.zone, layers.start(), layers.end()));
+        let group = groups.entry((
+            &candidate.zone,
+            layers.start(),
+            layers.end(),
+            candidate.may_start,
+        ));
         let group = group.or_default();
         group.push((cost, index));
         if group.len() > MAX_ENGINES_PER_GROUP {
@@ -349,7 +368,8 @@
                 let crosses = previous.is_some_and(|label: usize| {
                     candidates[labels[label].candidate].zone != candidate.zone
                 });
-                let is_forbidden = crosses && !request.may_cross;
+                let is_limited = boundary == 0 && !candidate.may_start && !request.ignores_limits;
+                let is_forbidden = (crosses && !request.may_cross) || is_limited;
                 if !holds || is_forbidden || has_candidate(&labels, previous, index) {
                     continue;
                 }
--- a/crates/fleet/tests/fleet/mod.rs
+++ b/crates/fleet/tests/fleet/mod.rs
@@ -89,6 +89,7 @@
         usage: Usage::default(),
         preference: 1.0,
         is_usable: true,
+        may_start: true,
     })
 }
 
@@ -99,5 +100,6 @@
         prompt: 775.0,
         answer: 220.0,
         may_cross: true,
+        ignores_limits: false,
     }
 }
--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -199,6 +199,7 @@
     let request = fleet::request(&local);
     let request = Request {
         may_cross: false,
+        ignores_limits: false,
         ..request
     };
     let full = Path::choose(&model, &engines, request);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -11,10 +11,12 @@
 use hyper::Uri;
 
 use crate::State;
+use crate::clock;
 use crate::exchange::Job;
 use crate::reservation::Reservation;
 use crate::response;
 use crate::response::Body;
+use crate::throttle;
 use agatemill_adapter::header;
 use agatemill_core::Cause;
 use agatemill_core::Outcome;
@@ -37,6 +39,15 @@
 /// `Retry-After` of the refusal when all servers rejected the request.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Share of the target latency that a call may wait for a server that has reached its limit on requests.
+const LIMIT_WAIT_SHARE: f64 = 0.5;
+
+/// Interval between attempts to select a server while all have reached their limits.
+const LIMIT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Mean `Retry-After` when all servers have reached their limits; jittered so that callers do not return together.
+const LIMIT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Outcome of sending a request to one server.
 enum Attempt {
     /// The server responded, and the response is complete.
@@ -62,8 +73,16 @@
         if let Some(refusal) = check_deadline(&job, runs) {
             return failure.map(caller_response).ok_or(refusal);
         }
-        let Some(server) = select_server(state, &job, &tried) else {
-            break;
+        let server = match select_server(state, &job, &tried).await {
+            Selection::Server(server) => server,
+            Selection::None => break,
+            Selection::Limited => {
+                log::info!(request:% = job.parameters.attempt, runs; "request: the servers have reached their limits");
+                if runs == 0 {
+                    last = limit_refusal();
+                }
+                break;
+            }
         };
         if !tried.is_empty() && !state.take_retry(&job.service) {
             let balance = state.retry_balance(&job.service);
@@ -165,9 +184,47 @@
     )
 }
 
-/// Selects the untried server with the fewest outstanding calls of this host; servers of the host's own zone win
-/// ties.
-fn select_server(state: &State, job: &Job, tried: &[Arc<Server>]) -> Option<Arc<Server>> {
+fn limit_refusal() -> Refusal {
+    let wait = LIMIT_RETRY_AFTER.mul_f64(0.7 + 0.6 * fastrand::f64());
+    let detail = "the servers have reached their limits on requests";
+    Refusal::not_run(Reason::Overloaded, detail).retry_after(wait)
+}
+
+/// Result of the selection of a server.
+enum Selection {
+    /// The server, for which a credit was taken if it has a limit.
+    Server(Arc<Server>),
+    /// Only servers that have reached their limits are left.
+    Limited,
+    /// No server is left.
+    None,
+}
+
+/// Selects a server, and waits for a while if all have reached their limits.
+async fn select_server(state: &State, job: &Job, tried: &[Arc<Server>]) -> Selection {
+    throttle::want(state, &job.service);
+    let wait = job.route.target_latency.mul_f64(LIMIT_WAIT_SHARE);
+    let end = agatemill_runtime::now() + wait.min(job.time_left(agatemill_runtime::now()) / 2);
+    loop {
+        let untried = untried_servers(state, job, tried);
+        if untried.is_empty() {
+            return Selection::None;
+        }
+        if let Some(server) = cheapest_server(state, untried)
+            && throttle::take(state, server.key)
+        {
+            return Selection::Server(server);
+        }
+        if agatemill_runtime::now() >= end {
+            return Selection::Limited;
+        }
+        state.announce_waiting();
+        agatemill_runtime::sleep(LIMIT_RETRY_INTERVAL).await;
+    }
+}
+
+/// Usable servers that were not tried, in random order.
+fn untried_servers(state: &State, job: &Job, tried: &[Arc<Server>]) -> Vec<Arc<Server>> {
     let was_tried = |server: &Server| tried.iter().any(|other| other.is_same_start(server));
     let mut usable = state.usable_servers(&job.service);
     if usable.is_empty() {
@@ -178,13 +235,23 @@
     }
     usable.retain(|server| !was_tried(server));
     fastrand::shuffle(&mut usable);
+    usable
+}
+
+/// The server with the fewest outstanding calls of this host, of those that have not reached their limits; servers of
+/// the host's own zone win ties.
+fn cheapest_server(state: &State, servers: Vec<Arc<Server>>) -> Option<Arc<Server>> {
     let zone = state.settings().zone.clone();
     let load = state.load();
     let cost = |server: &Arc<Server>| {
         let away = u32::from(server.zone != zone);
         load.of(&server.id).requests * 2 + away
     };
-    usable.into_iter().min_by_key(cost)
+    let now = clock::boot_time();
+    let throttle = state.throttle();
+    let servers = servers.into_iter();
+    let free = servers.filter(|server| throttle.may_send(server.key, now));
+    free.min_by_key(cost)
 }
 
 /// Sends a call to one server and reads the complete response.
@@ -203,12 +270,13 @@
         route::Kind::Idempotent => &state.pooled,
         _ => &state.unpooled,
     };
+    let sent = clock::boot_time();
     let result = client
         .fetch(request(job, server, left), limit, MAX_RESPONSE_BYTES)
         .await;
     drop(reservation);
     if let Ok(response) = &result {
-        state.note_request_limit(&server.id, header::request_limit(response.headers()));
+        throttle::observe(state, &server.id, response.headers(), sent);
     }
     match result {
         Ok(response) if header::is_not_run(response.status(), response.headers()) => {
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -1,8 +1,10 @@
 //! Selects the engines of streams from this host's view of the platform.
 
 use crate::State;
+use crate::clock;
 use crate::exchange::Job;
 use crate::stall;
+use crate::throttle;
 use agatemill_adapter::header;
 use agatemill_core::id;
 use agatemill_fleet::Model;
@@ -13,6 +15,7 @@
 use agatemill_fleet::path::Part;
 use agatemill_fleet::path::Request;
 use agatemill_fleet::server;
+use agatemill_fleet::tally::Key;
 
 /// Longest time to read the queued prompts before a first event, as a multiple of the route's target latency.
 /// Callers give up after four times the target; a request that would take longer than this is refused while it
@@ -60,6 +63,8 @@
     drop(view);
     let load = state.load();
     let census = state.census();
+    let throttle = state.throttle();
+    let boot_time = clock::boot_time();
     let suspicion = state.suspicion();
     let candidates = servers.iter().filter_map(|server| {
         let layers = server.layers?;
@@ -77,6 +82,7 @@
             preference: 1.0 + COST_JITTER * fastrand::f64(),
             is_usable: server.state == server::State::Ready
                 && !suspicion.is_avoided(&server.address, now),
+            may_start: throttle.may_send(server.key, boot_time),
         })
     });
     candidates.collect()
@@ -93,7 +99,8 @@
     state.link().is_open(share, agatemill_runtime::now())
 }
 
-/// Chooses the path of a new request and charges its traffic to the inter-zone links.
+/// Chooses the path of a new request, takes a credit for its first engine and charges its traffic to the inter-zone
+/// links.
 ///
 /// # Errors
 ///
@@ -105,6 +112,7 @@
         prompt: size.prompt,
         answer: size.answer,
         may_cross: may_cross(state, job, model),
+        ignores_limits: false,
     };
     let candidates = candidates(state, job, model);
     let path = Path::choose(model, &candidates, request)?;
@@ -113,6 +121,9 @@
     if read_ms > limit.as_secs_f64() * 1_000.0 {
         return Err(Missing::Time);
     }
+    if !throttle::take(state, Key::from(&path.first().server)) {
+        return Err(Missing::Limit);
+    }
     let crossings = path.crossings(&candidates);
     let tokens = size.prompt + size.answer;
     state.link().charge(model, tokens, crossings);
@@ -139,6 +150,7 @@
         prompt: size.prompt + size.answer / 2.0,
         answer: size.answer / 2.0,
         may_cross: may_cross(state, job, model),
+        ignores_limits: false,
     };
     let candidates = candidates(state, job, model);
     let is_lost = |part: &Part| stall::is_lost(state, part.address);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,5 +1,6 @@
 //! Exchanges load reports and evidence with other hosts.
 
+use core::net::SocketAddrV4;
 use core::time::Duration;
 use std::sync::Arc;
 
@@ -9,9 +10,14 @@
 
 use crate::Error;
 use crate::State;
+use crate::clock;
+use crate::registration::Registration;
 use agatemill_fleet::Tally;
 use agatemill_fleet::census;
-use agatemill_fleet::quarantine::notice::Notice;
+use agatemill_fleet::quarantine;
+use agatemill_fleet::throttle;
+use agatemill_fleet::throttle::message::Ask;
+use agatemill_fleet::throttle::message::Grant;
 
 /// Interval between rounds: a few times the time that a prompt takes, and a small part of the lifetime of a
 /// stream.
@@ -23,11 +29,23 @@
 /// Maximum datagram size in bytes, enough for some 5,000 servers.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
-/// What a host tells another one.
+/// A message to another host.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-struct Message {
+pub enum Message {
+    /// What a host tells in a round.
+    Round(Box<Round>),
+    /// Asks the leader for credits.
+    Ask(Ask),
+    /// The leader's answer.
+    Grant(Grant),
+}
+
+/// What a host tells another one in a round.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Round {
     census: census::Message,
-    quarantine: Notice,
+    quarantine: quarantine::notice::Notice,
+    throttle: throttle::message::Notice,
 }
 
 /// Binds the UDP socket.
@@ -35,7 +53,7 @@
 /// # Errors
 ///
 /// [`Error::Listen`].
-pub async fn open(address: core::net::SocketAddrV4) -> Result<UdpSocket, Error> {
+pub async fn open(address: SocketAddrV4) -> Result<UdpSocket, Error> {
     let socket = UdpSocket::bind(address).await;
     socket.map_err(|source| Error::Listen { address, source })
 }
@@ -57,47 +75,67 @@
         let now = agatemill_runtime::now();
         let messages = state.census().round(own, &members, now);
         let quarantine = state.quarantine().notice(now);
+        let limits = state.throttle().notice(clock::boot_time());
         for (address, census) in messages {
-            let message = Message {
+            let round = Round {
                 census,
                 quarantine: quarantine.clone(),
+                throttle: limits.clone(),
             };
-            if let Err(error) = send_message(&socket, address, &message).await {
-                log::debug!(host:% = address, error:%; "gossip: cannot send a datagram");
-                state.metrics.count_event("gossip", "send_failed");
-            }
+            send_message(&state, &socket, address, &Message::Round(Box::new(round))).await;
         }
     }
 }
 
-async fn send_message(
+/// Sends a message to another host. A lost message is made up for by the next one.
+pub async fn send_message(
+    state: &State,
     socket: &UdpSocket,
-    address: core::net::SocketAddrV4,
+    address: SocketAddrV4,
     message: &Message,
-) -> std::io::Result<()> {
-    let bytes = postcard::to_stdvec(message).map_err(std::io::Error::other)?;
-    socket.send_to(&bytes, address).await.map(drop)
+) {
+    let result = async {
+        let bytes = postcard::to_stdvec(message).map_err(std::io::Error::other)?;
+        socket.send_to(&bytes, address).await
+    };
+    if let Err(error) = result.await {
+        log::debug!(host:% = address, error:%; "gossip: cannot send a datagram");
+        state.metrics.count_event("gossip", "send_failed");
+    }
 }
 
 /// Receives messages until the process ends.
-pub async fn receive(state: Arc<State>, socket: UdpSocket) {
+pub async fn receive(state: Arc<State>, registration: Arc<Registration>, socket: UdpSocket) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let received = socket.recv_from(&mut buffer).await;
         let message = match received {
-            Ok((length, _)) => postcard::from_bytes::<Message>(&buffer[..length]).ok(),
+            Ok((length, host)) => postcard::from_bytes::<Message>(&buffer[..length])
+                .ok()
+                .map(|message| (message, host)),
             // A datagram sent earlier reached a closed port; the socket stays usable.
             Err(_) => None,
         };
-        if let Some(message) = message {
-            let now = agatemill_runtime::now();
-            state.census().receive(message.census, now);
-            if state.quarantine().receive(message.quarantine, now) {
-                state.announce();
+        match message {
+            Some((Message::Round(round), _)) => receive_round(&state, *round),
+            Some((Message::Ask(ask), host)) => {
+                crate::throttle::answer(&state, &registration, &socket, ask, host).await;
+            }
+            Some((Message::Grant(grant), _)) => crate::throttle::accept(&state, grant),
+            None => {
+                state.metrics.count_event("gossip", "unreadable");
+                agatemill_runtime::sleep(Duration::from_millis(1)).await;
             }
-        } else {
-            state.metrics.count_event("gossip", "unreadable");
-            agatemill_runtime::sleep(Duration::from_millis(1)).await;
         }
     }
 }
+
+fn receive_round(state: &State, round: Round) {
+    let now = agatemill_runtime::now();
+    state.census().receive(round.census, now);
+    let has_evidence = state.quarantine().receive(round.quarantine, now);
+    let has_limits = state.throttle().receive(round.throttle, clock::boot_time());
+    if has_evidence || has_limits {
+        state.announce();
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod state;
 pub mod stream;
 pub mod sync;
+pub mod throttle;
 pub mod view;
 
 pub use error::Error;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -15,6 +15,7 @@
 use crate::server;
 use crate::shutdown;
 use crate::sync;
+use crate::throttle;
 use agatemill_metrics::Registry;
 
 /// The tasks of one host. Dropping it stops them at once, as a crash does; [`Process::close`] stops them
@@ -57,7 +58,16 @@
             agatemill_runtime::spawn(server::serve_metrics(share(), metrics)),
             agatemill_runtime::spawn(quarantine::run(share())),
             agatemill_runtime::spawn(gossip::send(share(), exchange.clone())),
-            agatemill_runtime::spawn(gossip::receive(share(), exchange)),
+            agatemill_runtime::spawn(throttle::run(
+                share(),
+                Arc::clone(&registration),
+                exchange.clone(),
+            )),
+            agatemill_runtime::spawn(gossip::receive(
+                share(),
+                Arc::clone(&registration),
+                exchange,
+            )),
             agatemill_runtime::spawn(feed::serve::run(share(), followers)),
         ];
         Ok(Self {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,7 +20,6 @@
 use crate::stall;
 use agatemill_adapter::Store;
 use agatemill_core::id;
-use agatemill_core::quantity::Rate;
 use agatemill_fleet::Budget;
 use agatemill_fleet::Census;
 use agatemill_fleet::Headcount;
@@ -29,7 +28,9 @@
 use agatemill_fleet::Quarantine;
 use agatemill_fleet::Server;
 use agatemill_fleet::Suspicion;
+use agatemill_fleet::Throttle;
 use agatemill_fleet::budget::Balance;
+use agatemill_fleet::throttle::allocator::Allocator;
 use agatemill_http::Buffers;
 use agatemill_metrics::Registry;
 
@@ -64,6 +65,8 @@
     pub feed: Feed,
     /// Notified when other hosts should be told something at once.
     news: Event,
+    /// Notified when a request waits for a credit.
+    waiting: Event,
     view: Mutex<View>,
     load: Mutex<Load>,
     census: Mutex<Census>,
@@ -72,8 +75,8 @@
     quarantine: Mutex<Quarantine>,
     headcount: Mutex<Headcount>,
     budgets: Mutex<HashMap<id::Service, Budget>>,
-    /// Rates of requests that servers have named.
-    request_limits: Mutex<HashMap<id::Server, Rate>>,
+    throttle: Mutex<Throttle>,
+    allocator: Mutex<Allocator>,
     stage: AtomicU8,
     /// Number of requests in progress.
     active: AtomicUsize,
@@ -107,6 +110,7 @@
             reports: stall::Reports::default(),
             feed: Feed::default(),
             news: Event::new(),
+            waiting: Event::new(),
             view: Mutex::default(),
             load: Mutex::default(),
             link: Mutex::default(),
@@ -114,7 +118,8 @@
             quarantine: Mutex::default(),
             headcount: Mutex::default(),
             budgets: Mutex::default(),
-            request_limits: Mutex::default(),
+            throttle: Mutex::new(Throttle::new(fastrand::u64(..))),
+            allocator: Mutex::default(),
             stage: AtomicU8::new(0),
             active: AtomicUsize::new(0),
         }
@@ -166,6 +171,26 @@
         lock(&self.quarantine)
     }
 
+    /// Request limits of servers, and the credits of this host.
+    pub fn throttle(&self) -> MutexGuard<'_, Throttle> {
+        lock(&self.throttle)
+    }
+
+    /// The allocator of credits, which is used while this host leads.
+    pub fn allocator(&self) -> MutexGuard<'_, Allocator> {
+        lock(&self.allocator)
+    }
+
+    /// Lets the next ask for credits begin at once, because a request waits for them.
+    pub fn announce_waiting(&self) {
+        self.waiting.notify(usize::MAX);
+    }
+
+    /// Listens for the next call of [`State::announce_waiting`].
+    pub fn listen_for_waiting(&self) -> EventListener {
+        self.waiting.listen()
+    }
+
     /// Lets the next exchange with other hosts begin at once.
     pub fn announce(&self) {
         self.news.notify(usize::MAX);
@@ -254,20 +279,6 @@
         }
     }
 
-    /// Logs the rate of requests that a server names in a response, when it changes.
-    pub fn note_request_limit(&self, server: &id::Server, limit: Option<Rate>) {
-        let mut limits = lock(&self.request_limits);
-        match limit {
-            Some(limit) if limits.insert(server.clone(), limit) != Some(limit) => {
-                log::info!(server:%, limit:%; "servers: request limit named");
-            }
-            None if limits.remove(server).is_some() => {
-                log::info!(server:%; "servers: request limit lifted");
-            }
-            _ => {}
-        }
-    }
-
     /// Whether the view is recent enough for requests with keys.
     #[must_use]
     pub fn is_fresh(&self) -> bool {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -18,6 +18,7 @@
 use crate::call;
 use crate::choice;
 use crate::choice::Size;
+use crate::clock;
 use crate::exchange::Job;
 use crate::quarantine;
 use crate::quarantine::Denial;
@@ -30,6 +31,7 @@
 use crate::stall::Finding;
 use crate::state::RequestGuard;
 use crate::state::Stage;
+use crate::throttle;
 use agatemill_adapter::engine;
 use agatemill_adapter::header;
 use agatemill_core::Cause;
@@ -168,6 +170,7 @@
         .clone()
         .ok_or_else(|| Refusal::not_run(Reason::NoServer, "the service has no model"))?;
     let size = Size::of(job, &model);
+    throttle::want(state, &job.service);
     let began = agatemill_runtime::now();
     let timeout = job.route.target_latency.mul_f64(PATH_WAIT_SHARE);
     loop {
@@ -204,6 +207,9 @@
                     );
                     return Err(no_path(attempts, missing));
                 }
+                if missing == Missing::Limit {
+                    state.announce_waiting();
+                }
                 agatemill_runtime::sleep(PATH_RETRY_INTERVAL).await;
                 continue;
             }
@@ -302,6 +308,10 @@
             "the engines or the links between zones are full",
         ),
         Missing::Time => (Reason::Overloaded, "the engines have too much to read"),
+        Missing::Limit => (
+            Reason::Overloaded,
+            "the engines have reached their limits on requests",
+        ),
     };
     Refusal::not_run(reason, detail).retry_after(jitter(RETRY_AFTER))
 }
@@ -330,6 +340,7 @@
         last_event,
     };
     let request = call::forward(job, first.address, overrides);
+    let sent = clock::boot_time();
     let mut response = Box::pin(state.pooled.send(request, left)).fuse();
     let result = loop {
         let timeout = agatemill_runtime::sleep(HEAD_STALL_TIMEOUT).fuse();
@@ -362,7 +373,7 @@
         }
         Err(_) => return Err(OpenError::Unknown(Cause::ConnectionLost)),
     };
-    state.note_request_limit(&first.server, header::request_limit(response.headers()));
+    throttle::observe(state, &first.server, response.headers(), sent);
     if header::is_not_run(response.status(), response.headers()) {
         let faulty = header::faulty_server(response.headers()).unwrap_or(first.address);
         state.avoid(faulty, AVOID_DURATION, "it rejected a request");
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -54,6 +54,15 @@
     pub fence: Revision,
 }
 
+impl Planner {
+    /// The host of the planner.
+    #[must_use]
+    pub fn host(&self) -> Option<id::Host> {
+        let (host, _) = self.name.rsplit_once('-')?;
+        host.parse().ok()
+    }
+}
+
 impl View {
     /// Returns the changes from this view to a snapshot of the whole store. Entries that the snapshot lacks are
     /// deleted.
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod serving;
 mod store;
 mod system;
+mod throttle;
 mod upstream;
 
 use crate::system::System;
--- a/crates/limits/src/bucket.rs
+++ b/crates/limits/src/bucket.rs
@@ -28,6 +28,15 @@
         }
     }
 
+    /// Creates an empty bucket.
+    #[must_use]
+    pub fn empty(rate: Rate, now: Duration) -> Self {
+        Self {
+            tokens: 0.0,
+            ..Self::new(rate, now)
+        }
+    }
+
     /// Changes the rate and keeps the tokens, up to the new burst.
     pub fn set_rate(&mut self, rate: Rate, now: Duration) {
         self.refill(now);
