Test the ends of responses without a length or chunks

A stream that is closed between events is complete; one that is closed inside an event, or reset anywhere, goes on at another engine or stays incomplete. A whole answer is complete when its connection is closed, and a failure when it is reset.

The stand-in for them writes its responses byte by byte.

--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod store;
 mod system;
 mod throttle;
+mod unframed;
 mod upstream;
 
 use crate::system::System;
