Continue a stream whose engine crashed before the first event of an unframed answer

What callers see: a stream that is complete and empty, when its engine crashes after the head of an answer without length or chunks and its connection is closed instead of reset.

Cause: the end of the connection between events is the end of such a stream, and before the first event nothing distinguishes the two.

Change: a run that ends without any event is checked like a broken one: if its engine refuses connections, the stream goes on at another engine, and the crash is evidence for the quarantine. An engine that listens has answered with an empty stream, as before.

Failed before: a_stream_that_ends_with_its_engine_before_the_first_event_goes_on_elsewhere (empty body, complete).

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -84,10 +84,10 @@
     }
 }
 
-/// Records the loss of a request whose connection broke before it survived, provided that its first engine has ended.
-pub async fn record_loss(state: &State, attempt: &str, segments: &[Segment], first: &Part) {
-    if segments.is_empty() || !has_ended(first.address).await {
-        return;
+/// Records that a request ended before it survived, provided that its first engine has ended. Returns whether it has.
+pub async fn record_loss(state: &State, attempt: &str, segments: &[Segment], first: &Part) -> bool {
+    if !has_ended(first.address).await {
+        return false;
     }
     log::warn!(
         request = attempt, server:% = first.server, segments:?;
@@ -98,6 +98,7 @@
     if state.quarantine().record_crash(segments, server, now) {
         state.announce();
     }
+    true
 }
 
 /// Whether nothing listens at the address of a server. A server that is cut off or silent does not refuse connections.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -132,10 +132,22 @@
                         }
                     }
                 }
-                Step::Frame(None) if self.partial.is_empty() => {
-                    if self.begun_at.is_some() {
-                        self.record_survival();
+                // A response without a length ends like this also when its engine crashes before the first event.
+                Step::Frame(None) if self.partial.is_empty() && self.begun_at.is_none() => {
+                    if !self.record_crash().await {
+                        self.end(Outcome::Complete);
+                        return None;
+                    }
+                    let first = self.run.path.first().address;
+                    self.state
+                        .suspect(first, stream::SUSPECT_DURATION, "no connection");
+                    self.attempts.record_loss();
+                    if !self.resume("the engine crashed").await {
+                        return Some(Err(self.fail("the engine crashed")));
                     }
+                }
+                Step::Frame(None) if self.partial.is_empty() => {
+                    self.record_survival();
                     self.end(Outcome::Complete);
                     return None;
                 }
@@ -210,19 +222,20 @@
         }
     }
 
-    /// Records that the connection of the run broke, which counts if the run has not survived.
-    async fn record_crash(&mut self) {
-        if !self.has_survived {
-            let parameters = &self.job.parameters;
-            let first = self.run.path.first();
-            quarantine::record_loss(
-                &self.state,
-                &parameters.attempt,
-                &parameters.segments,
-                first,
-            )
-            .await;
+    /// Records that the run ended, unless it has survived. Returns whether its first engine has crashed.
+    async fn record_crash(&mut self) -> bool {
+        if self.has_survived {
+            return false;
         }
+        let parameters = &self.job.parameters;
+        let first = self.run.path.first();
+        quarantine::record_loss(
+            &self.state,
+            &parameters.attempt,
+            &parameters.segments,
+            first,
+        )
+        .await
     }
 
     /// Checks a stream that may have stalled; returns false if it cannot continue.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -61,7 +61,7 @@
 pub const AVOID_DURATION: Duration = Duration::from_millis(300);
 
 /// Time for which an engine that refused a connection is suspected to be lost.
-const SUSPECT_DURATION: Duration = Duration::from_millis(1_500);
+pub const SUSPECT_DURATION: Duration = Duration::from_millis(1_500);
 
 /// Maximum size of the body of an engine's error response, in bytes.
 const MAX_ERROR_BYTES: usize = 64 << 10;
--- a/crates/gateway/tests/all/unframed.rs
+++ b/crates/gateway/tests/all/unframed.rs
@@ -118,3 +118,23 @@
         assert_eq!(response.status, 502);
     });
 }
+
+/// Guards against a stream that looks complete without an event because its engine crashed before the first one.
+#[test]
+fn a_stream_that_ends_with_its_engine_before_the_first_event_goes_on_elsewhere() {
+    run_test(4, |system| async move {
+        let address = http::serve_unframed(|_| (String::new(), End::Exit));
+        let crashing = first_engine(&system);
+        move_server(&system, crashing, "model", address).await;
+        for number in 0..4 {
+            let response = system.send("draft", &format!("a{number}")).await;
+            assert_eq!(response.body, complete_stream());
+        }
+        let is_suspect = system
+            .process
+            .state()
+            .suspicion()
+            .is_lost(&address, agatemill_runtime::now());
+        assert!(is_suspect, "no stream met the engine");
+    });
+}
