--- a/crates/fleet/tests/throttle.rs
+++ b/crates/fleet/tests/throttle.rs
@@ -136,6 +136,9 @@
     );
 }
 
+/// Time for which a fleet is played.
+const PLAY_TIME: Duration = Duration::from_secs(30);
+
 /// A fleet under load in front of one server with a limit.
 struct Fleet {
     hosts: Vec<Throttle>,
@@ -168,14 +171,15 @@
         }
     }
 
-    /// Plays 30 s; returns the times at which requests were sent. Messages are lost, repeated and delayed, hosts restart,
+    /// Plays for `time`; returns the times at which requests were sent. Messages are lost, repeated and delayed, hosts restart,
     /// and the leader changes with pauses in which there is none.
-    fn play(mut self, has_faults: bool) -> Vec<Duration> {
+    fn play(mut self, time: Duration, has_faults: bool) -> Vec<Duration> {
         let mut sent = Vec::new();
         let mut mail: Vec<(Duration, Mail)> = Vec::new();
         let (mut leader, mut term) = (Some(0), 1);
-        for step in 1..3_000_u64 {
-            let now = ms(step * 10);
+        let mut now = Duration::ZERO;
+        while now < time {
+            now += ms(10);
             if has_faults && self.rng.u32(..400) == 0 {
                 leader = leader.is_none().then(|| self.rng.usize(..self.hosts.len()));
                 term += 1;
@@ -285,20 +289,28 @@
     /// or late messages.
     #[test]
     fn all_hosts_together_keep_a_limit(seed: u64, hosts in 1_usize..100, per_s in 0.5..60.0) {
-        let sent = Fleet::new(seed, hosts, per_s).play(true);
+        let sent = Fleet::new(seed, hosts, per_s).play(PLAY_TIME, true);
         #[allow(clippy::cast_precision_loss)]
         let most = most_in_4_s(&sent) as f64;
         prop_assert!(most <= 1.5 * 4.0 * per_s + 5.0, "{most} requests for a limit of {per_s}/s");
     }
 }
 
+/// Guards against a sum that grows with the number of hosts.
+#[test]
+fn a_thousand_hosts_keep_a_limit_of_one_a_second() {
+    let sent = Fleet::new(1, 1_000, 1.0).play(Duration::from_secs(12), true);
+    let most = most_in_4_s(&sent);
+    assert!(most <= 11, "{most} requests");
+}
+
 /// Guards against credits that reach hosts which do not use them while others wait.
 #[test]
 fn a_limit_is_used() {
     for (hosts, per_s) in [(8, 15.0), (80, 15.0), (80, 40.0)] {
-        let sent = Fleet::new(1, hosts, per_s).play(false).len();
+        let sent = Fleet::new(1, hosts, per_s).play(PLAY_TIME, false).len();
         #[allow(clippy::cast_precision_loss)]
-        let share = sent as f64 / (30.0 * per_s);
+        let share = sent as f64 / (PLAY_TIME.as_secs_f64() * per_s);
         assert!(
             share > 0.5,
             "{hosts} hosts use {share} of a limit of {per_s}/s"
