Count a request's own part of the prompt as evidence of crashes

What callers see: one request that its callers repeat crashes engine after engine.

Cause: the last part of a prompt was left out of the evidence, since no other request has it. Repeats of the request do.

Change: the last part is evidence like the others. It is remembered as sound only if it was suspected, and other hosts are told after its second crash: a crash has dozens of requests in flight, and their hosts send them again themselves.

Failed before: a_request_on_which_engines_crash_stops_reaching_them (more than 4 crashes on 5 repeats).

--- a/crates/fleet/src/prompt.rs
+++ b/crates/fleet/src/prompt.rs
@@ -1,4 +1,4 @@
-//! Parts of prompts that requests share.
+//! Parts of prompts.
 
 use core::fmt;
 use core::str::FromStr;
@@ -13,6 +13,28 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Segment(pub u64);
 
+/// The parts of the prompt of a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Parts that other requests may share, in order.
+    pub shared: Vec<Segment>,
+    /// The part that belongs to the request or its session alone, and to its repeats.
+    pub own: Option<Segment>,
+}
+
+impl Prompt {
+    /// All parts, in order.
+    pub fn segments(&self) -> impl Iterator<Item = Segment> {
+        self.shared.iter().copied().chain(self.own)
+    }
+
+    /// Whether a part is one of the prompt.
+    #[must_use]
+    pub fn contains(&self, segment: Segment) -> bool {
+        self.segments().any(|own| own == segment)
+    }
+}
+
 /// Error for a text that is not the id of a part of a prompt.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[display("{found:?} is not a hexadecimal number of up to 64 bits")]
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -16,6 +16,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 
+use crate::prompt::Prompt;
 use crate::prompt::Segment;
 use crate::quarantine::notice::Notice;
 use crate::quarantine::record::Crash;
@@ -76,24 +77,24 @@
 }
 
 impl Quarantine {
-    /// Decides whether a request with these parts may be sent. Of the requests with a suspected part, a host sends one
+    /// Decides whether a request with this prompt may be sent. Of the requests with a suspected part, a host sends one
     /// at a time.
-    pub fn admit(&mut self, segments: &[Segment], now: Duration) -> Admission {
+    pub fn admit(&mut self, prompt: &Prompt, now: Duration) -> Admission {
         if self.records.is_empty() {
             return Admission::Clear;
         }
         self.expire(now);
         let mut suspected = Vec::new();
-        for segment in segments {
-            let Some(record) = self.records.get(segment) else {
+        for segment in prompt.segments() {
+            let Some(record) = self.records.get(&segment) else {
                 continue;
             };
             match &record.verdict {
-                Some(verdict) if verdict.covers(segments) => {
+                Some(verdict) if verdict.covers(prompt) => {
                     let left = verdict.end().saturating_sub(now);
-                    return Admission::Condemned(*segment, left);
+                    return Admission::Condemned(segment, left);
                 }
-                _ => suspected.push(*segment),
+                _ => suspected.push(segment),
             }
         }
         if suspected.is_empty() {
@@ -116,13 +117,14 @@
         }
     }
 
-    /// Records that a server crashed while it began to answer a request with these parts. Returns whether other hosts
+    /// Records that a server crashed while it began to answer a request with this prompt. Returns whether other hosts
     /// should be told.
-    pub fn record_crash(&mut self, segments: &[Segment], server: Key, now: Duration) -> bool {
-        let suspects = segments
-            .iter()
-            .filter(|segment| !self.sound.contains(segment, now));
-        let suspects: Vec<Segment> = suspects.copied().collect();
+    pub fn record_crash(&mut self, prompt: &Prompt, server: Key, now: Duration) -> bool {
+        let sound = &self.sound;
+        let suspects = prompt
+            .segments()
+            .filter(|segment| !sound.contains(segment, now));
+        let suspects: Vec<Segment> = suspects.collect();
         let mut is_news = false;
         for segment in &suspects {
             let partners = suspects.iter().filter(|other| *other != segment);
@@ -131,18 +133,25 @@
                 at: now,
                 partners: partners.copied().collect(),
             };
-            is_news |= self.add(*segment, crash, now);
+            let is_shared = prompt.own != Some(*segment);
+            is_news |= self.add(*segment, crash, is_shared, now);
         }
         self.expire(now);
         is_news
     }
 
-    /// Records that a request with these parts outlived its first event. Returns whether other hosts should be told.
-    pub fn record_survival(&mut self, segments: &[Segment], now: Duration) -> bool {
+    /// Records that a request with this prompt outlived its first event. Returns whether other hosts should be told.
+    pub fn record_survival(&mut self, prompt: &Prompt, now: Duration) -> bool {
         let mut is_news = false;
-        for segment in segments {
+        for segment in &prompt.shared {
             is_news |= self.clear(*segment, now);
         }
+        // No other request has this part, so that it is not worth remembering unless it is suspected.
+        if let Some(own) = prompt.own
+            && self.records.contains_key(&own)
+        {
+            is_news |= self.clear(own, now);
+        }
         is_news
     }
 
@@ -167,8 +176,7 @@
         records.filter_map(|(segment, record)| Some((*segment, record.verdict.as_ref()?)))
     }
 
-    /// Evidence for the other hosts: the condemned parts, and the suspected ones with the most and the
-    /// latest crashes.
+    /// Evidence for the other hosts: the condemned parts, and the suspected ones with the most and the latest crashes.
     pub fn notice(&mut self, now: Duration) -> Notice {
         self.expire(now);
         let condemned = self.condemned().take(MAX_ROWS);
@@ -182,7 +190,7 @@
         let suspected = self
             .records
             .iter()
-            .filter(|(_, record)| record.verdict.is_none());
+            .filter(|(_, record)| record.verdict.is_none() && record.concerns_others());
         let mut suspected: Vec<_> = suspected.collect();
         suspected.sort_by_key(|(segment, record)| {
             (record.crashes.len(), record.last_crash(), **segment)
@@ -205,7 +213,7 @@
         for row in notice.suspected {
             let segment = row.segment;
             for crash in row.crashes(now) {
-                is_news |= self.add(segment, crash, now);
+                is_news |= self.add(segment, crash, true, now);
             }
         }
         for row in notice.condemned {
@@ -216,7 +224,7 @@
     }
 
     /// Adds a crash to the evidence against a part, unless the part is sound. Returns whether it was not known.
-    fn add(&mut self, segment: Segment, mut crash: Crash, now: Duration) -> bool {
+    fn add(&mut self, segment: Segment, mut crash: Crash, is_shared: bool, now: Duration) -> bool {
         if self.is_cleared(segment, now) {
             return false;
         }
@@ -224,7 +232,9 @@
         crash
             .partners
             .retain(|partner| !sound.contains(partner, now));
-        self.records.entry(segment).or_default().add(crash, now)
+        let record = self.records.entry(segment).or_default();
+        record.is_shared |= is_shared;
+        record.add(crash, now) && record.concerns_others()
     }
 
     /// Whether a suspected part is known to be sound; other hosts are then told.
@@ -238,7 +248,8 @@
 
     fn clear(&mut self, segment: Segment, now: Duration) -> bool {
         self.sound.insert(segment, now);
-        let was_suspected = self.records.remove(&segment).is_some();
+        let record = self.records.remove(&segment);
+        let was_suspected = record.is_some_and(|record| record.concerns_others());
         for record in self.records.values_mut() {
             record.remove_partner(segment);
         }
--- a/crates/fleet/src/quarantine/record.rs
+++ b/crates/fleet/src/quarantine/record.rs
@@ -31,6 +31,8 @@
     pub crashes: Vec<Crash>,
     /// The verdict.
     pub verdict: Option<Verdict>,
+    /// Whether several requests may have the part.
+    pub is_shared: bool,
 }
 
 /// A crash of a server that began to answer requests.
@@ -103,6 +105,13 @@
         }
     }
 
+    /// Whether other hosts are told. After one crash of a part that belongs to one request alone they are not: a crash has
+    /// dozens of these, and the request is sent again by the same host first.
+    #[must_use]
+    pub fn concerns_others(&self) -> bool {
+        self.is_shared || self.crashes.len() > 1 || self.verdict.is_some()
+    }
+
     /// When the last crash happened.
     #[must_use]
     pub fn last_crash(&self) -> Duration {
--- a/crates/fleet/src/quarantine/verdict.rs
+++ b/crates/fleet/src/quarantine/verdict.rs
@@ -2,6 +2,7 @@
 
 use core::time::Duration;
 
+use crate::prompt::Prompt;
 use crate::prompt::Segment;
 
 /// Time for which a condemned part is rejected. Afterwards its requests reach engines again, which may have been
@@ -18,12 +19,12 @@
 }
 
 impl Verdict {
-    /// Whether requests with these parts are rejected: no part that may be the cause instead is missing.
+    /// Whether requests with this prompt are rejected: no part that may be the cause instead is missing.
     #[must_use]
-    pub fn covers(&self, segments: &[Segment]) -> bool {
+    pub fn covers(&self, prompt: &Prompt) -> bool {
         self.partners
             .iter()
-            .all(|partner| segments.contains(partner))
+            .all(|partner| prompt.contains(*partner))
     }
 
     /// When the verdict ends.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -12,6 +12,7 @@
 use crate::registration;
 use agatemill_adapter::verdict;
 use agatemill_fleet::path::Part;
+use agatemill_fleet::prompt::Prompt;
 use agatemill_fleet::prompt::Segment;
 use agatemill_fleet::quarantine::Admission;
 use agatemill_fleet::quarantine::verdict::Verdict;
@@ -58,13 +59,13 @@
     Condemned(Segment, Duration),
 }
 
-/// Decides whether a request with these parts may be sent.
+/// Decides whether a request with this prompt may be sent.
 ///
 /// # Errors
 ///
 /// [`Denial`] when it may not.
-pub fn admit(state: &Arc<State>, segments: &[Segment]) -> Result<Option<Trial>, Denial> {
-    let admission = state.quarantine().admit(segments, agatemill_runtime::now());
+pub fn admit(state: &Arc<State>, prompt: &Prompt) -> Result<Option<Trial>, Denial> {
+    let admission = state.quarantine().admit(prompt, agatemill_runtime::now());
     match admission {
         Admission::Clear => Ok(None),
         Admission::Trial(segments) => Ok(Some(Trial {
@@ -76,26 +77,26 @@
     }
 }
 
-/// Records that a request with these parts outlived its first event.
-pub fn record_survival(state: &State, segments: &[Segment]) {
+/// Records that a request with this prompt outlived its first event.
+pub fn record_survival(state: &State, prompt: &Prompt) {
     let now = agatemill_runtime::now();
-    if state.quarantine().record_survival(segments, now) {
+    if state.quarantine().record_survival(prompt, now) {
         state.announce();
     }
 }
 
 /// Records that a request ended before it survived, provided that its first engine has ended. Returns whether it has.
-pub async fn record_loss(state: &State, attempt: &str, segments: &[Segment], first: &Part) -> bool {
+pub async fn record_loss(state: &State, attempt: &str, prompt: &Prompt, first: &Part) -> bool {
     if !has_ended(first.address).await {
         return false;
     }
     log::warn!(
-        request = attempt, server:% = first.server, segments:?;
+        request = attempt, server:% = first.server, segments:? = prompt.shared, own:? = prompt.own;
         "quarantine: an engine crashed while it began to answer"
     );
     let now = agatemill_runtime::now();
     let server = Key::from(&first.server);
-    if state.quarantine().record_crash(segments, server, now) {
+    if state.quarantine().record_crash(prompt, server, now) {
         state.announce();
     }
     true
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -218,7 +218,7 @@
         if !self.has_survived {
             self.has_survived = true;
             self.run.trial = None;
-            quarantine::record_survival(&self.state, &self.job.parameters.segments);
+            quarantine::record_survival(&self.state, &self.job.parameters.parts);
         }
     }
 
@@ -229,13 +229,7 @@
         }
         let parameters = &self.job.parameters;
         let first = self.run.path.first();
-        quarantine::record_loss(
-            &self.state,
-            &parameters.attempt,
-            &parameters.segments,
-            first,
-        )
-        .await
+        quarantine::record_loss(&self.state, &parameters.attempt, &parameters.parts, first).await
     }
 
     /// Checks a stream that may have stalled; returns false if it cannot continue.
@@ -274,7 +268,7 @@
         log::warn!(
             request:% = self.job.parameters.attempt, server:% = self.run.path.first().server, why,
             last_event:? = self.last_event, has_begun = self.begun_at.is_some(), is_resumable, runs = self.attempts.runs(),
-            losses = self.attempts.losses(), segments:? = self.job.parameters.segments;
+            losses = self.attempts.losses(), segments:? = self.job.parameters.parts.shared;
             "stream: interrupted"
         );
         if !is_resumable {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -181,15 +181,15 @@
         if job.time_left(now).is_zero() {
             return Err(failure(attempts, Cause::DeadlinePassed));
         }
-        let segments = &job.parameters.segments;
-        let trial = match quarantine::admit(state, segments) {
+        let prompt = &job.parameters.parts;
+        let trial = match quarantine::admit(state, prompt) {
             Ok(trial) => trial,
             Err(Denial::Condemned(segment, left)) => {
                 log::warn!(request:% = job.parameters.attempt, segment:%; "stream: a part of the prompt is condemned");
                 return Err(condemned(attempts, left));
             }
             Err(Denial::Busy) if now >= began + timeout => {
-                log::warn!(request:% = job.parameters.attempt, segments:?; "stream: a part of the prompt is on trial");
+                log::warn!(request:% = job.parameters.attempt, segments:? = prompt.shared, own:? = prompt.own; "stream: a part of the prompt is on trial");
                 return Err(failure(attempts, Cause::Refused));
             }
             Err(Denial::Busy) => {
@@ -237,7 +237,7 @@
             Err(OpenError::Unknown(cause)) => {
                 attempts.record_run(first.server.clone(), first.address);
                 if cause == Cause::ConnectionLost {
-                    quarantine::record_loss(state, &job.parameters.attempt, segments, &first).await;
+                    quarantine::record_loss(state, &job.parameters.attempt, prompt, &first).await;
                 }
                 cause
             }
@@ -251,7 +251,7 @@
         log::info!(
             request:% = job.parameters.attempt, server:% = first.server, cause:%, runs = attempts.runs(),
             losses = attempts.losses(), rejections = attempts.rejections(),
-            segments:? = job.parameters.segments;
+            segments:? = job.parameters.parts.shared;
             "stream: attempt failed"
         );
         let may_have_run = attempts.runs() > 0 && !job.route.is_repeatable();
--- a/crates/gateway/tests/all/quarantine.rs
+++ b/crates/gateway/tests/all/quarantine.rs
@@ -76,3 +76,33 @@
         assert_eq!(system.run_count("d1"), 0);
     });
 }
+
+/// Guards against callers that crash engine after engine by repeating one request.
+#[test]
+fn a_request_on_which_engines_crash_stops_reaching_them() {
+    run_test(8, |system| async move {
+        for engine in &system.engines {
+            engine.set_behaviour(Behaviour::CrashOnPart);
+        }
+        let call = Call {
+            prompt: "5eed0001:40,1:60",
+            ..system.call("draft", "s1")
+        };
+        assert_eq!(system.send_call(call).await.body, complete_stream());
+        let prompt = format!("5eed0001:40,{DEADLY_PART}:60");
+        let mut last = None;
+        for number in 0..5 {
+            let attempt = format!("d{number}");
+            let call = Call {
+                prompt: &prompt,
+                ..system.call("draft", &attempt)
+            };
+            last = Some(system.send_call(call).await.status);
+            system.wait_for_restarts().await;
+        }
+        let arrivals: Vec<_> = system.engines.iter().flat_map(Engine::arrivals).collect();
+        let crashes = arrivals.iter().filter(|arrival| arrival.prompt == prompt);
+        assert!(crashes.count() <= MAX_CRASHES);
+        assert_eq!(last.unwrap(), 503);
+    });
+}
