Let few hosts store a verdict, and remember limits of servers that are not listed

Found by reading the change. Hosts beyond the tenth rank stored a missing verdict all at once after 10 s (990 of 1,000); now only the first five ranks do. A server that the platform does not list for a moment lost its limit at all hosts; now the limit is kept for a minute after it was last named. While no server has a limit, the task that asks for credits wakes once a second instead of four times, and the one that logs verdicts twice.

Tests: a_limit_outlasts_a_gap_in_the_listing is new; the tests of quarantine and throttle pass.

--- a/crates/fleet/src/throttle.rs
+++ b/crates/fleet/src/throttle.rs
@@ -27,6 +27,9 @@
 /// Time for which a host tells the others that a limit was lifted.
 const LIFTED_MEMORY: Duration = Duration::from_secs(10);
 
+/// Time since a server named its limit until it is forgotten when the platform does not list the server.
+const UNLISTED_MEMORY: Duration = Duration::from_mins(1);
+
 /// Error of an age that another host states, from the time that its message took.
 const AGE_ERROR: Duration = Duration::from_millis(20);
 
@@ -209,9 +212,11 @@
         has_changed
     }
 
-    /// Forgets the servers for which `is_listed` returns false.
-    pub fn retain(&mut self, is_listed: impl Fn(Key) -> bool) {
-        self.limits.retain(|server, _| is_listed(*server));
+    /// Forgets the servers for which `is_listed` returns false and that have not named a limit recently: the platform may
+    /// not list a server for a while although it serves.
+    pub fn retain(&mut self, is_listed: impl Fn(Key) -> bool, now: Duration) {
+        self.limits
+            .retain(|server, limit| is_listed(*server) || now < limit.at + UNLISTED_MEMORY);
     }
 
     fn credits_of(&self, server: Key, now: Duration) -> u32 {
--- a/crates/fleet/tests/throttle.rs
+++ b/crates/fleet/tests/throttle.rs
@@ -111,6 +111,16 @@
     assert_eq!(second.limit(server()), None);
 }
 
+/// Guards against a limit that hosts forget because the platform does not list the server for a moment.
+#[test]
+fn a_limit_outlasts_a_gap_in_the_listing() {
+    let mut throttle = limited(10.0, 0);
+    throttle.retain(|_| false, Duration::from_secs(59));
+    assert!(throttle.limit(server()).is_some());
+    throttle.retain(|_| false, Duration::from_mins(1));
+    assert!(throttle.is_idle());
+}
+
 /// Guards against a new leader that gives out what its predecessor has given out already.
 #[test]
 fn a_new_term_starts_without_credits() {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -26,11 +26,15 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Interval between looks at the verdicts.
-const POLL_INTERVAL: Duration = Duration::from_millis(250);
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Delay per host rank before a host stores a verdict, so that usually one does.
 const STORE_STAGGER: Duration = Duration::from_secs(1);
 
+/// Hosts that store a verdict that others have not stored, by rank. A few are enough, and all of a large fleet would
+/// overload the store.
+const MAX_WRITERS: u32 = 5;
+
 /// Time by which a stored verdict ends before the one in memory, so that the hosts do not store it again.
 const STORE_MARGIN: Duration = Duration::from_mins(1);
 
@@ -148,7 +152,11 @@
 /// A verdict that the store lacks and that this host has to write.
 fn next_to_store(state: &State) -> Option<(Segment, Verdict)> {
     let now = agatemill_runtime::now();
-    let delay = STORE_STAGGER * registration::rank(state);
+    let rank = registration::rank(state);
+    if rank >= MAX_WRITERS {
+        return None;
+    }
+    let delay = STORE_STAGGER * rank;
     let stored = state.view().verdicts.clone();
     let quarantine = state.quarantine();
     let mut missing = quarantine.condemned().filter(|(segment, verdict)| {
--- a/crates/gateway/src/throttle.rs
+++ b/crates/gateway/src/throttle.rs
@@ -3,6 +3,7 @@
 use core::net::SocketAddr;
 use core::net::SocketAddrV4;
 use core::time::Duration;
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use hyper::HeaderMap;
@@ -24,6 +25,9 @@
 /// Interval between asks for credits.
 const ASK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval between looks for limits while no server has one.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Minimum interval between asks while requests wait for credits.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -35,7 +39,7 @@
 pub fn observe(state: &State, server: &id::Server, headers: &HeaderMap, sent: Duration) {
     let limit = header::request_limit(headers);
     let mut throttle = state.throttle();
-    if (limit.is_none() && throttle.is_idle()) || (limit.is_none() && !header::is_sealed(headers)) {
+    if limit.is_none() && (throttle.is_idle() || !header::is_sealed(headers)) {
         return;
     }
     let has_changed = throttle.observe(Key::from(server), limit, sent, clock::boot_time());
@@ -77,7 +81,12 @@
         let wait = state.listen_for_waiting();
         let hosts = u32::try_from(state.host_count()).unwrap_or(u32::MAX);
         let pause = MIN_ASK_INTERVAL.max(ASK_INTERVAL_PER_HOST.saturating_mul(hosts));
-        agatemill_runtime::timeout(ASK_INTERVAL.max(pause), wait).await;
+        let interval = if state.throttle().is_idle() {
+            IDLE_INTERVAL
+        } else {
+            ASK_INTERVAL
+        };
+        agatemill_runtime::timeout(interval.max(pause), wait).await;
         let Some(ask) = next_ask(&state) else {
             continue;
         };
@@ -93,20 +102,17 @@
 }
 
 fn next_ask(state: &State) -> Option<Ask> {
+    if state.throttle().is_idle() {
+        return None;
+    }
     let view = state.view();
-    let listed: std::collections::HashSet<Key> = view
-        .services
-        .values()
-        .flatten()
-        .map(|server| server.key)
-        .collect();
+    let servers = view.services.values().flatten();
+    let listed: HashSet<Key> = servers.map(|server| server.key).collect();
     drop(view);
+    let now = clock::boot_time();
     let mut throttle = state.throttle();
-    if throttle.is_idle() {
-        return None;
-    }
-    throttle.retain(|server| listed.contains(&server));
-    throttle.ask(clock::boot_time())
+    throttle.retain(|server| listed.contains(&server), now);
+    throttle.ask(now)
 }
 
 /// Address of the leader, which has the allocator.
