Use the terms of quarantines and probes for requests that crash engines

A request that waited for the probe of another one in vain is now refused with that reason; the text said before that the engines were full. No decision changes.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -1,16 +1,16 @@
 //! Quarantine for parts of prompts on which engines crash.
 //!
 //! An engine that crashes takes all its requests with it, so a crash alone does not tell which request caused it. A
-//! part of a prompt is condemned after engines crashed at several moments while they began to answer requests with
+//! part of a prompt is quarantined after engines crashed at several moments while they began to answer requests with
 //! it, provided that no host has seen a request with it outlive its first event. A popular part is in flight at most
 //! crashes, but it also survives often, and one survival clears it. Parts that come together crash engines together;
-//! a request with only some of them is still sent, one at a time, until it shows which of them are sound.
+//! a request with only some of them is still sent, one at a time, until it shows which of them are healthy.
 //!
 //! Hosts exchange their evidence ([`notice`]): each sees only its own requests, and a part comes to any of them.
 
+pub mod entry;
 pub mod notice;
 pub mod record;
-pub mod verdict;
 
 use core::time::Duration;
 use std::collections::HashMap;
@@ -18,38 +18,38 @@
 
 use crate::prompt::Prompt;
 use crate::prompt::Segment;
+use crate::quarantine::entry::Entry;
 use crate::quarantine::notice::Notice;
 use crate::quarantine::record::Crash;
 use crate::quarantine::record::Record;
-use crate::quarantine::verdict::Verdict;
 use crate::recent::Recent;
 use crate::tally::Key;
 
-/// Maximum number of suspected and condemned parts.
+/// Maximum number of suspected and quarantined parts.
 const MAX_RECORDS: usize = 512;
 
-/// Maximum number of rows of each kind in a notice. A crash makes dozens of sound parts suspected for a moment.
+/// Maximum number of rows of each kind in a notice. A crash makes dozens of healthy parts suspected for a moment.
 const MAX_ROWS: usize = 64;
 
-/// Number of parts that are remembered as sound, in each of two generations.
-const MAX_SOUND: usize = 4_096;
+/// Number of parts that are remembered as healthy, in each of two generations.
+const MAX_HEALTHY: usize = 4_096;
 
-/// Lifetime of a generation of sound parts.
-const SOUND_LIFETIME: Duration = Duration::from_mins(10);
+/// Lifetime of a generation of healthy parts.
+const HEALTHY_LIFETIME: Duration = Duration::from_mins(10);
 
-/// Time for which a host tells the others that a suspected part is sound. Spans several notices, since some are lost.
+/// Time for which a host tells the others that a suspected part is healthy. Spans several notices, since some are lost.
 const CLEARANCE: Duration = Duration::from_secs(3);
 
-/// Suspected and condemned parts of prompts, as known to one host.
+/// Suspected and quarantined parts of prompts, as known to one host.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
     records: HashMap<Segment, Record>,
     /// Parts of requests that survived. They have no record.
-    sound: Recent<Segment>,
-    /// Sound parts that another host may suspect, with the time until which it is told.
+    healthy: Recent<Segment>,
+    /// Healthy parts that another host may suspect, with the time until which it is told.
     cleared: HashMap<Segment, Duration>,
     /// Suspected parts of requests of this host that have not survived yet.
-    on_trial: HashSet<Segment>,
+    probing: HashSet<Segment>,
 }
 
 /// Whether a request may be sent to an engine.
@@ -57,21 +57,21 @@
 pub enum Admission {
     /// No part is suspected.
     Clear,
-    /// These parts are suspected; the request decides about them. [`Quarantine::end_trial`] must follow.
-    Trial(Vec<Segment>),
+    /// These parts are suspected; the request decides about them. [`Quarantine::end_probe`] must follow.
+    Probe(Vec<Segment>),
     /// Another request of this host decides about a suspected part first.
     Busy,
-    /// The part is condemned for some more time.
-    Condemned(Segment, Duration),
+    /// The part is quarantined for some more time.
+    Quarantined(Segment, Duration),
 }
 
 impl Default for Quarantine {
     fn default() -> Self {
         Self {
             records: HashMap::new(),
-            sound: Recent::new(MAX_SOUND, SOUND_LIFETIME),
+            healthy: Recent::new(MAX_HEALTHY, HEALTHY_LIFETIME),
             cleared: HashMap::new(),
-            on_trial: HashSet::new(),
+            probing: HashSet::new(),
         }
     }
 }
@@ -89,10 +89,10 @@
             let Some(record) = self.records.get(&segment) else {
                 continue;
             };
-            match &record.verdict {
-                Some(verdict) if verdict.covers(prompt) => {
-                    let left = verdict.end().saturating_sub(now);
-                    return Admission::Condemned(segment, left);
+            match &record.entry {
+                Some(entry) if entry.covers(prompt) => {
+                    let left = entry.end().saturating_sub(now);
+                    return Admission::Quarantined(segment, left);
                 }
                 _ => suspected.push(segment),
             }
@@ -102,28 +102,28 @@
         }
         if suspected
             .iter()
-            .any(|segment| self.on_trial.contains(segment))
+            .any(|segment| self.probing.contains(segment))
         {
             return Admission::Busy;
         }
-        self.on_trial.extend(&suspected);
-        Admission::Trial(suspected)
+        self.probing.extend(&suspected);
+        Admission::Probe(suspected)
     }
 
-    /// Ends the trial of parts, with or without a result.
-    pub fn end_trial(&mut self, segments: &[Segment]) {
+    /// Ends the probe of parts, with or without a result.
+    pub fn end_probe(&mut self, segments: &[Segment]) {
         for segment in segments {
-            self.on_trial.remove(segment);
+            self.probing.remove(segment);
         }
     }
 
     /// Records that a server crashed while it began to answer a request with this prompt. Returns whether other hosts
     /// should be told.
     pub fn record_crash(&mut self, prompt: &Prompt, server: Key, now: Duration) -> bool {
-        let sound = &self.sound;
+        let healthy = &self.healthy;
         let suspects = prompt
             .segments()
-            .filter(|segment| !sound.contains(segment, now));
+            .filter(|segment| !healthy.contains(segment, now));
         let suspects: Vec<Segment> = suspects.collect();
         let mut is_news = false;
         for segment in &suspects {
@@ -155,34 +155,34 @@
         is_news
     }
 
-    /// Condemns a part that another process has condemned. Returns whether other hosts should be told.
-    pub fn condemn(&mut self, segment: Segment, verdict: Verdict, now: Duration) -> bool {
+    /// Quarantines a part that another process has quarantined. Returns whether other hosts should be told.
+    pub fn insert(&mut self, segment: Segment, entry: Entry, now: Duration) -> bool {
         if self.is_cleared(segment, now) {
             return false;
         }
-        let sound = &self.sound;
-        let partners = verdict.partners.into_iter();
-        let partners = partners.filter(|partner| !sound.contains(partner, now));
-        let verdict = Verdict {
-            since: verdict.since,
+        let healthy = &self.healthy;
+        let partners = entry.partners.into_iter();
+        let partners = partners.filter(|partner| !healthy.contains(partner, now));
+        let entry = Entry {
+            since: entry.since,
             partners: partners.collect(),
         };
-        self.records.entry(segment).or_default().condemn(verdict)
+        self.records.entry(segment).or_default().insert(entry)
     }
 
-    /// Condemned parts with their verdicts.
-    pub fn condemned(&self) -> impl Iterator<Item = (Segment, &Verdict)> {
+    /// Quarantined parts with their entries.
+    pub fn quarantined(&self) -> impl Iterator<Item = (Segment, &Entry)> {
         let records = self.records.iter();
-        records.filter_map(|(segment, record)| Some((*segment, record.verdict.as_ref()?)))
+        records.filter_map(|(segment, record)| Some((*segment, record.entry.as_ref()?)))
     }
 
-    /// Evidence for the other hosts: the condemned parts, and the suspected ones with the most and the latest crashes.
+    /// Evidence for the other hosts: the quarantined parts, and the suspected ones with the most and the latest crashes.
     pub fn notice(&mut self, now: Duration) -> Notice {
         self.expire(now);
-        let condemned = self.condemned().take(MAX_ROWS);
+        let quarantined = self.quarantined().take(MAX_ROWS);
         let mut notice = Notice {
-            condemned: condemned
-                .map(|(segment, verdict)| notice::Condemned::new(segment, verdict, now))
+            quarantined: quarantined
+                .map(|(segment, entry)| notice::Quarantined::new(segment, entry, now))
                 .collect(),
             cleared: self.cleared.keys().copied().take(MAX_ROWS).collect(),
             suspected: Vec::new(),
@@ -190,7 +190,7 @@
         let suspected = self
             .records
             .iter()
-            .filter(|(_, record)| record.verdict.is_none() && record.concerns_others());
+            .filter(|(_, record)| record.entry.is_none() && record.concerns_others());
         let mut suspected: Vec<_> = suspected.collect();
         suspected.sort_by_key(|(segment, record)| {
             (record.crashes.len(), record.last_crash(), **segment)
@@ -206,7 +206,7 @@
     pub fn receive(&mut self, notice: Notice, now: Duration) -> bool {
         let mut is_news = false;
         for segment in notice.cleared {
-            if self.records.contains_key(&segment) || !self.sound.contains(&segment, now) {
+            if self.records.contains_key(&segment) || !self.healthy.contains(&segment, now) {
                 is_news |= self.clear(segment, now);
             }
         }
@@ -216,38 +216,38 @@
                 is_news |= self.add(segment, crash, true, now);
             }
         }
-        for row in notice.condemned {
-            is_news |= self.condemn(row.segment, row.verdict(now), now);
+        for row in notice.quarantined {
+            is_news |= self.insert(row.segment, row.entry(now), now);
         }
         self.expire(now);
         is_news
     }
 
-    /// Adds a crash to the evidence against a part, unless the part is sound. Returns whether it was not known.
+    /// Adds a crash to the evidence against a part, unless the part is healthy. Returns whether it was not known.
     fn add(&mut self, segment: Segment, mut crash: Crash, is_shared: bool, now: Duration) -> bool {
         if self.is_cleared(segment, now) {
             return false;
         }
-        let sound = &self.sound;
+        let healthy = &self.healthy;
         crash
             .partners
-            .retain(|partner| !sound.contains(partner, now));
+            .retain(|partner| !healthy.contains(partner, now));
         let record = self.records.entry(segment).or_default();
         record.is_shared |= is_shared;
         record.add(crash, now) && record.concerns_others()
     }
 
-    /// Whether a suspected part is known to be sound; other hosts are then told.
+    /// Whether a suspected part is known to be healthy; other hosts are then told.
     fn is_cleared(&mut self, segment: Segment, now: Duration) -> bool {
-        let is_sound = self.sound.contains(&segment, now);
-        if is_sound {
+        let is_healthy = self.healthy.contains(&segment, now);
+        if is_healthy {
             self.cleared.insert(segment, now + CLEARANCE);
         }
-        is_sound
+        is_healthy
     }
 
     fn clear(&mut self, segment: Segment, now: Duration) -> bool {
-        self.sound.insert(segment, now);
+        self.healthy.insert(segment, now);
         let record = self.records.remove(&segment);
         let was_suspected = record.is_some_and(|record| record.concerns_others());
         for record in self.records.values_mut() {
@@ -263,9 +263,10 @@
         self.cleared.retain(|_, until| *until > now);
         self.records.retain(|_, record| record.end() > now);
         while self.records.len() > MAX_RECORDS {
-            let first = self.records.iter().min_by_key(|(segment, record)| {
-                (record.verdict.is_some(), record.end(), **segment)
-            });
+            let first = self
+                .records
+                .iter()
+                .min_by_key(|(segment, record)| (record.entry.is_some(), record.end(), **segment));
             let Some(segment) = first.map(|(segment, _)| *segment) else {
                 break;
             };
--- a/crates/fleet/src/quarantine/notice.rs
+++ b/crates/fleet/src/quarantine/notice.rs
@@ -6,9 +6,9 @@
 use serde::Serialize;
 
 use crate::prompt::Segment;
+use crate::quarantine::entry::Entry;
 use crate::quarantine::record;
 use crate::quarantine::record::Record;
-use crate::quarantine::verdict::Verdict;
 use crate::tally::Key;
 
 /// Evidence that a host sends to others.
@@ -17,8 +17,8 @@
     /// Parts on which engines may have crashed.
     pub suspected: Vec<Suspected>,
     /// Parts whose requests are rejected.
-    pub condemned: Vec<Condemned>,
-    /// Suspected parts that turned out to be sound.
+    pub quarantined: Vec<Quarantined>,
+    /// Suspected parts that turned out to be healthy.
     pub cleared: Vec<Segment>,
 }
 
@@ -38,9 +38,9 @@
     partners: Vec<Segment>,
 }
 
-/// A condemned part.
+/// A quarantined part.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Condemned {
+pub struct Quarantined {
     /// The part.
     pub segment: Segment,
     age_ms: u32,
@@ -73,21 +73,21 @@
     }
 }
 
-impl Condemned {
-    /// The verdict against a part. Its age is relative to `now`.
+impl Quarantined {
+    /// The entry of a part. Its age is relative to `now`.
     #[must_use]
-    pub fn new(segment: Segment, verdict: &Verdict, now: Duration) -> Self {
+    pub fn new(segment: Segment, entry: &Entry, now: Duration) -> Self {
         Self {
             segment,
-            age_ms: age_ms(verdict.since, now),
-            partners: verdict.partners.clone(),
+            age_ms: age_ms(entry.since, now),
+            partners: entry.partners.clone(),
         }
     }
 
-    /// The verdict, by the clock of the receiver.
+    /// The entry, by the clock of the receiver.
     #[must_use]
-    pub fn verdict(self, now: Duration) -> Verdict {
-        Verdict {
+    pub fn entry(self, now: Duration) -> Entry {
+        Entry {
             since: at(self.age_ms, now),
             partners: self.partners,
         }
--- a/crates/fleet/src/quarantine/record.rs
+++ b/crates/fleet/src/quarantine/record.rs
@@ -3,11 +3,11 @@
 use core::time::Duration;
 
 use crate::prompt::Segment;
-use crate::quarantine::verdict::Verdict;
+use crate::quarantine::entry::Entry;
 use crate::tally::Key;
 
-/// Moments at which engines must have crashed before a part is condemned.
-const CRASHES_TO_CONDEMN: usize = 3;
+/// Moments at which engines must have crashed before a part is quarantined.
+const CRASH_THRESHOLD: usize = 3;
 
 /// Minimum time between two crashes that count separately. Engines of one rack that lose power together are one crash.
 const CRASH_SEPARATION: Duration = Duration::from_millis(20);
@@ -29,8 +29,8 @@
 pub struct Record {
     /// Crashes in order of time.
     pub crashes: Vec<Crash>,
-    /// The verdict.
-    pub verdict: Option<Verdict>,
+    /// Set once the part is quarantined.
+    pub entry: Option<Entry>,
     /// Whether several requests may have the part.
     pub is_shared: bool,
 }
@@ -59,7 +59,7 @@
             let new: Vec<Segment> = crash.partners.into_iter().filter(is_new).collect();
             known.partners.extend(&new);
             known.partners.truncate(MAX_PARTNERS);
-            return !new.is_empty() && self.verdict.is_none();
+            return !new.is_empty() && self.entry.is_none();
         }
         if self.crashes.len() >= MAX_CRASHES {
             return false;
@@ -67,9 +67,9 @@
         crash.partners.truncate(MAX_PARTNERS);
         self.crashes.push(crash);
         self.crashes.sort_by_key(|crash| crash.at);
-        if self.crashes.len() >= CRASHES_TO_CONDEMN {
+        if self.crashes.len() >= CRASH_THRESHOLD {
             let partners = self.common_partners();
-            self.condemn(Verdict {
+            self.insert(Entry {
                 since: now,
                 partners,
             });
@@ -87,20 +87,20 @@
         first.partners.iter().filter(is_common).copied().collect()
     }
 
-    /// Condemns the part, or adds another verdict against it. Returns whether it changes.
-    pub fn condemn(&mut self, verdict: Verdict) -> bool {
-        let Some(known) = &mut self.verdict else {
-            self.verdict = Some(verdict);
+    /// Quarantines the part, or adds another entry for it. Returns whether it changes.
+    pub fn insert(&mut self, entry: Entry) -> bool {
+        let Some(known) = &mut self.entry else {
+            self.entry = Some(entry);
             return true;
         };
-        known.merge(&verdict)
+        known.merge(&entry)
     }
 
-    /// Removes a part that turned out to be sound from those that may be the cause.
+    /// Removes a part that turned out to be healthy from those that may be the cause.
     pub fn remove_partner(&mut self, segment: Segment) {
         let lists = self.crashes.iter_mut().map(|crash| &mut crash.partners);
-        let verdict = self.verdict.iter_mut().map(|verdict| &mut verdict.partners);
-        for partners in lists.chain(verdict) {
+        let entry = self.entry.iter_mut().map(|entry| &mut entry.partners);
+        for partners in lists.chain(entry) {
             partners.retain(|partner| *partner != segment);
         }
     }
@@ -109,7 +109,7 @@
     /// dozens of these, and the request is sent again by the same host first.
     #[must_use]
     pub fn concerns_others(&self) -> bool {
-        self.is_shared || self.crashes.len() > 1 || self.verdict.is_some()
+        self.is_shared || self.crashes.len() > 1 || self.entry.is_some()
     }
 
     /// When the last crash happened.
@@ -121,8 +121,8 @@
     /// When the record is dropped.
     #[must_use]
     pub fn end(&self) -> Duration {
-        match &self.verdict {
-            Some(verdict) => verdict.end(),
+        match &self.entry {
+            Some(entry) => entry.end(),
             None => self.last_crash() + SUSPICION,
         }
     }
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -9,11 +9,11 @@
 use agatemill_fleet::prompt::Prompt;
 use agatemill_fleet::prompt::Segment;
 use agatemill_fleet::quarantine::Admission;
-use agatemill_fleet::quarantine::verdict::SENTENCE;
-use agatemill_fleet::quarantine::verdict::Verdict;
+use agatemill_fleet::quarantine::entry::Entry;
+use agatemill_fleet::quarantine::entry::QUARANTINE_DURATION;
 use agatemill_fleet::tally::Key;
 
-const DEADLY: Segment = Segment(0xdead);
+const POISON: Segment = Segment(0xdead);
 const POPULAR: Segment = Segment(0x5eed);
 const RARE: Segment = Segment(0xabba);
 
@@ -34,12 +34,12 @@
     Duration::from_secs_f64(seconds)
 }
 
-fn is_condemned(quarantine: &mut Quarantine, prompt: &Prompt, now: Duration) -> bool {
+fn is_quarantined(quarantine: &mut Quarantine, prompt: &Prompt, now: Duration) -> bool {
     let admission = quarantine.admit(prompt, now);
-    if let Admission::Trial(trial) = &admission {
-        quarantine.end_trial(trial);
+    if let Admission::Probe(probe) = &admission {
+        quarantine.end_probe(probe);
     }
-    matches!(admission, Admission::Condemned(..))
+    matches!(admission, Admission::Quarantined(..))
 }
 
 /// Records `count` crashes one second apart from `from` on; returns the time after the last.
@@ -52,20 +52,20 @@
     now
 }
 
-/// Guards against sound requests that are rejected because they share a part with requests that crash engines.
+/// Guards against healthy requests that are rejected because they share a part with requests that crash engines.
 #[test]
-fn a_popular_part_is_not_condemned_with_a_deadly_one() {
+fn a_popular_part_is_not_quarantined_with_a_poison_one() {
     let mut quarantine = Quarantine::default();
     quarantine.record_survival(&shared(&[POPULAR]), seconds(1.0));
     let now = crash(
         &mut quarantine,
-        &shared(&[POPULAR, DEADLY]),
+        &shared(&[POPULAR, POISON]),
         3,
         seconds(2.0),
     );
-    assert!(is_condemned(
+    assert!(is_quarantined(
         &mut quarantine,
-        &shared(&[POPULAR, DEADLY]),
+        &shared(&[POPULAR, POISON]),
         now
     ));
     assert_eq!(quarantine.admit(&shared(&[POPULAR]), now), Admission::Clear);
@@ -75,44 +75,52 @@
     );
 }
 
-/// Guards against a sound part that stays rejected because it was first seen together with a deadly one.
+/// Guards against a healthy part that stays rejected because it was first seen together with a poison one.
 #[test]
-fn a_part_condemned_with_another_is_tried_alone() {
+fn a_part_quarantined_with_another_is_tried_alone() {
     let mut quarantine = Quarantine::default();
-    let now = crash(&mut quarantine, &shared(&[RARE, DEADLY]), 3, seconds(1.0));
-    assert!(is_condemned(&mut quarantine, &shared(&[RARE, DEADLY]), now));
+    let now = crash(&mut quarantine, &shared(&[RARE, POISON]), 3, seconds(1.0));
+    assert!(is_quarantined(
+        &mut quarantine,
+        &shared(&[RARE, POISON]),
+        now
+    ));
     assert_eq!(
         quarantine.admit(&shared(&[RARE]), now),
-        Admission::Trial(vec![RARE])
+        Admission::Probe(vec![RARE])
     );
     assert_eq!(quarantine.admit(&shared(&[RARE]), now), Admission::Busy);
-    quarantine.end_trial(&[RARE]);
+    quarantine.end_probe(&[RARE]);
     quarantine.record_survival(&shared(&[RARE]), now);
     assert_eq!(quarantine.admit(&shared(&[RARE]), now), Admission::Clear);
-    assert!(is_condemned(&mut quarantine, &shared(&[RARE, DEADLY]), now));
-    assert!(is_condemned(&mut quarantine, &shared(&[DEADLY]), now));
+    assert!(is_quarantined(
+        &mut quarantine,
+        &shared(&[RARE, POISON]),
+        now
+    ));
+    assert!(is_quarantined(&mut quarantine, &shared(&[POISON]), now));
 }
 
-/// Guards against a deadly part that is let through because its requests differ in their other parts.
+/// Guards against a poison part that is let through because its requests differ in their other parts.
 #[test]
-fn a_part_that_crashes_with_changing_partners_is_condemned_alone() {
+fn a_part_that_crashes_with_changing_partners_is_quarantined_alone() {
     let mut quarantine = Quarantine::default();
     for number in 0..3 {
         let partner = Segment(100 + number);
         let now = seconds(1.0 + f64::from(u32::try_from(number).unwrap()));
         quarantine.record_crash(
-            &shared(&[partner, DEADLY]),
+            &shared(&[partner, POISON]),
             server(0),
             now + seconds(3.0) * u32::try_from(number).unwrap(),
         );
     }
     let now = seconds(20.0);
-    assert!(is_condemned(
+    assert!(is_quarantined(
         &mut quarantine,
-        &shared(&[Segment(200), DEADLY]),
+        &shared(&[Segment(200), POISON]),
         now
     ));
-    assert!(!is_condemned(
+    assert!(!is_quarantined(
         &mut quarantine,
         &shared(&[Segment(100)]),
         now
@@ -121,11 +129,11 @@
 
 /// Guards against one request that crashes engine after engine because callers repeat it.
 #[test]
-fn a_request_whose_own_part_crashes_engines_is_condemned() {
+fn a_request_whose_own_part_crashes_engines_is_quarantined() {
     let mut quarantine = Quarantine::default();
     let repeated = Prompt {
         shared: vec![POPULAR],
-        own: Some(DEADLY),
+        own: Some(POISON),
     };
     quarantine.record_survival(&shared(&[POPULAR]), seconds(1.0));
     let now = crash(&mut quarantine, &repeated, 2, seconds(2.0));
@@ -135,7 +143,7 @@
         "after two crashes others are told"
     );
     quarantine.record_crash(&repeated, server(9), now);
-    assert!(is_condemned(&mut quarantine, &repeated, now));
+    assert!(is_quarantined(&mut quarantine, &repeated, now));
     let other = Prompt {
         shared: vec![POPULAR],
         own: Some(RARE),
@@ -157,7 +165,7 @@
     assert_eq!(quarantine.notice(seconds(1.0)).suspected.len(), 1);
 }
 
-/// Guards against parts that are condemned because many engines lost power at the same moment.
+/// Guards against parts that are quarantined because many engines lost power at the same moment.
 #[test]
 fn engines_that_end_together_count_once() {
     let mut quarantine = Quarantine::default();
@@ -170,11 +178,11 @@
     }
     assert_eq!(
         quarantine.admit(&shared(&[RARE]), seconds(1.1)),
-        Admission::Trial(vec![RARE])
+        Admission::Probe(vec![RARE])
     );
 }
 
-/// Guards against parts that are condemned because several hosts report the same crash.
+/// Guards against parts that are quarantined because several hosts report the same crash.
 #[test]
 fn a_crash_that_several_hosts_saw_counts_once() {
     let mut quarantine = Quarantine::default();
@@ -185,47 +193,47 @@
             seconds(1.0) + Duration::from_millis(300) * number,
         );
     }
-    assert!(!is_condemned(
+    assert!(!is_quarantined(
         &mut quarantine,
         &shared(&[RARE]),
         seconds(3.0)
     ));
 }
 
-/// Guards against a verdict without an end, and one that hosts prolong by telling each other.
+/// Guards against a quarantine without an end, and one that hosts prolong by telling each other.
 #[test]
-fn a_verdict_ends_although_hosts_repeat_it() {
+fn a_quarantine_ends_although_hosts_repeat_it() {
     let mut first = Quarantine::default();
     let mut second = Quarantine::default();
-    let condemned = crash(&mut first, &shared(&[DEADLY]), 3, seconds(1.0));
-    let mut now = condemned;
-    while now < condemned + SENTENCE + seconds(5.0) {
+    let quarantined = crash(&mut first, &shared(&[POISON]), 3, seconds(1.0));
+    let mut now = quarantined;
+    while now < quarantined + QUARANTINE_DURATION + seconds(5.0) {
         let notice = first.notice(now);
         second.receive(notice, now);
         let notice = second.notice(now);
         first.receive(notice, now);
         now += seconds(10.0);
     }
-    assert!(!is_condemned(&mut first, &shared(&[DEADLY]), now));
-    assert!(!is_condemned(&mut second, &shared(&[DEADLY]), now));
+    assert!(!is_quarantined(&mut first, &shared(&[POISON]), now));
+    assert!(!is_quarantined(&mut second, &shared(&[POISON]), now));
 }
 
-/// Guards against a restarted host that sends condemned requests to engines again.
+/// Guards against a restarted host that sends quarantined requests to engines again.
 #[test]
-fn a_new_process_learns_verdicts_from_other_hosts_and_from_the_store() {
+fn a_new_process_learns_of_quarantined_parts_from_other_hosts_and_from_the_store() {
     let mut old = Quarantine::default();
-    let now = crash(&mut old, &shared(&[DEADLY]), 3, seconds(1.0));
+    let now = crash(&mut old, &shared(&[POISON]), 3, seconds(1.0));
     let mut new = Quarantine::default();
     assert!(new.receive(old.notice(now), now));
-    assert!(is_condemned(&mut new, &shared(&[DEADLY]), now));
+    assert!(is_quarantined(&mut new, &shared(&[POISON]), now));
     let mut alone = Quarantine::default();
-    let (_, verdict) = old.condemned().next().unwrap();
-    let stored = Verdict {
+    let (_, entry) = old.quarantined().next().unwrap();
+    let stored = Entry {
         since: now,
-        partners: verdict.partners.clone(),
+        partners: entry.partners.clone(),
     };
-    assert!(alone.condemn(DEADLY, stored, now));
-    assert!(is_condemned(&mut alone, &shared(&[DEADLY]), now));
+    assert!(alone.insert(POISON, stored, now));
+    assert!(is_quarantined(&mut alone, &shared(&[POISON]), now));
 }
 
 /// Guards against a part that stays suspected at some hosts after another host has seen it survive.
@@ -272,7 +280,7 @@
     assert_eq!(notice.suspected[0].segment, Segment(4_980));
 }
 
-/// Engines that a deadly part crashes in a fleet in which notices are lost and hosts restart, and which stores verdicts.
+/// Engines that a poison part crashes in a fleet in which notices are lost and hosts restart, and which stores entries.
 fn crashes_of(seed: u64, host_count: usize, per_s: f64, restarts: bool) -> usize {
     const STEP: Duration = Duration::from_millis(10);
     const BEGIN: Duration = Duration::from_millis(180);
@@ -289,25 +297,25 @@
         now += STEP;
         if rng.f64() < per_s * STEP.as_secs_f64() {
             let host = rng.usize(..host_count);
-            match hosts[host].admit(&shared(&[POPULAR, DEADLY]), now) {
+            match hosts[host].admit(&shared(&[POPULAR, POISON]), now) {
                 Admission::Clear => running.push((now + BEGIN, host, Vec::new())),
-                Admission::Trial(trial) => running.push((now + BEGIN, host, trial)),
-                Admission::Busy | Admission::Condemned(..) => {}
+                Admission::Probe(probe) => running.push((now + BEGIN, host, probe)),
+                Admission::Busy | Admission::Quarantined(..) => {}
             }
         }
         let (ended, rest) = running.into_iter().partition(|(end, ..)| *end <= now);
         running = rest;
-        for (_, host, trial) in ended as Vec<(Duration, usize, Vec<Segment>)> {
+        for (_, host, probe) in ended as Vec<(Duration, usize, Vec<Segment>)> {
             crashes += 1;
-            hosts[host].end_trial(&trial);
-            hosts[host].record_crash(&shared(&[POPULAR, DEADLY]), server(crashes), now);
+            hosts[host].end_probe(&probe);
+            hosts[host].record_crash(&shared(&[POPULAR, POISON]), server(crashes), now);
             tell(&mut hosts, host, now, &mut rng);
         }
-        let verdict = hosts
+        let entry = hosts
             .iter()
-            .find_map(|host| host.condemned().next().map(|(_, verdict)| verdict.clone()));
+            .find_map(|host| host.quarantined().next().map(|(_, entry)| entry.clone()));
         if now.as_millis().is_multiple_of(1_000) && stored.is_none() {
-            stored = verdict;
+            stored = entry;
         }
         if now.as_millis().is_multiple_of(250) {
             for host in 0..host_count {
@@ -317,8 +325,8 @@
         if restarts && now.as_millis().is_multiple_of(700) {
             let host = &mut hosts[rng.usize(..host_count)];
             *host = Quarantine::default();
-            if let Some(verdict) = &stored {
-                host.condemn(DEADLY, verdict.clone(), now);
+            if let Some(entry) = &stored {
+                host.insert(POISON, entry.clone(), now);
             }
         }
     }
@@ -338,10 +346,10 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
 
-    /// Guards against a deadly part that costs more engines the more hosts there are.
+    /// Guards against a poison part that costs more engines the more hosts there are.
     #[test]
-    fn a_deadly_part_costs_few_engines(seed: u64, hosts in 1_usize..80, per_s in 1.0..10.0, restarts: bool) {
-        // Evidence that is not yet a verdict is in memory only, and lost with a host that has no others to tell.
+    fn a_poison_part_costs_few_engines(seed: u64, hosts in 1_usize..80, per_s in 1.0..10.0, restarts: bool) {
+        // Evidence against a part that is only suspected is in memory only, and lost with a host that has no others to tell.
         let restarts = restarts && hosts >= 3;
         prop_assert!(crashes_of(seed, hosts, per_s, restarts) <= 8);
     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -10,32 +10,32 @@
 
 use crate::State;
 use crate::registration;
-use agatemill_adapter::verdict;
+use agatemill_adapter::quarantine as stored;
 use agatemill_fleet::path::Part;
 use agatemill_fleet::prompt::Prompt;
 use agatemill_fleet::prompt::Segment;
 use agatemill_fleet::quarantine::Admission;
-use agatemill_fleet::quarantine::verdict::Verdict;
+use agatemill_fleet::quarantine::entry::Entry;
 use agatemill_fleet::tally::Key;
 use agatemill_platform::Error;
 
-/// Time after its first event for which a request must go on before its parts count as sound.
+/// Time after its first event for which a request must go on before its parts count as healthy.
 pub const SURVIVAL_TIME: Duration = Duration::from_millis(200);
 
 /// Timeout for a connection that shows whether a server has ended; one that has refuses it within a round trip.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Interval between looks at the verdicts.
+/// Interval between looks at the quarantined parts.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Delay per host rank before a host stores a verdict, so that usually one does.
+/// Delay per host rank before a host stores a quarantined part, so that usually one does.
 const STORE_STAGGER: Duration = Duration::from_secs(1);
 
-/// Hosts that store a verdict that others have not stored, by rank. A few are enough, and all of a large fleet would
+/// Hosts that store a part that others have not stored, by rank. A few are enough, and all of a large fleet would
 /// overload the store.
 const MAX_WRITERS: u32 = 5;
 
-/// Time by which a stored verdict ends before the one in memory, so that the hosts do not store it again.
+/// Time by which a stored entry ends before the one in memory, so that the hosts do not store it again.
 const STORE_MARGIN: Duration = Duration::from_mins(1);
 
 /// Pause after a failed call to the store.
@@ -43,14 +43,14 @@
 
 /// A request that decides about suspected parts. Dropping it lets the next one be sent.
 #[derive(Debug)]
-pub struct Trial {
+pub struct Probe {
     state: Arc<State>,
     segments: Vec<Segment>,
 }
 
-impl Drop for Trial {
+impl Drop for Probe {
     fn drop(&mut self) {
-        self.state.quarantine().end_trial(&self.segments);
+        self.state.quarantine().end_probe(&self.segments);
     }
 }
 
@@ -59,8 +59,8 @@
 pub enum Denial {
     /// Another request of this host decides about a suspected part first.
     Busy,
-    /// The part is condemned for some more time.
-    Condemned(Segment, Duration),
+    /// The part is quarantined for some more time.
+    Quarantined(Segment, Duration),
 }
 
 /// Decides whether a request with this prompt may be sent.
@@ -68,16 +68,16 @@
 /// # Errors
 ///
 /// [`Denial`] when it may not.
-pub fn admit(state: &Arc<State>, prompt: &Prompt) -> Result<Option<Trial>, Denial> {
+pub fn admit(state: &Arc<State>, prompt: &Prompt) -> Result<Option<Probe>, Denial> {
     let admission = state.quarantine().admit(prompt, agatemill_runtime::now());
     match admission {
         Admission::Clear => Ok(None),
-        Admission::Trial(segments) => Ok(Some(Trial {
+        Admission::Probe(segments) => Ok(Some(Probe {
             state: Arc::clone(state),
             segments,
         })),
         Admission::Busy => Err(Denial::Busy),
-        Admission::Condemned(segment, left) => Err(Denial::Condemned(segment, left)),
+        Admission::Quarantined(segment, left) => Err(Denial::Quarantined(segment, left)),
     }
 }
 
@@ -113,17 +113,17 @@
     matches!(result, Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
-/// Logs changes of the verdicts, and stores them for processes that start later, until the process ends.
+/// Logs which parts are quarantined, and stores them for processes that start later, until the process ends.
 pub async fn run(state: Arc<State>) {
     let mut known = HashSet::new();
     loop {
         agatemill_runtime::sleep(POLL_INTERVAL).await;
         log_changes(&state, &mut known);
-        let Some((segment, verdict)) = next_to_store(&state) else {
+        let Some((segment, entry)) = next_to_store(&state) else {
             continue;
         };
-        if let Err(error) = store(&state, segment, &verdict).await {
-            log::warn!(segment:%, error:%; "quarantine: cannot store a verdict");
+        if let Err(error) = store(&state, segment, &entry).await {
+            log::warn!(segment:%, error:%; "quarantine: cannot store a part");
             agatemill_runtime::sleep(STORE_RETRY_INTERVAL).await;
         }
     }
@@ -131,52 +131,53 @@
 
 fn log_changes(state: &State, known: &mut HashSet<Segment>) {
     let quarantine = state.quarantine();
-    for (segment, verdict) in quarantine.condemned() {
+    for (segment, entry) in quarantine.quarantined() {
         if known.insert(segment) {
-            let left = verdict.end().saturating_sub(agatemill_runtime::now());
-            log::warn!(segment:%, partners:? = verdict.partners, for_s = left.as_secs(); "quarantine: part condemned");
-            state.metrics.count_event("quarantine", "condemned");
+            let left = entry.end().saturating_sub(agatemill_runtime::now());
+            log::warn!(segment:%, partners:? = entry.partners, for_s = left.as_secs(); "quarantine: part quarantined");
+            state.metrics.count_event("quarantine", "quarantined");
         }
     }
-    let current: HashSet<Segment> = quarantine.condemned().map(|(segment, _)| segment).collect();
+    let current: HashSet<Segment> = quarantine
+        .quarantined()
+        .map(|(segment, _)| segment)
+        .collect();
     known.retain(|segment| {
-        let is_condemned = current.contains(segment);
-        if !is_condemned {
+        let is_quarantined = current.contains(segment);
+        if !is_quarantined {
             log::info!(segment:%; "quarantine: part released");
             state.metrics.count_event("quarantine", "released");
         }
-        is_condemned
+        is_quarantined
     });
 }
 
-/// A verdict that the store lacks and that this host has to write.
-fn next_to_store(state: &State) -> Option<(Segment, Verdict)> {
+/// A quarantined part that the store lacks and that this host has to write.
+fn next_to_store(state: &State) -> Option<(Segment, Entry)> {
     let now = agatemill_runtime::now();
     let rank = registration::rank(state);
     if rank >= MAX_WRITERS {
         return None;
     }
     let delay = STORE_STAGGER * rank;
-    let stored = state.view().verdicts.clone();
+    let stored = state.view().quarantined.clone();
     let quarantine = state.quarantine();
-    let mut missing = quarantine.condemned().filter(|(segment, verdict)| {
-        !stored.contains(segment)
-            && now >= verdict.since + delay
-            && now + STORE_MARGIN < verdict.end()
+    let mut missing = quarantine.quarantined().filter(|(segment, entry)| {
+        !stored.contains(segment) && now >= entry.since + delay && now + STORE_MARGIN < entry.end()
     });
-    let (segment, verdict) = missing.next()?;
-    Some((segment, verdict.clone()))
+    let (segment, entry) = missing.next()?;
+    Some((segment, entry.clone()))
 }
 
-async fn store(state: &State, segment: Segment, verdict: &Verdict) -> Result<(), Error> {
-    let left = verdict.end().saturating_sub(agatemill_runtime::now());
+async fn store(state: &State, segment: Segment, entry: &Entry) -> Result<(), Error> {
+    let left = entry.end().saturating_sub(agatemill_runtime::now());
     let lease = state.store.grant(left.saturating_sub(STORE_MARGIN)).await?;
-    let value = verdict::encode(&verdict.partners);
+    let value = stored::encode(&entry.partners);
     state
         .store
-        .create(&verdict::key(segment), &value, lease)
+        .create(&stored::key(segment), &value, lease)
         .await?;
-    // The view may lag behind; without this, the verdict would be written again until it shows it.
-    state.view().verdicts.insert(segment);
+    // The view may lag behind; without this, the entry would be written again until it shows it.
+    state.view().quarantined.insert(segment);
     Ok(())
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -217,7 +217,7 @@
     fn record_survival(&mut self) {
         if !self.has_survived {
             self.has_survived = true;
-            self.run.trial = None;
+            self.run.probe = None;
             quarantine::record_survival(&self.state, &self.job.parameters.parts);
         }
     }
@@ -275,7 +275,7 @@
             return false;
         }
         let last_event = self.last_event.clone();
-        self.run.trial = None;
+        self.run.probe = None;
         let opened = stream::begin(
             &self.state,
             &self.job,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -22,7 +22,7 @@
 use crate::exchange::Job;
 use crate::quarantine;
 use crate::quarantine::Denial;
-use crate::quarantine::Trial;
+use crate::quarantine::Probe;
 use crate::relay::Relay;
 use crate::reservation::Reservation;
 use crate::response;
@@ -85,7 +85,7 @@
     /// Load of the stream on the engines.
     pub reservation: Reservation,
     /// Set while the run decides about suspected parts of its prompt.
-    pub trial: Option<Trial>,
+    pub probe: Option<Probe>,
 }
 
 /// Why a stream could not be opened.
@@ -182,15 +182,15 @@
             return Err(failure(attempts, Cause::DeadlinePassed));
         }
         let prompt = &job.parameters.parts;
-        let trial = match quarantine::admit(state, prompt) {
-            Ok(trial) => trial,
-            Err(Denial::Condemned(segment, left)) => {
-                log::warn!(request:% = job.parameters.attempt, segment:%; "stream: a part of the prompt is condemned");
-                return Err(condemned(attempts, left));
+        let probe = match quarantine::admit(state, prompt) {
+            Ok(probe) => probe,
+            Err(Denial::Quarantined(segment, left)) => {
+                log::warn!(request:% = job.parameters.attempt, segment:%; "stream: a part of the prompt is quarantined");
+                return Err(quarantined(attempts, left));
             }
             Err(Denial::Busy) if now >= began + timeout => {
-                log::warn!(request:% = job.parameters.attempt, segments:? = prompt.shared, own:? = prompt.own; "stream: a part of the prompt is on trial");
-                return Err(failure(attempts, Cause::Refused));
+                log::warn!(request:% = job.parameters.attempt, segments:? = prompt.shared, own:? = prompt.own; "stream: a part of the prompt is probed by another request");
+                return Err(suspected(attempts));
             }
             Err(Denial::Busy) => {
                 agatemill_runtime::sleep(PATH_RETRY_INTERVAL).await;
@@ -225,7 +225,7 @@
         }
         attempts.record_send();
         let first = path.first().clone();
-        let cause = match send(state, job, path, size, last_event, trial).await {
+        let cause = match send(state, job, path, size, last_event, probe).await {
             Ok(opened) => {
                 attempts.record_run(first.server, first.address);
                 return Ok(opened);
@@ -289,8 +289,17 @@
     .retry_after(jitter(RETRY_AFTER))
 }
 
+/// The refusal of a request with a suspected part that another request probes.
+fn suspected(attempts: &Attempts) -> Refusal {
+    if attempts.runs() > 0 {
+        return failure(attempts, Cause::Refused);
+    }
+    let detail = "another request with a suspected part of the prompt comes first";
+    Refusal::not_run(Reason::Quarantined, detail).retry_after(jitter(RETRY_AFTER))
+}
+
 /// The refusal of a request with a part on which engines crash.
-fn condemned(attempts: &Attempts, left: Duration) -> Refusal {
+fn quarantined(attempts: &Attempts, left: Duration) -> Refusal {
     if attempts.runs() > 0 {
         return failure(attempts, Cause::Refused);
     }
@@ -326,7 +335,7 @@
     mut path: Path,
     size: Size,
     last_event: Option<&str>,
-    trial: Option<Trial>,
+    probe: Option<Probe>,
 ) -> Result<OpenStream, OpenError> {
     let mut reservation = Reservation::on_path(state, &path, size.prompt, size.answer);
     let left = job.time_left(agatemill_runtime::now());
@@ -390,7 +399,7 @@
     let run = Run {
         path,
         reservation,
-        trial,
+        probe,
     };
     Ok(OpenStream { response, run })
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -6,12 +6,12 @@
 use crate::State;
 use crate::clock;
 use crate::feed::remote::Remote;
+use agatemill_adapter::quarantine;
 use agatemill_adapter::store::Change;
 use agatemill_adapter::store::Changes;
-use agatemill_adapter::verdict;
 use agatemill_core::number::Revision;
 use agatemill_fleet::Upstream;
-use agatemill_fleet::quarantine::verdict::Verdict;
+use agatemill_fleet::quarantine::entry::Entry;
 use agatemill_fleet::upstream::Choice;
 use agatemill_fleet::upstream::Source;
 use agatemill_platform::Error;
@@ -269,7 +269,7 @@
     state.feed.extend(after, &changes, revision);
     replicator.revision = Some(revision);
     let now = agatemill_runtime::now();
-    restore_verdicts(state, &changes, now);
+    restore_entries(state, &changes, now);
     let mut view = state.view();
     for change in changes {
         view.apply(change, now);
@@ -278,17 +278,17 @@
     state.count_hosts();
 }
 
-/// Condemns the parts of prompts that another process has condemned.
-fn restore_verdicts(state: &State, changes: &[Change], now: Duration) {
+/// Quarantines the parts of prompts that another process has quarantined.
+fn restore_entries(state: &State, changes: &[Change], now: Duration) {
     for change in changes {
         if let Change::Put(item) = change
-            && let Ok((segment, partners)) = verdict::decode(&item.key, &item.value)
+            && let Ok((segment, partners)) = quarantine::decode(&item.key, &item.value)
         {
-            let verdict = Verdict {
+            let entry = Entry {
                 since: now,
                 partners,
             };
-            state.quarantine().condemn(segment, verdict, now);
+            state.quarantine().insert(segment, entry, now);
         }
     }
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -8,10 +8,10 @@
 use agatemill_adapter::document;
 use agatemill_adapter::entry;
 use agatemill_adapter::host;
+use agatemill_adapter::quarantine;
 use agatemill_adapter::store::Change;
 use agatemill_adapter::store::Item;
 use agatemill_adapter::store::Snapshot;
-use agatemill_adapter::verdict;
 use agatemill_core::id;
 use agatemill_core::number::Revision;
 use agatemill_fleet::Configuration;
@@ -35,8 +35,8 @@
     pub members: HashMap<id::Host, Member>,
     /// Host that leads the planning.
     pub planner: Option<Planner>,
-    /// Parts of prompts with a verdict in the store.
-    pub verdicts: HashSet<Segment>,
+    /// Quarantined parts of prompts in the store.
+    pub quarantined: HashSet<Segment>,
     /// Freshness of the view.
     pub freshness: Freshness,
     /// End of the grace period, in which deleted entries are kept.
@@ -126,11 +126,14 @@
         let servers = servers.map(|server| format!("{}{}", entry::PREFIX, server.id));
         let members = self.members.keys().map(host::key);
         let planner = self.planner.iter().map(|_| host::PLANNER.to_owned());
-        let verdicts = self.verdicts.iter().map(|segment| verdict::key(*segment));
+        let quarantined = self
+            .quarantined
+            .iter()
+            .map(|segment| quarantine::key(*segment));
         servers
             .chain(members)
             .chain(planner)
-            .chain(verdicts)
+            .chain(quarantined)
             .collect()
     }
 
@@ -162,13 +165,13 @@
             }
         } else if item.key.starts_with(entry::PREFIX) {
             self.put_server(item);
-        } else if item.key.starts_with(verdict::PREFIX) {
-            match verdict::decode(&item.key, &item.value) {
+        } else if item.key.starts_with(quarantine::PREFIX) {
+            match quarantine::decode(&item.key, &item.value) {
                 Ok((segment, _)) => {
-                    self.verdicts.insert(segment);
+                    self.quarantined.insert(segment);
                 }
                 Err(error) => {
-                    log::warn!(key = item.key, error; "quarantine: ignored an invalid verdict");
+                    log::warn!(key = item.key, error; "quarantine: ignored an invalid entry");
                 }
             }
         }
@@ -236,8 +239,9 @@
         } else if let Some(name) = key.strip_prefix(host::PREFIX) {
             log::info!(host = name; "members: host removed");
             self.members.retain(|host, _| host.as_str() != name);
-        } else if let Some(segment) = key.strip_prefix(verdict::PREFIX) {
-            self.verdicts.retain(|known| known.to_string() != segment);
+        } else if let Some(segment) = key.strip_prefix(quarantine::PREFIX) {
+            self.quarantined
+                .retain(|known| known.to_string() != segment);
         } else if let Some(name) = key.strip_prefix(entry::PREFIX) {
             log::info!(server = name; "servers: server removed");
             if let Ok(id) = name.parse() {
--- a/crates/gateway/tests/all/quarantine.rs
+++ b/crates/gateway/tests/all/quarantine.rs
@@ -5,7 +5,7 @@
 use agatemill_standin::Engine;
 use agatemill_standin::caller::Call;
 use agatemill_standin::engine::Behaviour;
-use agatemill_standin::engine::DEADLY_PART;
+use agatemill_standin::engine::POISON_PART;
 
 /// Engines that one part of a prompt may crash.
 const MAX_CRASHES: usize = 4;
@@ -17,10 +17,10 @@
         for engine in &system.engines {
             engine.set_behaviour(Behaviour::CrashOnPart);
         }
-        let sound = |number: usize| format!("5eed0001:40,{number:x}:60");
-        let deadly = |number: usize| format!("5eed0001:40,{DEADLY_PART}:20,{number:x}:60");
+        let healthy = |number: usize| format!("5eed0001:40,{number:x}:60");
+        let poison = |number: usize| format!("5eed0001:40,{POISON_PART}:20,{number:x}:60");
         for number in 0..4 {
-            let (attempt, prompt) = (format!("s{number}"), sound(number));
+            let (attempt, prompt) = (format!("s{number}"), healthy(number));
             let call = Call {
                 prompt: &prompt,
                 ..system.call("draft", &attempt)
@@ -29,7 +29,7 @@
         }
         let mut last = None;
         for number in 0..8 {
-            let (attempt, prompt) = (format!("d{number}"), deadly(number));
+            let (attempt, prompt) = (format!("d{number}"), poison(number));
             let call = Call {
                 prompt: &prompt,
                 ..system.call("draft", &attempt)
@@ -40,16 +40,14 @@
         let arrivals: Vec<_> = system.engines.iter().flat_map(Engine::arrivals).collect();
         let crashes = arrivals
             .iter()
-            .filter(|arrival| arrival.prompt.contains(DEADLY_PART));
+            .filter(|arrival| arrival.prompt.contains(POISON_PART));
         assert!(crashes.count() <= MAX_CRASHES);
         let last = last.unwrap();
         assert_eq!(last.status, 503, "{last:?}");
         assert!(last.headers.contains_key("retry-after"));
-        let key = format!("agatemill/quarantine/{DEADLY_PART}");
+        let key = format!("agatemill/quarantine/{POISON_PART}");
         system
-            .wait_until("the verdict is stored", || {
-                system.store.value(&key).is_some()
-            })
+            .wait_until("the entry is stored", || system.store.value(&key).is_some())
             .await;
         let call = Call {
             prompt: "5eed0001:40,ffff:60",
@@ -59,14 +57,14 @@
     });
 }
 
-/// Guards against a restarted host that sends condemned requests to engines while no other host runs.
+/// Guards against a restarted host that sends quarantined requests to engines while no other host runs.
 #[test]
-fn a_host_that_starts_reads_verdicts_from_the_store() {
+fn a_host_that_starts_reads_quarantined_parts_from_the_store() {
     run_test(2, |mut system| async move {
-        let key = format!("agatemill/quarantine/{DEADLY_PART}");
+        let key = format!("agatemill/quarantine/{POISON_PART}");
         system.store.put(&key, "");
         system.replace_host().await;
-        let prompt = format!("{DEADLY_PART}:20,1:60");
+        let prompt = format!("{POISON_PART}:20,1:60");
         let call = Call {
             prompt: &prompt,
             ..system.call("draft", "d1")
@@ -89,7 +87,7 @@
             ..system.call("draft", "s1")
         };
         assert_eq!(system.send_call(call).await.body, complete_stream());
-        let prompt = format!("5eed0001:40,{DEADLY_PART}:60");
+        let prompt = format!("5eed0001:40,{POISON_PART}:60");
         let mut last = None;
         for number in 0..5 {
             let attempt = format!("d{number}");
