Do not quarantine requests for crashes that another part explains

What callers see: some requests that did nothing are refused for ten minutes when they are repeated, because they waited at three engines that a request with a poison part crashed.

Change: a part that belongs to one request is not quarantined while a suspected part that several requests share has two of its crashes; hosts tell each other which parts are shared.

Failed before: a_request_in_flight_at_crashes_that_another_part_explains_is_sent_again.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -136,6 +136,7 @@
             let is_shared = prompt.own != Some(*segment);
             is_news |= self.add(*segment, crash, is_shared, now);
         }
+        self.update(&suspects, now);
         self.expire(now);
         is_news
     }
@@ -210,12 +211,15 @@
                 is_news |= self.clear(segment, now);
             }
         }
+        let mut suspected = Vec::new();
         for row in notice.suspected {
-            let segment = row.segment;
+            let (segment, is_shared) = (row.segment, row.is_shared);
             for crash in row.crashes(now) {
-                is_news |= self.add(segment, crash, true, now);
+                is_news |= self.add(segment, crash, is_shared, now);
             }
+            suspected.push(segment);
         }
+        self.update(&suspected, now);
         for row in notice.quarantined {
             is_news |= self.insert(row.segment, row.entry(now), now);
         }
@@ -234,7 +238,22 @@
             .retain(|partner| !healthy.contains(partner, now));
         let record = self.records.entry(segment).or_default();
         record.is_shared |= is_shared;
-        record.add(crash, now) && record.concerns_others()
+        record.add(crash) && record.concerns_others()
+    }
+
+    /// Quarantines the parts whose crashes suffice and are not explained by another part.
+    fn update(&mut self, segments: &[Segment], now: Duration) {
+        for segment in segments {
+            let is_cause = |record: &Record| {
+                let mut others = self.records.iter().filter(|(other, _)| *other != segment);
+                record.has_enough() && !others.any(|(_, other)| record.is_explained_by(other))
+            };
+            if self.records.get(segment).is_some_and(is_cause)
+                && let Some(record) = self.records.get_mut(segment)
+            {
+                record.quarantine(now);
+            }
+        }
     }
 
     /// Whether a suspected part is known to be healthy; other hosts are then told.
--- a/crates/fleet/src/quarantine/notice.rs
+++ b/crates/fleet/src/quarantine/notice.rs
@@ -27,6 +27,8 @@
 pub struct Suspected {
     /// The part.
     pub segment: Segment,
+    /// Whether several requests may have it.
+    pub is_shared: bool,
     crashes: Vec<Crash>,
 }
 
@@ -58,6 +60,7 @@
         });
         Self {
             segment,
+            is_shared: record.is_shared,
             crashes: crashes.collect(),
         }
     }
--- a/crates/fleet/src/quarantine/record.rs
+++ b/crates/fleet/src/quarantine/record.rs
@@ -46,14 +46,22 @@
     pub partners: Vec<Segment>,
 }
 
+impl Crash {
+    /// Whether another report is about the same crash, or about engines that ended together.
+    fn coincides_with(&self, other: &Self) -> bool {
+        let gap = self.at.abs_diff(other.at);
+        gap < CRASH_SEPARATION || (self.server == other.server && gap < SAME_CRASH_TIME)
+    }
+}
+
 impl Record {
     /// Adds a crash. Returns whether it changes the evidence.
-    pub fn add(&mut self, mut crash: Crash, now: Duration) -> bool {
-        let coincides = |known: &&mut Crash| {
-            let gap = known.at.abs_diff(crash.at);
-            gap < CRASH_SEPARATION || (known.server == crash.server && gap < SAME_CRASH_TIME)
-        };
-        if let Some(known) = self.crashes.iter_mut().find(coincides) {
+    pub fn add(&mut self, mut crash: Crash) -> bool {
+        if let Some(known) = self
+            .crashes
+            .iter_mut()
+            .find(|known| known.coincides_with(&crash))
+        {
             // Any part of the requests at this moment may be the cause.
             let is_new = |partner: &Segment| !known.partners.contains(partner);
             let new: Vec<Segment> = crash.partners.into_iter().filter(is_new).collect();
@@ -67,16 +75,38 @@
         crash.partners.truncate(MAX_PARTNERS);
         self.crashes.push(crash);
         self.crashes.sort_by_key(|crash| crash.at);
-        if self.crashes.len() >= CRASH_THRESHOLD {
-            let partners = self.common_partners();
-            self.insert(Entry {
-                since: now,
-                partners,
-            });
-        }
         true
     }
 
+    /// Whether there are enough crashes to quarantine the part.
+    #[must_use]
+    pub fn has_enough(&self) -> bool {
+        self.crashes.len() >= CRASH_THRESHOLD
+    }
+
+    /// Whether another part explains the crashes: it belongs to several requests, this one to a single request, and all
+    /// but one of the crashes that are needed coincide.
+    #[must_use]
+    pub fn is_explained_by(&self, other: &Self) -> bool {
+        let coincides = |crash: &&Crash| {
+            other
+                .crashes
+                .iter()
+                .any(|known| known.coincides_with(crash))
+        };
+        let common = self.crashes.iter().filter(coincides).count();
+        other.is_shared && !self.is_shared && common + 1 >= CRASH_THRESHOLD
+    }
+
+    /// Quarantines the part because of its crashes.
+    pub fn quarantine(&mut self, now: Duration) {
+        let partners = self.common_partners();
+        self.insert(Entry {
+            since: now,
+            partners,
+        });
+    }
+
     /// Parts that the requests had at every crash.
     fn common_partners(&self) -> Vec<Segment> {
         let Some((first, others)) = self.crashes.split_first() else {
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -151,6 +151,29 @@
     assert_eq!(quarantine.admit(&other, now), Admission::Clear);
 }
 
+/// Guards against the quarantine of a request that waited at each of the engines that another one crashed.
+#[test]
+fn a_request_in_flight_at_crashes_that_another_part_explains_is_sent_again() {
+    let mut quarantine = Quarantine::default();
+    let victim = Prompt {
+        shared: vec![POPULAR],
+        own: Some(RARE),
+    };
+    quarantine.record_survival(&shared(&[POPULAR]), seconds(1.0));
+    for number in 0..3_u32 {
+        let now = seconds(2.0 + f64::from(number));
+        // The host of the victim learns of the other request later, and not of its last crash.
+        quarantine.record_crash(&victim, server(number as usize), now);
+        if number < 2 {
+            quarantine.record_crash(&shared(&[POISON]), server(number as usize), now);
+        }
+    }
+    assert!(!is_quarantined(&mut quarantine, &victim, seconds(5.0)));
+    let mut other = Quarantine::default();
+    other.receive(quarantine.notice(seconds(5.0)), seconds(5.0));
+    assert!(!is_quarantined(&mut other, &victim, seconds(5.0)));
+}
+
 /// Guards against notices that grow with the requests in flight at a crash.
 #[test]
 fn other_hosts_are_not_told_of_requests_that_met_one_crash() {
