Let the part at most crashes explain those of others, and store what was ruled out

Causes, both in the quarantine: the stored entry kept the parts that might have been the cause instead when it was written; they were ruled out in memory only, so after the restart each host probed the poison part with a request that lacked them: four crashes. And in the first second of a process nothing has survived, so parts of dozens of sound requests were there at three of the four crashes.

Change: the entry is written again when fewer other parts may be the cause, and first one second after the quarantine. A part whose crashes are contained in those of a shared part that has more is not quarantined, and is released if it was. A part of a single request is explained by a shared one that was there at all but one of its crashes.

Failed before: a_part_at_fewer_crashes_than_another_one_is_not_quarantined.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -158,7 +158,7 @@
 
     /// Quarantines a part that another process has quarantined. Returns whether other hosts should be told.
     pub fn insert(&mut self, segment: Segment, entry: Entry, now: Duration) -> bool {
-        if self.is_cleared(segment, now) {
+        if self.is_cleared(segment, now) || self.is_explained(segment) {
             return false;
         }
         let healthy = &self.healthy;
@@ -241,21 +241,36 @@
         record.add(crash) && record.concerns_others()
     }
 
-    /// Quarantines the parts whose crashes suffice and are not explained by another part.
-    fn update(&mut self, segments: &[Segment], now: Duration) {
+    /// Quarantines the suspected parts whose crashes suffice, and releases those whose crashes another part explains.
+    fn update(&mut self, suspects: &[Segment], now: Duration) {
+        let quarantined = self.quarantined().map(|(segment, _)| segment);
+        let segments: Vec<Segment> = quarantined.chain(suspects.iter().copied()).collect();
         for segment in segments {
-            let is_cause = |record: &Record| {
-                let mut others = self.records.iter().filter(|(other, _)| *other != segment);
-                record.has_enough() && !others.any(|(_, other)| record.is_explained_by(other))
+            let is_candidate = |record: &Record| record.has_enough() || record.entry.is_some();
+            if !self.records.get(&segment).is_some_and(is_candidate) {
+                continue;
+            }
+            let is_explained = self.is_explained(segment);
+            let Some(record) = self.records.get_mut(&segment) else {
+                continue;
             };
-            if self.records.get(segment).is_some_and(is_cause)
-                && let Some(record) = self.records.get_mut(segment)
-            {
+            if is_explained {
+                record.entry = None;
+            } else if record.has_enough() {
                 record.quarantine(now);
             }
         }
     }
 
+    /// Whether another part explains the crashes of a part.
+    fn is_explained(&self, segment: Segment) -> bool {
+        let Some(record) = self.records.get(&segment) else {
+            return false;
+        };
+        let mut others = self.records.iter().filter(|(other, _)| **other != segment);
+        others.any(|(_, other)| record.is_explained_by(other))
+    }
+
     /// Whether a suspected part is known to be healthy; other hosts are then told.
     fn is_cleared(&mut self, segment: Segment, now: Duration) -> bool {
         let is_healthy = self.healthy.contains(&segment, now);
--- a/crates/fleet/src/quarantine/record.rs
+++ b/crates/fleet/src/quarantine/record.rs
@@ -84,18 +84,20 @@
         self.crashes.len() >= CRASH_THRESHOLD
     }
 
-    /// Whether another part explains the crashes: it belongs to several requests, this one to a single request, and all
-    /// but one of the crashes that are needed coincide.
+    /// Whether another part explains the crashes. A part that several requests share does if it was there at more crashes,
+    /// these among them, or at all but one of those of a part that belongs to a single request.
     #[must_use]
     pub fn is_explained_by(&self, other: &Self) -> bool {
         let coincides = |crash: &&Crash| {
-            other
-                .crashes
-                .iter()
-                .any(|known| known.coincides_with(crash))
+            let mut crashes = other.crashes.iter();
+            crashes.any(|known| known.coincides_with(crash))
         };
         let common = self.crashes.iter().filter(coincides).count();
-        other.is_shared && !self.is_shared && common + 1 >= CRASH_THRESHOLD
+        let is_contained =
+            common > 0 && common == self.crashes.len() && other.crashes.len() > common;
+        let needed = self.crashes.len().max(CRASH_THRESHOLD);
+        let is_own = !self.is_shared && common + 1 >= needed;
+        other.is_shared && (is_contained || is_own)
     }
 
     /// Quarantines the part because of its crashes.
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -172,6 +172,48 @@
     let mut other = Quarantine::default();
     other.receive(quarantine.notice(seconds(5.0)), seconds(5.0));
     assert!(!is_quarantined(&mut other, &victim, seconds(5.0)));
+    for number in 3..5_u32 {
+        quarantine.record_crash(
+            &victim,
+            server(number as usize),
+            seconds(2.0 + f64::from(number)),
+        );
+    }
+    assert!(
+        is_quarantined(&mut quarantine, &victim, seconds(7.0)),
+        "the other part was not there"
+    );
+}
+
+/// Guards against sound parts that are refused because nothing has survived yet when a poison part crashes engines, as
+/// after a restart of all hosts.
+#[test]
+fn a_part_at_fewer_crashes_than_another_one_is_not_quarantined() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..4_u32 {
+        let now = seconds(1.0 + f64::from(number) / 10.0);
+        quarantine.record_crash(&shared(&[POISON]), server(number as usize), now);
+        if number > 0 {
+            quarantine.record_crash(&shared(&[RARE]), server(number as usize), now);
+        }
+    }
+    let now = seconds(2.0);
+    assert!(is_quarantined(&mut quarantine, &shared(&[POISON]), now));
+    assert!(!is_quarantined(&mut quarantine, &shared(&[RARE]), now));
+
+    let mut tied = Quarantine::default();
+    for number in 0..3_u32 {
+        let now = seconds(1.0 + f64::from(number) / 10.0);
+        tied.record_crash(&shared(&[POISON]), server(number as usize), now);
+        tied.record_crash(&shared(&[RARE]), server(number as usize), now);
+    }
+    assert!(is_quarantined(&mut tied, &shared(&[RARE]), now));
+    tied.record_crash(&shared(&[POISON]), server(3), now);
+    assert!(is_quarantined(&mut tied, &shared(&[POISON]), now));
+    assert!(
+        !is_quarantined(&mut tied, &shared(&[RARE]), now),
+        "released by the next crash"
+    );
 }
 
 /// Guards against notices that grow with the requests in flight at a crash.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -152,18 +152,21 @@
     });
 }
 
-/// A quarantined part that the store lacks and that this host has to write.
+/// A quarantined part that this host has to write: the store lacks it, or has more parts that may be the cause instead.
 fn next_to_store(state: &State) -> Option<(Segment, Entry)> {
     let now = agatemill_runtime::now();
     let rank = registration::rank(state);
     if rank >= MAX_WRITERS {
         return None;
     }
-    let delay = STORE_STAGGER * rank;
+    let delay = STORE_STAGGER * (rank + 1);
     let stored = state.view().quarantined.clone();
     let quarantine = state.quarantine();
     let mut missing = quarantine.quarantined().filter(|(segment, entry)| {
-        !stored.contains(segment) && now >= entry.since + delay && now + STORE_MARGIN < entry.end()
+        let is_stored = stored
+            .get(segment)
+            .is_some_and(|partners| partners.len() <= entry.partners.len());
+        !is_stored && now >= entry.since + delay && now + STORE_MARGIN < entry.end()
     });
     let (segment, entry) = missing.next()?;
     Some((segment, entry.clone()))
@@ -175,9 +178,10 @@
     let value = stored::encode(&entry.partners);
     state
         .store
-        .create(&stored::key(segment), &value, lease)
+        .put(&stored::key(segment), &value, lease)
         .await?;
     // The view may lag behind; without this, the entry would be written again until it shows it.
-    state.view().quarantined.insert(segment);
+    let partners = entry.partners.clone();
+    state.view().quarantined.insert(segment, partners);
     Ok(())
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,7 +2,6 @@
 
 use core::time::Duration;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use agatemill_adapter::document;
@@ -35,8 +34,8 @@
     pub members: HashMap<id::Host, Member>,
     /// Host that leads the planning.
     pub planner: Option<Planner>,
-    /// Quarantined parts of prompts in the store.
-    pub quarantined: HashSet<Segment>,
+    /// Quarantined parts of prompts in the store, with the parts that may be the cause instead.
+    pub quarantined: HashMap<Segment, Vec<Segment>>,
     /// Freshness of the view.
     pub freshness: Freshness,
     /// End of the grace period, in which deleted entries are kept.
@@ -128,7 +127,7 @@
         let planner = self.planner.iter().map(|_| host::PLANNER.to_owned());
         let quarantined = self
             .quarantined
-            .iter()
+            .keys()
             .map(|segment| quarantine::key(*segment));
         servers
             .chain(members)
@@ -167,8 +166,8 @@
             self.put_server(item);
         } else if item.key.starts_with(quarantine::PREFIX) {
             match quarantine::decode(&item.key, &item.value) {
-                Ok((segment, _)) => {
-                    self.quarantined.insert(segment);
+                Ok((segment, partners)) => {
+                    self.quarantined.insert(segment, partners);
                 }
                 Err(error) => {
                     log::warn!(key = item.key, error; "quarantine: ignored an invalid entry");
@@ -241,7 +240,7 @@
             self.members.retain(|host, _| host.as_str() != name);
         } else if let Some(segment) = key.strip_prefix(quarantine::PREFIX) {
             self.quarantined
-                .retain(|known| known.to_string() != segment);
+                .retain(|known, _| known.to_string() != segment);
         } else if let Some(name) = key.strip_prefix(entry::PREFIX) {
             log::info!(server = name; "servers: server removed");
             if let Ok(id) = name.parse() {
