--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -2,6 +2,7 @@
 
 use core::net::SocketAddr;
 use core::time::Duration;
+use std::io;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -203,7 +204,9 @@
 
 /// Maps an error in building a request to [`Error::Connect`], because the request was never sent.
 fn not_sent(error: &dyn core::error::Error) -> Error {
-    Error::Connect(agatemill_http::Error::Connect(error.to_string()))
+    Error::Connect(agatemill_http::Error::Connect(io::Error::other(
+        error.to_string(),
+    )))
 }
 
 fn to_message_pack(value: &impl Serialize) -> Result<Vec<u8>, Error> {
--- a/crates/fleet/src/attempts.rs
+++ b/crates/fleet/src/attempts.rs
@@ -14,7 +14,7 @@
 ///
 /// A route limits the number of servers that may run a request. A server that has ended does not count, but a
 /// server that only seems lost to this host may still run the request. A lost server therefore counts until the
-/// platform no longer lists it.
+/// platform no longer lists it. A run counts from the moment at which the request is sent.
 #[derive(Clone, Debug, Default)]
 pub struct Attempts {
     /// Times that the request was sent.
@@ -32,23 +32,14 @@
     server: id::Server,
     /// Address of the server.
     address: SocketAddrV4,
-    /// Whether the run ended because this host lost the server.
+    /// Whether the run ended because the server is lost.
     is_lost: bool,
 }
 
 impl Attempts {
-    /// Records that the request is sent.
-    pub fn record_send(&mut self) {
+    /// Records that the request is sent to a server, which may run it from now on.
+    pub fn record_send(&mut self, server: id::Server, address: SocketAddrV4) {
         self.sent += 1;
-    }
-
-    /// Records that a server rejected the request and stated that it did not run it.
-    pub fn record_rejection(&mut self) {
-        self.rejections += 1;
-    }
-
-    /// Records that a server may have run the request.
-    pub fn record_run(&mut self, server: id::Server, address: SocketAddrV4) {
         self.runs.push(Run {
             server,
             address,
@@ -56,9 +47,17 @@
         });
     }
 
-    /// Records that the last run ended because its server, which received the request, is lost.
-    pub fn record_loss(&mut self) {
-        if let Some(run) = self.runs.last_mut() {
+    /// Records that the server rejected the request and stated that it did not run it, or that it did not receive it.
+    pub fn record_rejection(&mut self, server: &id::Server) {
+        if let Some(run) = self.runs.iter().rposition(|run| &run.server == server) {
+            self.runs.remove(run);
+        }
+        self.rejections += 1;
+    }
+
+    /// Records that the run on a server ended because the server is lost.
+    pub fn record_loss(&mut self, server: &id::Server) {
+        if let Some(run) = self.runs.iter_mut().rfind(|run| &run.server == server) {
             run.is_lost = true;
         }
     }
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -13,6 +13,9 @@
 /// retries in the window, and changes of the rate of requests.
 const USED_SHARE: f64 = 0.5;
 
+/// Share of the retries that are kept for requests whose runs have ended. A silent rack may have hundreds of streams.
+const RESERVED_SHARE: f64 = 0.25;
+
 /// Minimum number of hosts assumed to share the free retries, in the first window of a process.
 const MIN_HOSTS_IN_FIRST_WINDOW: usize = 32;
 
@@ -46,6 +49,15 @@
     buckets: VecDeque<Bucket>,
 }
 
+/// Why a request is sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// No run of the request is in progress.
+    Retry,
+    /// The server of a run is silent; the run may still continue.
+    Backup,
+}
+
 /// The inputs of a decision on a retry.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Balance {
@@ -59,6 +71,18 @@
     pub allowed: f64,
 }
 
+impl Balance {
+    /// Whether another retry may be sent for this purpose.
+    #[must_use]
+    pub fn allows(&self, purpose: Purpose) -> bool {
+        let allowed = match purpose {
+            Purpose::Retry => self.allowed,
+            Purpose::Backup => self.allowed * (1.0 - RESERVED_SHARE),
+        };
+        f64::from(self.retries) + 1.0 <= allowed
+    }
+}
+
 /// Counts of one bucket of the window.
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
@@ -106,11 +130,10 @@
         self.current_bucket(now).requests += 1;
     }
 
-    /// Takes a retry while `hosts` share the budget; returns false when the budget is exhausted.
+    /// Takes a retry while `hosts` share the budget; returns false when the budget is exhausted for this purpose.
     #[must_use]
-    pub fn take(&mut self, hosts: &Headcount, now: Duration) -> bool {
-        let balance = self.balance(hosts, now);
-        if f64::from(balance.retries) + 1.0 > balance.allowed {
+    pub fn take(&mut self, purpose: Purpose, hosts: &Headcount, now: Duration) -> bool {
+        if !self.balance(hosts, now).allows(purpose) {
             return false;
         }
         self.current_bucket(now).retries += 1;
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -4,27 +4,70 @@
 use core::time::Duration;
 use std::collections::HashMap;
 
+use crate::Evidence;
+use crate::Path;
+use crate::evidence::AVOIDANCE;
+use crate::path::Part;
+
 /// How often the time for which a server is avoided doubles while it keeps rejecting requests.
 const MAX_DOUBLINGS: u32 = 2;
 
 /// Upper limit of the doubled time. Bounds how long a server that has recovered stays unused.
 const MAX_DOUBLED_TIME: Duration = Duration::from_millis(1_200);
 
+/// Time for which a server must be silent before its layers count as missing. Shorter silences are usual of sound
+/// servers, and moved layers take seconds to load.
+const LOSS_SILENCE: Duration = Duration::from_secs(1);
+
 /// Backend servers that new requests avoid although the platform lists them as ready.
 ///
-/// A server that seems lost is excluded until the platform has had time to notice; running streams are routed
-/// around it. A server that rejected a request is only full or has changed its layers: new requests go to
-/// other servers for a short time, and running streams stay. If it rejects the next request as well, it is
-/// avoided for longer: with many hosts that each retry after a short time, it would keep rejecting hundreds
-/// of requests per second.
+/// A server that refuses connections has ended, and its runs with it. A server that is silent may continue: new requests
+/// and the parts of stalled streams go to other servers until it responds or the platform has had time to notice, and
+/// its runs stay. A server that rejected a request is only full or has changed its layers: new requests go to
+/// other servers for a short time. If it rejects the next request as well, it is avoided for longer: with many hosts
+/// that each retry after a short time, it would keep rejecting hundreds of requests per second.
 #[derive(Clone, Debug, Default)]
 pub struct Suspicion {
-    /// Time until which each server counts as lost.
-    lost: HashMap<SocketAddrV4, Duration>,
+    /// Servers that may be lost.
+    suspects: HashMap<SocketAddrV4, Suspect>,
     /// Servers that rejected requests recently.
     rejecting: HashMap<SocketAddrV4, Rejection>,
 }
 
+/// A server that may be lost.
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    /// First observation since the server responded.
+    since: Duration,
+    /// Time of the last refused connection.
+    refused_at: Option<Duration>,
+    /// Time until which each kind of evidence counts.
+    refused_until: Duration,
+    awaited_until: Duration,
+    silent_until: Duration,
+}
+
+impl Suspect {
+    fn until(&self) -> Duration {
+        self.refused_until
+            .max(self.awaited_until)
+            .max(self.silent_until)
+    }
+}
+
+/// What is known about a run from the engines of its path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// No engine of the path is suspected.
+    Sound,
+    /// An engine after the first is suspected.
+    PartSuspected,
+    /// The first engine is silent; the run may continue.
+    FirstSilent,
+    /// The first engine has ended, and the run with it.
+    Ended,
+}
+
 /// Avoidance of a server that has rejected requests.
 #[derive(Clone, Copy, Debug)]
 struct Rejection {
@@ -37,10 +80,42 @@
 }
 
 impl Suspicion {
-    /// Marks a server as lost until `until`; returns whether it was not marked before.
-    pub fn suspect(&mut self, address: SocketAddrV4, now: Duration, until: Duration) -> bool {
-        self.lost.retain(|_, end| *end > now);
-        self.lost.insert(address, until).is_none()
+    /// Records an observation of a server; returns whether it was not suspected before.
+    pub fn suspect(&mut self, address: SocketAddrV4, evidence: Evidence, now: Duration) -> bool {
+        self.suspects.retain(|_, suspect| suspect.until() > now);
+        let is_new = !self.suspects.contains_key(&address);
+        let suspect = self.suspects.entry(address).or_insert(Suspect {
+            since: now,
+            refused_at: None,
+            refused_until: Duration::ZERO,
+            awaited_until: Duration::ZERO,
+            silent_until: Duration::ZERO,
+        });
+        let until = now + AVOIDANCE;
+        match evidence {
+            Evidence::Refused => {
+                suspect.refused_at = Some(now);
+                suspect.refused_until = until;
+            }
+            Evidence::Awaited => suspect.awaited_until = until,
+            Evidence::Silent => suspect.silent_until = until,
+        }
+        is_new
+    }
+
+    /// Records that a server responded; returns whether it is no longer suspected. What other engines observe of it
+    /// still counts, since only their links to it may be cut.
+    pub fn record_response(&mut self, address: &SocketAddrV4, now: Duration) -> bool {
+        let Some(suspect) = self.suspects.get_mut(address) else {
+            return false;
+        };
+        suspect.refused_until = Duration::ZERO;
+        suspect.silent_until = Duration::ZERO;
+        let is_cleared = suspect.awaited_until <= now;
+        if is_cleared {
+            self.suspects.remove(address);
+        }
+        is_cleared
     }
 
     /// Avoids a server for `time`, or longer when it was avoided recently. Returns for how long, or `None` when
@@ -70,16 +145,53 @@
         Some(time)
     }
 
-    /// Whether the server is marked as lost.
+    /// Whether the server is suspected, for whatever reason.
+    #[must_use]
+    pub fn is_suspected(&self, address: &SocketAddrV4, now: Duration) -> bool {
+        self.suspects
+            .get(address)
+            .is_some_and(|suspect| suspect.until() > now)
+    }
+
+    /// Whether the server refused connections of this host, or was silent.
+    #[must_use]
+    pub fn is_unreachable(&self, address: &SocketAddrV4, now: Duration) -> bool {
+        self.suspects
+            .get(address)
+            .is_some_and(|suspect| suspect.refused_until.max(suspect.silent_until) > now)
+    }
+
+    /// Whether the layers of a server that does not answer a query either count as missing: it refuses connections, or has
+    /// been suspected for longer than a sound server is silent.
+    #[must_use]
+    pub fn is_presumed_lost(&self, address: &SocketAddrV4, now: Duration) -> bool {
+        self.suspects.get(address).is_some_and(|suspect| {
+            suspect.refused_until > now
+                || (suspect.until() > now && now >= suspect.since + LOSS_SILENCE)
+        })
+    }
+
+    /// What is known about a run that was sent along `path` at `sent`.
     #[must_use]
-    pub fn is_lost(&self, address: &SocketAddrV4, now: Duration) -> bool {
-        self.lost.get(address).is_some_and(|end| *end > now)
+    pub fn standing(&self, path: &Path, sent: Duration, now: Duration) -> Standing {
+        let first = self.suspects.get(&path.first().address);
+        let has_ended = |suspect: &Suspect| suspect.refused_at.is_some_and(|at| at >= sent);
+        let is_suspected = |part: &Part| self.is_suspected(&part.address, now);
+        if first.is_some_and(has_ended) {
+            Standing::Ended
+        } else if is_suspected(path.first()) {
+            Standing::FirstSilent
+        } else if path.parts().iter().any(is_suspected) {
+            Standing::PartSuspected
+        } else {
+            Standing::Sound
+        }
     }
 
     /// Whether new requests avoid the server.
     #[must_use]
     pub fn is_avoided(&self, address: &SocketAddrV4, now: Duration) -> bool {
         let rejection = self.rejecting.get(address);
-        self.is_lost(address, now) || rejection.is_some_and(|rejection| rejection.until > now)
+        self.is_suspected(address, now) || rejection.is_some_and(|rejection| rejection.until > now)
     }
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -23,14 +25,16 @@
 use agatemill_core::Phase;
 use agatemill_core::Reason;
 use agatemill_core::Refusal;
+use agatemill_fleet::Evidence;
 use agatemill_fleet::Server;
+use agatemill_fleet::budget::Purpose;
 use agatemill_fleet::route;
 
 /// Largest response that is buffered, in bytes. The sum over all calls stays far below the memory of a small
 /// host, since a call lasts a fraction of a second.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
-/// How long a server is avoided after it refused or broke a connection.
+/// How long a server is avoided after it did not respond in time, or another one had its address.
 const AVOID_DURATION: Duration = Duration::from_secs(1);
 
 /// Maximum number of servers that reject a request, stating that they did not run it, before the call fails.
@@ -48,6 +52,9 @@
 /// Mean `Retry-After` when all servers have reached their limits; jittered so that callers do not return together.
 const LIMIT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Share of the remaining time after which an idempotent call is sent to another server as well.
+const PATIENCE_SHARE: f64 = 0.5;
+
 /// Outcome of sending a request to one server.
 enum Attempt {
     /// The server responded, and the response is complete.
@@ -60,61 +67,77 @@
 
 /// Runs a call, with retries, and returns the complete response.
 ///
+/// An idempotent call whose server does not respond is sent to another one as well, and the first to respond is used.
+///
 /// # Errors
 ///
 /// A refusal whose outcome says whether the call may have run.
 pub async fn run(state: &Arc<State>, job: Job) -> Result<Response<Body>, Refusal> {
+    let is_idempotent = job.route.kind == route::Kind::Idempotent;
+    let max_attempts = usize::try_from(job.route.max_attempts).unwrap_or(usize::MAX);
     let mut tried: Vec<Arc<Server>> = Vec::new();
+    let mut in_flight = FuturesUnordered::new();
     let mut runs = 0;
     let mut rejections = 0;
+    let mut is_due = true;
+    let mut purpose = None;
+    let mut may_back_up = is_idempotent;
     let mut failure: Option<Response<Bytes>> = None;
     let mut last = Refusal::not_run(Reason::NoServer, "no server of the service is usable");
     loop {
-        if let Some(refusal) = check_deadline(&job, runs) {
+        if in_flight.is_empty()
+            && let Some(refusal) = check_deadline(&job, runs)
+        {
             return failure.map(caller_response).ok_or(refusal);
         }
-        let server = match select_server(state, &job, &tried).await {
-            Selection::Server(server) => server,
-            Selection::None => break,
-            Selection::Limited => {
-                log::info!(request:% = job.parameters.attempt, runs; "request: the servers have reached their limits");
-                if runs == 0 {
-                    last = limit_refusal();
+        if core::mem::take(&mut is_due) {
+            match next_server(state, &job, &tried, purpose).await {
+                Selection::Server(server) => {
+                    tried.push(Arc::clone(&server));
+                    in_flight.push(send(state, &job, server));
                 }
-                break;
+                Selection::Limited if runs == 0 && in_flight.is_empty() => last = limit_refusal(),
+                Selection::Limited | Selection::None => may_back_up = false,
             }
-        };
-        if !tried.is_empty() && !state.take_retry(&job.service) {
-            let balance = state.retry_balance(&job.service);
-            log::info!(
-                request:% = job.parameters.attempt, service:% = job.service, hosts = balance.hosts,
-                requests = balance.requests, retries = balance.retries, allowed = balance.allowed;
-                "request: retry budget used up"
-            );
-            break;
         }
-        let is_last = runs + 1 >= job.route.max_attempts;
-        let attempt = send(state, &job, &server, is_last).await;
+        let patience = (may_back_up && runs + in_flight.len() < max_attempts).then(|| {
+            job.time_left(agatemill_runtime::now())
+                .mul_f64(PATIENCE_SHARE)
+        });
+        let attempt = match patience {
+            Some(patience) => agatemill_runtime::timeout(patience, in_flight.next()).await,
+            None => Some(in_flight.next().await),
+        };
+        let (server, attempt) = match attempt {
+            Some(Some(result)) => result,
+            // No attempt is in flight, and no server is left.
+            Some(None) => break,
+            None => {
+                for server in &tried {
+                    state.avoid(server.address, AVOID_DURATION, "no response");
+                }
+                (is_due, purpose) = (true, Some(Purpose::Backup));
+                continue;
+            }
+        };
         let (cause, phase) = match attempt {
             Attempt::Responded(response) => {
                 runs += 1;
-                let may_repeat = job.route.kind == route::Kind::Idempotent && !is_last;
-                if !response.status().is_server_error() || !may_repeat {
+                let is_failure = response.status().is_server_error();
+                let may_repeat = is_idempotent && (runs < max_attempts || !in_flight.is_empty());
+                if !is_failure || !may_repeat {
                     return Ok(caller_response(response));
                 }
                 failure = Some(response);
                 (Cause::Finished, Phase::Answered)
             }
+            Attempt::NotRun(Cause::Rejected) => {
+                rejections += 1;
+                (Cause::Rejected, Phase::Sent)
+            }
             Attempt::NotRun(cause) => {
                 rejections += 1;
-                (
-                    cause,
-                    if cause == Cause::Rejected {
-                        Phase::Sent
-                    } else {
-                        Phase::Admitted
-                    },
-                )
+                (cause, Phase::Admitted)
             }
             Attempt::Unknown(cause) => {
                 runs += 1;
@@ -122,32 +145,66 @@
             }
         };
         log::info!(
-            request:% = job.parameters.attempt, server:% = server.id, cause:%, runs, rejections;
+            request:% = job.parameters.attempt, server:% = server.id, cause:%, runs, rejections,
+            in_flight = in_flight.len();
             "request: attempt failed"
         );
-        if Outcome::resolve(phase, cause) != Outcome::NotRun {
-            last = Refusal::new(
-                Reason::BackendFailed,
-                phase,
-                cause,
-                "the server did not answer",
-            );
-            if job.route.kind != route::Kind::Idempotent || is_last {
-                break;
-            }
+        let has_run = Outcome::resolve(phase, cause) != Outcome::NotRun;
+        if has_run {
+            let detail = "the server did not answer";
+            last = Refusal::new(Reason::BackendFailed, phase, cause, detail);
         } else if runs == 0 {
             last = Refusal::new(Reason::Overloaded, phase, cause, "the servers are full")
                 .retry_after(RETRY_AFTER);
         }
-        state.metrics.count_retry("call");
-        tried.push(server);
-        if rejections >= MAX_REJECTIONS {
+        if !in_flight.is_empty() {
+            continue;
+        }
+        let may_repeat = !has_run || is_idempotent && runs < max_attempts;
+        if !may_repeat || rejections >= MAX_REJECTIONS {
             break;
         }
+        state.metrics.count_retry("call");
+        (is_due, purpose) = (true, Some(Purpose::Retry));
     }
     failure.map(caller_response).ok_or(last)
 }
 
+/// Selects the next server. `purpose` says why the call is sent again, if it is.
+async fn next_server(
+    state: &State,
+    job: &Job,
+    tried: &[Arc<Server>],
+    purpose: Option<Purpose>,
+) -> Selection {
+    // Nothing may delay the response of a server that runs the call.
+    let wait = match purpose {
+        Some(Purpose::Backup) => Duration::ZERO,
+        None | Some(Purpose::Retry) => job.route.target_latency.mul_f64(LIMIT_WAIT_SHARE),
+    };
+    if purpose.is_some_and(|purpose| !state.has_retry(&job.service, purpose)) {
+        let balance = state.retry_balance(&job.service);
+        log::info!(
+            request:% = job.parameters.attempt, service:% = job.service, hosts = balance.hosts,
+            requests = balance.requests, retries = balance.retries, allowed = balance.allowed;
+            "request: retry budget used up"
+        );
+        state.metrics.count_event("retry", "denied");
+        return Selection::None;
+    }
+    let selection = select_server(state, job, tried, wait).await;
+    match (&selection, purpose) {
+        (Selection::Server(_), Some(purpose)) if !state.take_retry(&job.service, purpose) => {
+            return Selection::None;
+        }
+        (Selection::Limited, _) => {
+            log::info!(request:% = job.parameters.attempt; "request: the servers have reached their limits");
+        }
+        _ => {}
+    }
+    selection
+}
+
 /// The response to the caller for a complete response of a server.
 fn caller_response(response: Response<Bytes>) -> Response<Body> {
     let (mut head, body) = response.into_parts();
@@ -158,7 +215,7 @@
 }
 
 /// Returns a refusal if the deadline of the call has passed.
-fn check_deadline(job: &Job, runs: u32) -> Option<Refusal> {
+fn check_deadline(job: &Job, runs: usize) -> Option<Refusal> {
     if !job.time_left(agatemill_runtime::now()).is_zero() {
         return None;
     }
@@ -200,10 +257,14 @@
     None,
 }
 
-/// Selects a server, and waits for a while if all have reached their limits.
-async fn select_server(state: &State, job: &Job, tried: &[Arc<Server>]) -> Selection {
+/// Selects a server, and waits for at most `wait` if all have reached their limits.
+async fn select_server(
+    state: &State,
+    job: &Job,
+    tried: &[Arc<Server>],
+    wait: Duration,
+) -> Selection {
     throttle::want(state, &job.service);
-    let wait = job.route.target_latency.mul_f64(LIMIT_WAIT_SHARE);
     let end = agatemill_runtime::now() + wait.min(job.time_left(agatemill_runtime::now()) / 2);
     loop {
         let untried = untried_servers(state, job, tried);
@@ -255,15 +316,14 @@
 }
 
 /// Sends a call to one server and reads the complete response.
-async fn send(state: &Arc<State>, job: &Job, server: &Arc<Server>, is_last: bool) -> Attempt {
+async fn send(state: &Arc<State>, job: &Job, server: Arc<Server>) -> (Arc<Server>, Attempt) {
+    let attempt = fetch(state, job, &server).await;
+    (server, attempt)
+}
+
+async fn fetch(state: &Arc<State>, job: &Job, server: &Server) -> Attempt {
     let reservation = Reservation::on_server(state, &server.id);
     let left = job.time_left(agatemill_runtime::now());
-    // Half of the remaining time, which leaves time to retry at another server.
-    let limit = if job.route.kind == route::Kind::Idempotent && !is_last {
-        left / 2
-    } else {
-        left
-    };
     // Calls that run at most once use a new connection: a reused one may break without showing whether the call
     // arrived.
     let client = match job.route.kind {
@@ -272,10 +332,11 @@
     };
     let sent = clock::boot_time();
     let result = client
-        .fetch(request(job, server, left), limit, MAX_RESPONSE_BYTES)
+        .fetch(request(job, server, left), left, MAX_RESPONSE_BYTES)
         .await;
     drop(reservation);
     if let Ok(response) = &result {
+        state.record_response(server.address);
         throttle::observe(state, &server.id, response.headers(), sent);
     }
     match result {
@@ -301,16 +362,13 @@
             Attempt::Unknown(Cause::ConnectionLost)
         }
         Ok(response) => Attempt::Responded(response),
-        Err(error) if error.is_not_sent() => {
-            state.suspect(server.address, AVOID_DURATION, "no connection");
-            Attempt::NotRun(Cause::ConnectFailed)
-        }
-        Err(agatemill_http::Error::TimedOut) => {
-            if !is_last {
-                state.avoid(server.address, AVOID_DURATION, "no response");
+        Err(agatemill_http::Error::Connect(error)) => {
+            if let Some(evidence) = Evidence::from_connect_error(error.kind()) {
+                state.suspect(server.address, evidence);
             }
-            Attempt::Unknown(Cause::DeadlinePassed)
+            Attempt::NotRun(Cause::ConnectFailed)
         }
+        Err(agatemill_http::Error::TimedOut) => Attempt::Unknown(Cause::DeadlinePassed),
         Err(_) => Attempt::Unknown(Cause::ConnectionLost),
     }
 }
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -1,9 +1,10 @@
 //! Selects the engines of streams from this host's view of the platform.
 
+use core::net::SocketAddrV4;
+
 use crate::State;
 use crate::clock;
 use crate::exchange::Job;
-use crate::stall;
 use crate::throttle;
 use agatemill_adapter::header;
 use agatemill_core::id;
@@ -54,8 +55,13 @@
     }
 }
 
-/// Engines of a model as candidates for path selection.
-fn candidates(state: &State, job: &Job, model: &Model) -> Vec<Candidate> {
+/// Engines of a model as candidates for path selection. A path may not start at the addresses in `excluded`.
+fn candidates(
+    state: &State,
+    job: &Job,
+    model: &Model,
+    excluded: &[SocketAddrV4],
+) -> Vec<Candidate> {
     let now = agatemill_runtime::now();
     let view = state.view();
     let hosts = view.members.len();
@@ -82,7 +88,8 @@
             preference: 1.0 + COST_JITTER * fastrand::f64(),
             is_usable: server.state == server::State::Ready
                 && !suspicion.is_avoided(&server.address, now),
-            may_start: throttle.may_send(server.key, boot_time),
+            may_start: !excluded.contains(&server.address)
+                && throttle.may_send(server.key, boot_time),
         })
     });
     candidates.collect()
@@ -99,13 +106,19 @@
     state.link().is_open(share, agatemill_runtime::now())
 }
 
-/// Chooses the path of a new request, takes a credit for its first engine and charges its traffic to the inter-zone
-/// links.
+/// Chooses the path of a request, takes a credit for its first engine and charges its traffic to the inter-zone links.
+/// The path does not start at the addresses in `excluded`, which run the request already.
 ///
 /// # Errors
 ///
 /// [`Missing`] when no path is free, or when the prompts queued at its engines take too long to read.
-pub fn choose(state: &State, job: &Job, model: &Model, size: Size) -> Result<Path, Missing> {
+pub fn choose(
+    state: &State,
+    job: &Job,
+    model: &Model,
+    size: Size,
+    excluded: &[SocketAddrV4],
+) -> Result<Path, Missing> {
     let zone = state.settings().zone.clone();
     let request = Request {
         zone: &zone,
@@ -114,7 +127,7 @@
         may_cross: may_cross(state, job, model),
         ignores_limits: false,
     };
-    let candidates = candidates(state, job, model);
+    let candidates = candidates(state, job, model, excluded);
     let path = Path::choose(model, &candidates, request)?;
     let limit = job.route.target_latency * MAX_FIRST_EVENT_MULTIPLE;
     let read_ms = path.read_ms(model, &candidates, size.prompt);
@@ -152,8 +165,10 @@
         may_cross: may_cross(state, job, model),
         ignores_limits: false,
     };
-    let candidates = candidates(state, job, model);
-    let is_lost = |part: &Part| stall::is_lost(state, part.address);
+    let candidates = candidates(state, job, model, &[]);
+    let now = agatemill_runtime::now();
+    let suspicion = state.suspicion().clone();
+    let is_lost = |part: &Part| suspicion.is_suspected(&part.address, now);
     let repaired = path.repair(model, &candidates, request, is_lost)?;
     // Replacing a part by an engine of another zone crosses zones twice, which the engine selection does not
     // take into account.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod relay;
 pub mod reservation;
 pub mod response;
+pub mod run;
+pub mod runs;
 pub mod server;
 pub mod settings;
 pub mod shutdown;
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -189,8 +189,8 @@
 }
 
 /// Returns the engines without the lost ones. The platform lists an engine for some seconds after its loss,
-/// while its layers are missing at once. An engine counts as lost if requests marked it as lost and it does
-/// not respond to the planner's status query either.
+/// while its layers are missing at once. An engine counts as lost if requests observed that it has ended, or that it was
+/// silent for longer than sound engines are, and it does not respond to the planner's status query either.
 async fn exclude_lost(
     state: &Arc<State>,
     servers: Vec<Arc<Server>>,
@@ -198,15 +198,23 @@
 ) -> Vec<Arc<Server>> {
     let suspects: Vec<Arc<Server>> = {
         let suspicion = state.suspicion();
-        let is_suspect = |server: &&Arc<Server>| suspicion.is_lost(&server.address, now);
+        let is_suspect = |server: &&Arc<Server>| suspicion.is_presumed_lost(&server.address, now);
         servers.iter().filter(is_suspect).cloned().collect()
     };
     if suspects.len() * LOST_SHARE_DIVISOR > servers.len() {
         return servers;
     }
     let reports = suspects.into_iter().map(async |server| {
-        let report = engine::report(&state.pooled, server.address, CALL_TIMEOUT).await;
-        report.is_err().then_some(server)
+        match engine::report(&state.pooled, server.address, CALL_TIMEOUT).await {
+            Ok(_) => {
+                state.record_response(server.address);
+                None
+            }
+            Err(error) => {
+                log::debug!(server:% = server.id, error:%; "planner: no report from a suspected engine");
+                Some(server)
+            }
+        }
     });
     let lost = futures::future::join_all(reports).await;
     let lost: Vec<Arc<Server>> = lost.into_iter().flatten().collect();
@@ -267,7 +275,11 @@
         match result {
             Err(engine::Failure::Fenced) => registration.step_down(fence),
             Ok(()) => {}
-            Err(engine::Failure::Lost(_)) => {
+            Err(
+                engine::Failure::NotConnected(_)
+                | engine::Failure::TimedOut
+                | engine::Failure::Lost(_),
+            ) => {
                 if let Some(order) = pending.get_mut(&id) {
                     order.expires = agatemill_runtime::now() + ORDER_RETRY_DELAY;
                 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -14,6 +14,7 @@
 use crate::registration::Registration;
 use crate::server;
 use crate::shutdown;
+use crate::stall;
 use crate::sync;
 use crate::throttle;
 use agatemill_metrics::Registry;
@@ -57,6 +58,7 @@
             agatemill_runtime::spawn(server::serve_directory(share(), directory)),
             agatemill_runtime::spawn(server::serve_metrics(share(), metrics)),
             agatemill_runtime::spawn(quarantine::run(share())),
+            agatemill_runtime::spawn(stall::recheck(share())),
             agatemill_runtime::spawn(gossip::send(share(), exchange.clone())),
             agatemill_runtime::spawn(throttle::run(
                 share(),
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,13 +1,9 @@
 //! Keeps requests on which engines crash away from the engines.
 
-use core::net::SocketAddrV4;
 use core::time::Duration;
 use std::collections::HashSet;
-use std::io;
 use std::sync::Arc;
 
-use smol::net::TcpStream;
-
 use crate::State;
 use crate::registration;
 use agatemill_adapter::quarantine as stored;
@@ -22,9 +18,6 @@
 /// Time after its first event for which a request must go on before its parts count as healthy.
 pub const SURVIVAL_TIME: Duration = Duration::from_millis(200);
 
-/// Timeout for a connection that shows whether a server has ended; one that has refuses it within a round trip.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// Interval between looks at the quarantined parts.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -89,11 +82,8 @@
     }
 }
 
-/// Records that a request ended before it survived, provided that its first engine has ended. Returns whether it has.
-pub async fn record_loss(state: &State, attempt: &str, prompt: &Prompt, first: &Part) -> bool {
-    if !has_ended(first.address).await {
-        return false;
-    }
+/// Records that the first engine of a request ended before the request survived.
+pub fn record_crash(state: &State, attempt: &str, prompt: &Prompt, first: &Part) {
     log::warn!(
         request = attempt, server:% = first.server, segments:? = prompt.shared, own:? = prompt.own;
         "quarantine: an engine crashed while it began to answer"
@@ -103,14 +93,6 @@
     if state.quarantine().record_crash(prompt, server, now) {
         state.announce();
     }
-    true
-}
-
-/// Whether nothing listens at the address of a server. A server that is cut off or silent does not refuse connections.
-async fn has_ended(address: SocketAddrV4) -> bool {
-    let connect = TcpStream::connect(address);
-    let result = agatemill_runtime::timeout(PROBE_TIMEOUT, connect).await;
-    matches!(result, Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
 /// Logs which parts are quarantined, and stores them for processes that start later, until the process ends.
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,416 @@
+//! One run of a stream on the engines of a path.
+
+use core::future::Future;
+use core::pin::Pin;
+use core::task::Context;
+use core::task::Poll;
+use core::task::ready;
+use core::time::Duration;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use hyper::Response;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use hyper::http::response::Parts;
+use smol::Timer;
+
+use crate::State;
+use crate::call;
+use crate::choice::Size;
+use crate::clock;
+use crate::exchange::Job;
+use crate::quarantine;
+use crate::quarantine::Probe;
+use crate::reservation::Reservation;
+use crate::stall;
+use crate::stream;
+use crate::throttle;
+use agatemill_adapter::header;
+use agatemill_core::Cause;
+use agatemill_fleet::Evidence;
+use agatemill_fleet::Path;
+use agatemill_fleet::suspicion::Standing;
+
+/// Time without a response head after which the first engine is queried for the engine that it waits for: well
+/// above the usual time to the first event, and early enough to send the request elsewhere.
+const HEAD_STALL_TIMEOUT: Duration = Duration::from_millis(450);
+
+/// Time without events after which a stream counts as stalled: longer than the pauses of a loaded engine, and
+/// long enough for the cause to appear in the engine reports, which lag by some hundred milliseconds.
+const STALL_TIMEOUT: Duration = Duration::from_millis(260);
+
+/// Interval between further checks of a stalled stream.
+const STALL_RECHECK_INTERVAL: Duration = Duration::from_millis(90);
+
+/// Time until the next check after a stream was sent along another path: the new engines read the whole prompt.
+const REPAIR_GRACE: Duration = Duration::from_millis(350);
+
+/// Maximum size of an event, in bytes; a response with a longer one is not an event stream. Each run may buffer
+/// this much.
+const MAX_EVENT_BYTES: usize = 64 << 10;
+
+/// Terminator of an event.
+const EVENT_END: &[u8] = b"\n\n";
+
+/// One run of a stream. Dropping it closes its connection, so that the engines stop.
+pub struct Run {
+    /// Engines that the stream passes through.
+    pub path: Path,
+    /// Head of the response, from its arrival until it is passed on.
+    pub head: Option<Parts>,
+    /// Whether an engine of the path is silent and cannot be replaced within the run. The run may still continue.
+    pub is_silent: bool,
+    /// When the first bytes of the body arrived; `None` before.
+    pub begun_at: Option<Duration>,
+    /// Longest pause between events so far.
+    pub longest_pause: Duration,
+    state: Arc<State>,
+    job: Arc<Job>,
+    size: Size,
+    /// Load of the stream on the engines.
+    reservation: Reservation,
+    /// Set while the run decides about suspected parts of its prompt.
+    probe: Option<Probe>,
+    /// When the request was sent.
+    sent: Duration,
+    /// When the request was sent, on a clock that also runs while the machine is suspended.
+    sent_boot: Duration,
+    phase: Phase,
+    /// Bytes after the last complete event.
+    partial: BytesMut,
+    /// Whether the run has outlived its first event.
+    has_survived: bool,
+    /// Time at which the last bytes arrived.
+    last_data_at: Duration,
+    /// Fires when the run may have stalled. Rearmed only when it fires, since rearming it for each event
+    /// would cost more than relaying the event.
+    watchdog: Timer,
+    /// A check of the engines that is in progress.
+    check: Option<BoxFuture<'static, Check>>,
+}
+
+enum Phase {
+    /// The head of the response has not arrived.
+    Head(BoxFuture<'static, Result<Response<Incoming>, agatemill_http::Error>>),
+    /// The body is read.
+    Body(Incoming),
+    /// The body was taken, or the run has ended.
+    Closed,
+}
+
+/// Result of a check of the engines of a stalled run.
+enum Check {
+    /// No engine is suspected.
+    Slow,
+    /// The run was sent along another path.
+    Rerouted(Path),
+    /// The first engine is silent, or another one is and has no replacement.
+    Silent,
+    /// The first engine has ended.
+    Ended,
+}
+
+/// What happened to a run.
+#[derive(Debug)]
+pub enum Step {
+    /// The head of the response arrived.
+    Head,
+    /// These complete events arrived.
+    Events(Bytes),
+    /// The response is complete.
+    Complete,
+    /// The engines stated that they did not run the request, or it was not sent.
+    NotRun(Cause),
+    /// The run ended without a usable response head; it may have begun.
+    Unknown(Cause),
+    /// The run ended within the response.
+    Broken(&'static str),
+    /// An engine became silent, or still is. The run may still continue.
+    Silent,
+    /// The first engine has ended, and the run with it.
+    Ended,
+}
+
+impl Run {
+    /// Sends a request along a path. With `last_event`, the stream continues after that event.
+    #[must_use]
+    pub fn start(
+        state: &Arc<State>,
+        job: &Arc<Job>,
+        size: Size,
+        path: Path,
+        probe: Option<Probe>,
+        last_event: Option<&str>,
+    ) -> Self {
+        let now = agatemill_runtime::now();
+        let left = job.time_left(now);
+        let first = path.first();
+        let overrides = header::Overrides {
+            deadline: left,
+            server: &first.server,
+            organisation: job.organisation.as_ref().map(|holder| holder.name.as_str()),
+            priority: job.priority(),
+            path: Some(&path),
+            last_event,
+        };
+        let request = call::forward(job, first.address, overrides);
+        let client = state.pooled.clone();
+        let response = async move { client.send(request, left).await };
+        Self {
+            reservation: Reservation::on_path(state, &path, size.prompt, size.answer),
+            path,
+            head: None,
+            is_silent: false,
+            begun_at: None,
+            longest_pause: Duration::ZERO,
+            state: Arc::clone(state),
+            job: Arc::clone(job),
+            size,
+            probe,
+            sent: now,
+            sent_boot: clock::boot_time(),
+            phase: Phase::Head(response.boxed()),
+            partial: BytesMut::new(),
+            has_survived: false,
+            last_data_at: now,
+            watchdog: Timer::after(HEAD_STALL_TIMEOUT),
+            check: None,
+        }
+    }
+
+    /// Waits for the next step of the run. A run whose response has ended makes no further step.
+    pub fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
+        if let Poll::Ready(step) = self.poll_response(cx) {
+            let was_silent = core::mem::take(&mut self.is_silent);
+            let responds =
+                matches!(step, Step::Head) || was_silent && matches!(step, Step::Events(_));
+            if responds {
+                self.state.record_response(self.path.first().address);
+            }
+            return Poll::Ready(step);
+        }
+        loop {
+            if let Some(check) = &mut self.check {
+                let result = ready!(check.poll_unpin(cx));
+                self.check = None;
+                if let Some(step) = self.finish_check(result) {
+                    return Poll::Ready(step);
+                }
+            }
+            ready!(Pin::new(&mut self.watchdog).poll(cx));
+            let quiet = agatemill_runtime::now().saturating_sub(self.last_data_at);
+            let timeout = self.stall_timeout();
+            if quiet < timeout {
+                self.watchdog = Timer::after(timeout.saturating_sub(quiet));
+            } else {
+                self.check = Some(self.start_check());
+            }
+        }
+    }
+
+    /// Takes the body of a response that is not relayed as a stream; `None` before the head has arrived.
+    pub fn take_body(&mut self) -> Option<Incoming> {
+        match core::mem::replace(&mut self.phase, Phase::Closed) {
+            Phase::Body(body) => Some(body),
+            Phase::Head(_) | Phase::Closed => None,
+        }
+    }
+
+    /// Records that the run outlived its first event.
+    pub fn record_survival(&mut self) {
+        if !self.has_survived {
+            self.has_survived = true;
+            self.probe = None;
+            quarantine::record_survival(&self.state, &self.job.parameters.parts);
+        }
+    }
+
+    /// Finds out whether the first engine of a run that ended has ended too, and records a crash.
+    pub async fn has_lost_engine(&mut self) -> bool {
+        let first = self.path.first();
+        if !stall::has_ended(&self.state, first.address).await {
+            return false;
+        }
+        if !self.has_survived {
+            let parameters = &self.job.parameters;
+            quarantine::record_crash(&self.state, &parameters.attempt, &parameters.parts, first);
+        }
+        true
+    }
+
+    fn poll_response(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
+        loop {
+            let frame = match &mut self.phase {
+                Phase::Head(response) => {
+                    let result = ready!(response.poll_unpin(cx));
+                    return Poll::Ready(self.accept(result));
+                }
+                Phase::Body(body) => ready!(Pin::new(body).poll_frame(cx)),
+                Phase::Closed => return Poll::Pending,
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    if let Some(events) = self.ingest(&data) {
+                        return Poll::Ready(Step::Events(events));
+                    }
+                    if self.partial.len() > MAX_EVENT_BYTES {
+                        self.phase = Phase::Closed;
+                        let first = self.path.first().address;
+                        let reason = "an event is too long";
+                        self.state.avoid(first, stream::AVOID_DURATION, reason);
+                        return Poll::Ready(Step::Broken(reason));
+                    }
+                }
+                None if self.partial.is_empty() => {
+                    self.phase = Phase::Closed;
+                    return Poll::Ready(Step::Complete);
+                }
+                // The response ended within an event: the connection broke.
+                None | Some(Err(_)) => {
+                    self.phase = Phase::Closed;
+                    return Poll::Ready(Step::Broken("the connection broke"));
+                }
+            }
+        }
+    }
+
+    /// Checks the head of the response, or the error of sending the request.
+    fn accept(&mut self, result: Result<Response<Incoming>, agatemill_http::Error>) -> Step {
+        self.phase = Phase::Closed;
+        let first = self.path.first();
+        let response = match result {
+            Ok(response) => response,
+            Err(agatemill_http::Error::Connect(error)) => {
+                if let Some(evidence) = Evidence::from_connect_error(error.kind()) {
+                    self.state.suspect(first.address, evidence);
+                }
+                return Step::NotRun(Cause::ConnectFailed);
+            }
+            Err(agatemill_http::Error::TimedOut) => return Step::Unknown(Cause::DeadlinePassed),
+            Err(_) => return Step::Unknown(Cause::ConnectionLost),
+        };
+        throttle::observe(
+            &self.state,
+            &first.server,
+            response.headers(),
+            self.sent_boot,
+        );
+        if header::is_not_run(response.status(), response.headers()) {
+            let faulty = header::faulty_server(response.headers()).unwrap_or(first.address);
+            self.state
+                .avoid(faulty, stream::AVOID_DURATION, "it rejected a request");
+            return Step::NotRun(Cause::Rejected);
+        }
+        if response.status().is_success() && !header::is_sealed(response.headers()) {
+            self.state.metrics.count_dropped_answer("unsealed");
+            return Step::Unknown(Cause::ConnectionLost);
+        }
+        if !header::is_answer_to(&self.job.parameters.attempt, response.headers()) {
+            self.state.metrics.count_dropped_answer("other_attempt");
+            return Step::Unknown(Cause::ConnectionLost);
+        }
+        let (head, body) = response.into_parts();
+        self.head = Some(head);
+        self.phase = Phase::Body(body);
+        self.last_data_at = agatemill_runtime::now();
+        self.watchdog = Timer::after(STALL_TIMEOUT);
+        Step::Head
+    }
+
+    /// Buffers bytes from the engine and returns the events that are complete.
+    fn ingest(&mut self, data: &[u8]) -> Option<Bytes> {
+        let now = agatemill_runtime::now();
+        let pause = now.saturating_sub(self.last_data_at);
+        self.last_data_at = now;
+        if let Some(begun_at) = self.begun_at {
+            self.state.metrics.record_next_token(pause);
+            self.longest_pause = self.longest_pause.max(pause);
+            if now >= begun_at + quarantine::SURVIVAL_TIME {
+                self.record_survival();
+            }
+        } else {
+            self.begun_at = Some(now);
+            self.reservation.release_prompt();
+            self.state
+                .metrics
+                .record_first_token(now.saturating_sub(self.job.arrived));
+        }
+        let searched = self.partial.len();
+        self.partial.extend_from_slice(data);
+        let end = last_event_end(&self.partial, searched)?;
+        Some(self.partial.split_to(end).freeze())
+    }
+
+    fn stall_timeout(&self) -> Duration {
+        match self.phase {
+            Phase::Head(_) => HEAD_STALL_TIMEOUT,
+            Phase::Body(_) | Phase::Closed => STALL_TIMEOUT,
+        }
+    }
+
+    fn start_check(&self) -> BoxFuture<'static, Check> {
+        let state = Arc::clone(&self.state);
+        let job = Arc::clone(&self.job);
+        let path = self.path.clone();
+        let sent = self.sent;
+        let is_first = !self.is_silent;
+        let check = async move {
+            let attempt = &job.parameters.attempt;
+            match stall::investigate(&state, &path, sent, attempt).await {
+                Standing::Sound => Check::Slow,
+                Standing::FirstSilent => Check::Silent,
+                Standing::Ended => Check::Ended,
+                Standing::PartSuspected => stream::repair(&state, &job, &path, is_first)
+                    .await
+                    .map_or(Check::Silent, Check::Rerouted),
+            }
+        };
+        check.boxed()
+    }
+
+    /// Acts on the result of a check and rearms the watchdog.
+    fn finish_check(&mut self, check: Check) -> Option<Step> {
+        let now = agatemill_runtime::now();
+        let has_continued = now.saturating_sub(self.last_data_at) < self.stall_timeout();
+        let recheck = match self.phase {
+            Phase::Head(_) => HEAD_STALL_TIMEOUT,
+            Phase::Body(_) | Phase::Closed => STALL_RECHECK_INTERVAL,
+        };
+        self.watchdog = Timer::after(recheck);
+        match check {
+            Check::Ended => return Some(Step::Ended),
+            Check::Silent if !has_continued => {
+                self.is_silent = true;
+                return Some(Step::Silent);
+            }
+            Check::Rerouted(path) => {
+                if matches!(self.phase, Phase::Head(_)) {
+                    let (prompt, answer) = (self.size.prompt, self.size.answer);
+                    self.reservation = Reservation::on_path(&self.state, &path, prompt, answer);
+                } else {
+                    self.watchdog = Timer::after(REPAIR_GRACE);
+                }
+                self.path = path;
+                self.is_silent = false;
+            }
+            Check::Slow | Check::Silent => self.is_silent = false,
+        }
+        None
+    }
+}
+
+/// End offset of the last complete event, given that none ends within the first `searched` bytes.
+fn last_event_end(bytes: &[u8], searched: usize) -> Option<usize> {
+    let from = searched.saturating_sub(EVENT_END.len() - 1);
+    let start = bytes[from..]
+        .windows(EVENT_END.len())
+        .rposition(|pair| pair == EVENT_END);
+    start.map(|start| from + start + EVENT_END.len())
+}
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -3,35 +3,32 @@
 use core::net::SocketAddrV4;
 use core::time::Duration;
 use std::collections::HashMap;
+use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
+use smol::net::TcpStream;
+
 use crate::State;
 use agatemill_adapter::engine;
 use agatemill_adapter::engine::Report;
+use agatemill_fleet::Evidence;
 use agatemill_fleet::Path;
+use agatemill_fleet::Server;
+use agatemill_fleet::suspicion::Standing;
 
 /// Maximum age of a cached report: streams that stall together share one call, since calls are priced.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(80);
 
-/// Timeout of a report query; an engine that takes longer is suspected to be lost.
+/// Timeout of a report query; an engine that takes longer is silent.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Time for which a lost engine is avoided: the platform removes its entry after three missed heartbeats, and an
-/// engine that restarts takes longer to load its layers.
-const AVOID_DURATION: Duration = Duration::from_secs(4);
+/// Timeout for a connection that shows whether a server has ended; one that has refuses it within a round trip.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Result of investigating a stalled stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Finding {
-    /// No engine of the path is known to be lost.
-    Slow,
-    /// An engine after the first is lost.
-    PartLost,
-    /// The first engine is lost, and with it the request.
-    FirstLost,
-}
+/// Interval between queries of engines that are silent, which show that they respond again.
+const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Cached report or failure, with the time of the query.
 type Cached = Arc<smol::lock::Mutex<Option<(Duration, Result<Arc<Report>, engine::Failure>)>>>;
@@ -67,39 +64,91 @@
     }
 }
 
-/// Queries the first engine of a stalled stream for the engines that it waits for.
-pub async fn investigate(state: &State, path: &Path, attempt: &str) -> Finding {
+/// Queries the first engine of a run that stalled for the engines that it waits for. The run was sent at `sent`.
+pub async fn investigate(state: &State, path: &Path, sent: Duration, attempt: &str) -> Standing {
     let first = path.first();
-    if !is_lost(state, path.first().address) {
-        match state.reports.get(&state.pooled, first.address).await {
-            Ok(report) => {
-                for stalled in &report.stalled {
-                    state.suspect(stalled.address, AVOID_DURATION, "requests wait for it");
-                }
+    let standing = || {
+        let now = agatemill_runtime::now();
+        state.suspicion().standing(path, sent, now)
+    };
+    let known = standing();
+    if matches!(known, Standing::FirstSilent | Standing::Ended) {
+        return known;
+    }
+    match query(state, first.address).await {
+        Ok(report) => {
+            for stalled in &report.stalled {
+                state.suspect(stalled.address, Evidence::Awaited);
             }
-            Err(error) => {
-                log::warn!(
-                    request = attempt, server:% = first.server, error:%;
-                    "stream: no report from the first engine"
-                );
-                state.suspect(first.address, AVOID_DURATION, "no report");
+        }
+        Err(error) => {
+            log::warn!(
+                request = attempt, server:% = first.server, error:%;
+                "stream: no report from the first engine"
+            );
+        }
+    }
+    standing()
+}
+
+/// Queries the state of an engine and records what the result says about it.
+async fn query(state: &State, address: SocketAddrV4) -> Result<Arc<Report>, engine::Failure> {
+    let result = state.reports.get(&state.pooled, address).await;
+    match &result {
+        Err(error) if !error.is_response() => {
+            if let Some(evidence) = error.evidence() {
+                state.suspect(address, evidence);
             }
         }
+        Ok(_) | Err(_) => state.record_response(address),
     }
-    if is_lost(state, first.address) {
-        return Finding::FirstLost;
+    result
+}
+
+/// Finds out by a connection whether a server has ended, and records the result. A server that is cut off or silent does
+/// not refuse connections.
+pub async fn has_ended(state: &State, address: SocketAddrV4) -> bool {
+    let Err(kind) = connect(address).await else {
+        return false;
+    };
+    let evidence = Evidence::from_connect_error(kind);
+    if let Some(evidence) = evidence {
+        state.suspect(address, evidence);
     }
-    let part_is_lost = |part: &agatemill_fleet::path::Part| is_lost(state, part.address);
-    if path.parts().iter().any(part_is_lost) {
-        Finding::PartLost
-    } else {
-        Finding::Slow
+    evidence.is_some_and(Evidence::ends_runs)
+}
+
+async fn connect(address: SocketAddrV4) -> Result<(), io::ErrorKind> {
+    match agatemill_runtime::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Some(Ok(_)) => Ok(()),
+        Some(Err(error)) => Err(error.kind()),
+        None => Err(io::ErrorKind::TimedOut),
     }
 }
 
-/// Whether a server is suspected to be lost.
-#[must_use]
-pub fn is_lost(state: &State, address: SocketAddrV4) -> bool {
-    let now = agatemill_runtime::now();
-    state.suspicion().is_lost(&address, now)
+/// Queries servers that were silent or refused connections, until the process ends, so that they are used again as soon as
+/// they respond.
+pub async fn recheck(state: Arc<State>) {
+    loop {
+        agatemill_runtime::sleep(RECHECK_INTERVAL).await;
+        let now = agatemill_runtime::now();
+        let suspects: Vec<Arc<Server>> = {
+            let view = state.view();
+            let suspicion = state.suspicion();
+            let servers = view.services.values().flatten();
+            let suspects = servers.filter(|server| suspicion.is_unreachable(&server.address, now));
+            suspects.cloned().collect()
+        };
+        let checks = suspects.into_iter().map(async |server| {
+            if server.accelerator.is_none() {
+                // Such a server is suspected only because of failed connections.
+                if connect(server.address).await.is_ok() {
+                    state.record_response(server.address);
+                }
+            } else if let Err(error) = query(&state, server.address).await {
+                log::debug!(server:% = server.id, error:%; "servers: no report");
+            }
+        });
+        futures::future::join_all(checks).await;
+    }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use agatemill_core::id;
 use agatemill_fleet::Budget;
 use agatemill_fleet::Census;
+use agatemill_fleet::Evidence;
 use agatemill_fleet::Headcount;
 use agatemill_fleet::Link;
 use agatemill_fleet::Load;
@@ -30,6 +31,8 @@
 use agatemill_fleet::Suspicion;
 use agatemill_fleet::Throttle;
 use agatemill_fleet::budget::Balance;
+use agatemill_fleet::budget::Purpose;
+use agatemill_fleet::evidence;
 use agatemill_fleet::throttle::allocator::Allocator;
 use agatemill_http::Buffers;
 use agatemill_metrics::Registry;
@@ -214,18 +217,24 @@
         });
     }
 
-    /// Takes a retry from a service's budget; returns false if the budget is used up.
+    /// Takes a retry from a service's budget; returns false if the budget is used up for this purpose.
     #[must_use]
-    pub fn take_retry(&self, service: &id::Service) -> bool {
+    pub fn take_retry(&self, service: &id::Service, purpose: Purpose) -> bool {
         let hosts = self.count_hosts();
         let is_taken = self.with_budget(service, |budget| {
-            budget.take(&hosts, agatemill_runtime::now())
+            budget.take(purpose, &hosts, agatemill_runtime::now())
         });
         let event = if is_taken { "sent" } else { "denied" };
         self.metrics.count_event("retry", event);
         is_taken
     }
 
+    /// Whether a service's budget has a retry for this purpose.
+    #[must_use]
+    pub fn has_retry(&self, service: &id::Service, purpose: Purpose) -> bool {
+        self.retry_balance(service).allows(purpose)
+    }
+
     /// What a decision on a retry for a service depends on.
     #[must_use]
     pub fn retry_balance(&self, service: &id::Service) -> Balance {
@@ -259,16 +268,25 @@
         act(budget)
     }
 
-    /// Marks a server as lost for `time` and logs the `reason`.
-    pub fn suspect(&self, server: core::net::SocketAddrV4, time: Duration, reason: &'static str) {
+    /// Records an observation of a server that may be lost, and logs it.
+    pub fn suspect(&self, server: core::net::SocketAddrV4, evidence: Evidence) {
         let now = agatemill_runtime::now();
-        if self.suspicion().suspect(server, now, now + time) {
-            let ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-            log::warn!(server:% = server, reason, for_ms = ms; "servers: suspected");
+        if self.suspicion().suspect(server, evidence, now) {
+            let ms = u64::try_from(evidence::AVOIDANCE.as_millis()).unwrap_or(u64::MAX);
+            log::warn!(server:% = server, reason:% = evidence, for_ms = ms; "servers: suspected");
             self.metrics.count_event("servers", "suspected");
         }
     }
 
+    /// Records that a server responded, and logs if it was suspected.
+    pub fn record_response(&self, server: core::net::SocketAddrV4) {
+        let now = agatemill_runtime::now();
+        if self.suspicion().record_response(&server, now) {
+            log::info!(server:% = server; "servers: responds again");
+            self.metrics.count_event("servers", "responds_again");
+        }
+    }
+
     /// Avoids a server for new requests for `time` and logs the `reason`.
     pub fn avoid(&self, server: core::net::SocketAddrV4, time: Duration, reason: &'static str) {
         let now = agatemill_runtime::now();
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod hosts;
 mod quarantine;
 mod serving;
+mod silence;
 mod store;
 mod system;
 mod throttle;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,6 +1,7 @@
 //! HTTP client with a connection pool.
 
 use core::time::Duration;
+use std::io;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -78,7 +79,7 @@
     ) -> Result<Response<Incoming>, Error> {
         match agatemill_runtime::timeout(limit, self.inner.request(request)).await {
             Some(Ok(response)) => Ok(response),
-            Some(Err(error)) if error.is_connect() => Err(Error::Connect(describe(&error))),
+            Some(Err(error)) if error.is_connect() => Err(Error::Connect(connect_error(&error))),
             Some(Err(error)) => Err(Error::Lost(describe(&error))),
             None => Err(Error::TimedOut),
         }
@@ -140,6 +141,14 @@
     Ok(buffer.close())
 }
 
+/// The error of a failed connection, with the kind of its innermost I/O error.
+fn connect_error(error: &(dyn core::error::Error + 'static)) -> io::Error {
+    let sources = core::iter::successors(Some(error), |error| error.source());
+    let kinds = sources.filter_map(|source| Some(source.downcast_ref::<io::Error>()?.kind()));
+    let kind = kinds.last().unwrap_or(io::ErrorKind::Other);
+    io::Error::new(kind, describe(error))
+}
+
 /// Formats an error with all its sources, because hyper's `Display` text covers only the outermost error.
 fn describe(error: &dyn core::error::Error) -> String {
     let mut text = error.to_string();
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -1,14 +1,16 @@
 //! Errors of HTTP requests.
 
+use std::io;
+
 use derive_more::Display;
 use derive_more::Error;
 
 /// Error of a request without a complete response.
 #[derive(Debug, Display, Error)]
 pub enum Error {
-    /// No connection could be opened; the server has not received the request.
+    /// No connection could be opened; the server has not received the request. The kind of the error says why.
     #[display("connection failed: {_0}")]
-    Connect(#[error(not(source))] String),
+    Connect(io::Error),
     /// The connection broke; the server may have received the request.
     #[display("connection lost: {_0}")]
     Lost(#[error(not(source))] String),
