Let backend servers fall silent in the soak, and check that no answer ends for it

A sound server may be silent for a second or so and then continue, which is no reason to end an answer sooner. The soak had no such fault, and its verdict allowed every answer that ended early.

Change: each seed also has silences of 0.5 to 1.6 s of one server, of all engines that hold the same layers, or of all servers, whose connections stay open. They are drawn from a generator of their own, so the faults of old seeds stay the same; a test pins faults of the seeds that have failed. The verdict reports a request that ended before its deadline with an incomplete or no answer, or with 500, 502 or 504, unless a server that it met, a link to the servers of its kind or its host had another fault meanwhile. A fault is recorded with the time at which it really ended, and that of a host which is still stopping as open.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -28,6 +28,8 @@
 pub struct Exchange {
     /// Attempt id, unique among all requests.
     pub attempt: String,
+    /// Address of the host.
+    pub host: SocketAddrV4,
     /// Name of the route.
     pub route: &'static str,
     /// API key.
@@ -36,6 +38,8 @@
     pub body: String,
     /// Process time at which the request was sent.
     pub sent_at: Duration,
+    /// Process time at which the response ended, or the connection failed.
+    pub ended_at: Duration,
     /// The response; `None` unless its head arrived.
     pub response: Option<Response>,
 }
@@ -86,10 +90,12 @@
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let mut exchange = Exchange {
             attempt: format!("a{number}"),
+            host,
             route,
             key,
             body: format!("text of {number}"),
             sent_at: agatemill_runtime::now(),
+            ended_at: Duration::ZERO,
             response: None,
         };
         let request = Request::from(Call {
@@ -105,6 +111,7 @@
         if let Ok(response) = http.send(request, DEADLINE + RESPONSE_MARGIN).await {
             exchange.response = Some(read(response).await);
         }
+        exchange.ended_at = agatemill_runtime::now();
         let is_served = exchange
             .response
             .as_ref()
--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Whether the process was told to exit and has not been restarted.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping
+    }
+
     /// Exit status of the process, if it has exited.
     ///
     /// # Errors
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A seed determines a series of overlapping faults ([`plan`]): signals to the processes ([`host`]); delays, resets
 //! and stalls in one or both directions on the links to the store and the engines ([`proxy`]); a misbehaving store and
-//! engines; and configuration changes. Callers ([`caller`]) reuse their connections until the process closes them.
+//! engines; silent backend servers; and configuration changes. Callers ([`caller`]) reuse their connections until the process closes them.
 //! [`verdict`] checks the invariants against what callers and backend servers observed, and [`run`] drives one seed.
 
 #![expect(
@@ -21,4 +21,5 @@
 pub use caller::Exchange;
 pub use host::Host;
 pub use plan::Fault;
+pub use plan::Silence;
 pub use proxy::Proxy;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,5 +1,6 @@
 //! The fault schedule of a seed.
 
+use core::ops::RangeInclusive;
 use core::time::Duration;
 
 use fastrand::Rng;
@@ -24,6 +25,15 @@
 /// Upper bound of the duration of a fault.
 const MAX_FAULT_DURATION_MS: u64 = 3_000;
 
+/// Separates the random numbers of silences from those of the faults of the same seed.
+const SILENCE_STREAM: u64 = 0x5349_4c45_4e43_4553;
+
+/// Mean interval between the starts of silences.
+const MEAN_SILENCE_INTERVAL_MS: u64 = 1_000;
+
+/// Durations of silences.
+const SILENCE_DURATIONS_MS: RangeInclusive<u64> = 500..=1_600;
+
 /// A scheduled fault.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -63,6 +73,54 @@
     },
 }
 
+/// A scheduled time in which backend servers send nothing while their connections stay open.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Silence {
+    /// Start, relative to the start of the schedule.
+    pub start: Duration,
+    /// Time until the servers continue.
+    pub duration: Duration,
+    /// The servers.
+    pub scope: Scope,
+}
+
+/// Backend servers that fall silent together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// One server.
+    Server(usize),
+    /// All engines that hold the same layers as this one when the silence starts.
+    Half(usize),
+    /// All servers.
+    All,
+}
+
+/// Silences of a seed that start within `over`, in order. They are drawn apart from the faults, so that the faults of a
+/// seed do not depend on them.
+#[must_use]
+pub fn silences(seed: u64, over: Duration) -> Vec<Silence> {
+    let mut rng = Rng::with_seed(seed ^ SILENCE_STREAM);
+    let mut silences = Vec::new();
+    let mut start = Duration::ZERO;
+    loop {
+        start += Duration::from_millis(rng.u64(0..2 * MEAN_SILENCE_INTERVAL_MS));
+        if start >= over {
+            return silences;
+        }
+        let duration = Duration::from_millis(rng.u64(SILENCE_DURATIONS_MS));
+        let scope = match rng.u8(0..5) {
+            0 | 1 => Scope::Server(rng.usize(0..ENGINES + SERVICES)),
+            2 | 3 => Scope::Half(rng.usize(0..ENGINES)),
+            _ => Scope::All,
+        };
+        silences.push(Silence {
+            start,
+            duration,
+            scope,
+        });
+    }
+}
+
 /// Faults of a seed for a number of hosts that start within `over`, in the order in which they are drawn.
 #[must_use]
 pub fn faults(seed: u64, over: Duration, hosts: u32) -> Vec<Fault> {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,14 +10,17 @@
 use crate::Fault;
 use crate::Host;
 use crate::Proxy;
+use crate::Silence;
 use crate::caller::Callers;
 use crate::plan;
 use crate::plan::Kind;
+use crate::plan::Scope;
 use crate::proxy::Mode;
 use crate::verdict;
 use crate::verdict::Change;
 use crate::verdict::Disturbance;
 use crate::verdict::Events;
+use crate::verdict::Target;
 use agatemill_standin::Engine;
 use agatemill_standin::Store;
 use agatemill_standin::document;
@@ -76,6 +79,7 @@
 ) -> io::Result<Report> {
     std::fs::create_dir_all(folder)?;
     let faults = plan::faults(seed, over, hosts);
+    let silences = plan::silences(seed, over);
     let mut run = Run::start(program, folder, hosts)?;
     run.recover("the start").await?;
     let addresses: Vec<SocketAddrV4> = run.hosts.iter().map(|host| host.callers).collect();
@@ -83,7 +87,7 @@
         .map(|number| run.callers.clone().run(addresses.clone(), seed ^ number))
         .map(agatemill_runtime::spawn)
         .collect();
-    run.inject(&faults).await?;
+    run.inject(&faults, &silences).await?;
     run.recover("the faults").await?;
     run.callers.stop();
     for caller in callers {
@@ -101,7 +105,7 @@
             .filter(|exchange| exchange.response.as_ref().is_some_and(is_served))
             .count(),
         sent: exchanges.len(),
-        faults: faults.len(),
+        faults: faults.len() + silences.len(),
         violations,
     })
 }
@@ -146,25 +150,35 @@
         })
     }
 
-    /// Injects the faults at their times and returns when the last one has ended.
-    async fn inject(&mut self, faults: &[Fault]) -> io::Result<()> {
+    /// Injects the faults and silences at their times and returns when the last one has ended.
+    async fn inject(&mut self, faults: &[Fault], silences: &[Silence]) -> io::Result<()> {
         let start = agatemill_runtime::now();
         let mut pending: Vec<&Fault> = faults.iter().collect();
         let mut active: Vec<&Fault> = Vec::new();
-        while !(pending.is_empty() && active.is_empty()) {
+        let mut pending_silences: Vec<&Silence> = silences.iter().collect();
+        let ends = silences
+            .iter()
+            .map(|silence| silence.start + silence.duration);
+        let silent_until = ends.max().unwrap_or_default();
+        loop {
             let time = agatemill_runtime::now().saturating_sub(start);
+            if pending.is_empty() && active.is_empty() && time >= silent_until {
+                return Ok(());
+            }
             for fault in take_matching(&mut pending, |fault| fault.start <= time) {
                 self.begin(&fault.kind)?;
-                self.record_disturbance(fault);
                 active.push(fault);
             }
             for fault in take_matching(&mut active, |fault| fault.start + fault.duration <= time) {
                 self.end(&fault.kind)?;
+                self.record_disturbance(fault, start + fault.start);
+            }
+            for silence in take_matching(&mut pending_silences, |silence| silence.start <= time) {
+                self.silence(silence);
             }
             self.detect_crashes()?;
             agatemill_runtime::sleep(POLL_INTERVAL).await;
         }
-        Ok(())
     }
 
     fn begin(&mut self, kind: &Kind) -> io::Result<()> {
@@ -196,17 +210,47 @@
         Ok(())
     }
 
-    fn record_disturbance(&mut self, fault: &Fault) {
-        if let Kind::ServerLink(server, _) | Kind::Server(server, _) = fault.kind {
-            let from = agatemill_runtime::now();
-            self.events.disturbances.push(Disturbance {
-                server: self.servers[server].id.clone(),
-                from,
-                until: from + fault.duration + POLL_INTERVAL,
-            });
+    fn silence(&self, silence: &Silence) {
+        for (number, server) in self.servers.iter().enumerate() {
+            let is_silent = match silence.scope {
+                Scope::Server(silent) => silent == number,
+                Scope::Half(member) => {
+                    layers(server).is_some_and(|held| layers(&self.servers[member]) == Some(held))
+                }
+                Scope::All => true,
+            };
+            if is_silent {
+                server.pause(silence.duration);
+            }
         }
     }
 
+    /// Records a fault of a server, a link to it or a host that began at `from` and has just ended.
+    fn record_disturbance(&mut self, fault: &Fault, from: Duration) {
+        let name = |server: usize| self.servers[server].id.clone();
+        let mut is_over = true;
+        let target = match fault.kind {
+            Kind::ServerLink(server, _) => Target::Link(name(server)),
+            Kind::Server(server, _) => Target::Server(name(server)),
+            Kind::Freeze(host) | Kind::Kill(host) | Kind::Terminate(host) => {
+                is_over = !self.hosts[host].is_stopping();
+                Target::Host(self.hosts[host].callers)
+            }
+            Kind::Reload(_)
+            | Kind::StoreLink(..)
+            | Kind::Store(_)
+            | Kind::Compact
+            | Kind::Configure { .. } => return,
+        };
+        // The connections of a link close with a delay.
+        let until = agatemill_runtime::now() + POLL_INTERVAL;
+        self.events.disturbances.push(Disturbance {
+            target,
+            from,
+            until: if is_over { until } else { Duration::MAX },
+        });
+    }
+
     fn end(&mut self, kind: &Kind) -> io::Result<()> {
         match *kind {
             Kind::Freeze(host) => self.hosts[host].signal(Signal::CONT)?,
@@ -292,6 +336,13 @@
     answer.is_ok_and(|answer| answer.status().is_success())
 }
 
+/// Numbers of the first layer and of the layer after the last one that an engine was ordered to hold.
+fn layers(server: &Engine) -> Option<(u64, u64)> {
+    let orders = server.orders();
+    let order = orders.iter().rfind(|order| order["op"] == "place")?;
+    Some((order["from"].as_u64()?, order["target"].as_u64()?))
+}
+
 /// Removes the items that match the predicate from a list and returns them.
 fn take_matching<'a, T>(list: &mut Vec<&'a T>, matches: impl Fn(&T) -> bool) -> Vec<&'a T> {
     let (taken, left) = list.iter().copied().partition(|item| matches(item));
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -1,9 +1,11 @@
 //! Invariants on what callers and backend servers observe.
 
+use core::net::SocketAddrV4;
 use core::time::Duration;
 use std::collections::HashMap;
 
 use crate::Exchange;
+use crate::caller::DEADLINE;
 use crate::caller::Response;
 use agatemill_standin::engine::Arrival;
 use agatemill_standin::engine::EVENTS;
@@ -11,6 +13,9 @@
 /// Time for which a removed key may remain valid, as in the settings of the hosts.
 const REVOCATION_DELAY: Duration = Duration::from_secs(4);
 
+/// Time before the deadline of a caller in which a host may give up a request.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
+
 /// Maximum number of servers that run one request, as in the configuration of the routes.
 const MAX_ATTEMPTS: usize = 2;
 
@@ -26,11 +31,22 @@
     pub has_second_key: bool,
 }
 
-/// A fault of a server or of the links to it.
+/// What a fault affects.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// The server with this id.
+    Server(String),
+    /// The links of all hosts to the server with this id.
+    Link(String),
+    /// The host with this address for callers.
+    Host(SocketAddrV4),
+}
+
+/// A fault of a server, of the links to it or of a host. The silence of a server is none.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Disturbance {
-    /// Id of the server.
-    pub server: String,
+    /// What the fault affects.
+    pub target: Target,
     /// Start of the fault.
     pub from: Duration,
     /// End of the fault.
@@ -42,7 +58,7 @@
 pub struct Events {
     /// Configuration changes, in order.
     pub changes: Vec<Change>,
-    /// Faults of servers and of the links to them.
+    /// Faults of servers, of the links to them and of hosts.
     pub disturbances: Vec<Disturbance>,
 }
 
@@ -51,12 +67,34 @@
     /// meantime do not count; runs of calls that execute at most once always do.
     fn is_counted(&self, request: &Exchange, arrival: &Arrival) -> bool {
         let is_affected = |disturbance: &Disturbance| {
-            disturbance.server == arrival.server
+            disturbance.affects_server(&arrival.server)
                 && disturbance.from <= arrival.at
                 && disturbance.until >= request.sent_at
         };
         request.route == "pay" || !self.disturbances.iter().any(is_affected)
     }
+
+    /// Whether a fault may have ended a request that `servers` received. A fault of a link may hide a server that the
+    /// request was sent to.
+    fn may_end(&self, request: &Exchange, servers: &[&str]) -> bool {
+        let is_affected = |disturbance: &Disturbance| match &disturbance.target {
+            Target::Server(server) => servers.contains(&server.as_str()),
+            Target::Link(server) => is_engine(server) == is_stream(request.route),
+            Target::Host(host) => *host == request.host,
+        };
+        let is_concurrent = |disturbance: &Disturbance| {
+            disturbance.from <= request.ended_at && disturbance.until >= request.sent_at
+        };
+        self.disturbances
+            .iter()
+            .any(|disturbance| is_concurrent(disturbance) && is_affected(disturbance))
+    }
+}
+
+impl Disturbance {
+    fn affects_server(&self, id: &str) -> bool {
+        matches!(&self.target, Target::Server(server) | Target::Link(server) if server == id)
+    }
 }
 
 /// Violated invariants, one line each.
@@ -68,6 +106,7 @@
         .collect();
     let mut runs: HashMap<&str, usize> = HashMap::new();
     let mut counted: HashMap<&str, usize> = HashMap::new();
+    let mut met: HashMap<&str, Vec<&str>> = HashMap::new();
     let mut violations = Vec::new();
     for arrival in arrivals {
         let Some(request) = by_attempt.get(arrival.attempt.as_str()) else {
@@ -81,6 +120,7 @@
         }
         let attempt = arrival.attempt.as_str();
         let is_counted = arrival.has_run && events.is_counted(request, arrival);
+        met.entry(attempt).or_default().push(&arrival.server);
         *runs.entry(attempt).or_default() += usize::from(arrival.has_run);
         *counted.entry(attempt).or_default() += usize::from(is_counted);
     }
@@ -103,10 +143,40 @@
         {
             violations.push(format!("{violation}: {request:?}"));
         }
+        let servers = met.get(attempt).map_or(&[][..], Vec::as_slice);
+        if has_failed(request, runs) && !events.may_end(request, servers) {
+            violations.push(format!(
+                "a request ended early at sound or silent servers {servers:?}: {request:?}"
+            ));
+        }
     }
     violations
 }
 
+/// Whether a request ended before its deadline, without a complete answer or with one that states a failure of a
+/// server. A request without an answer and without a run may have met a host that was not listening.
+fn has_failed(request: &Exchange, runs: usize) -> bool {
+    if request.ended_at + DEADLINE_MARGIN >= request.sent_at + DEADLINE {
+        return false;
+    }
+    match &request.response {
+        Some(response) => {
+            !response.is_complete || matches!(response.status.as_u16(), 500 | 502 | 504)
+        }
+        None => runs > 0,
+    }
+}
+
+/// Whether a route needs an engine with layers.
+fn is_stream(route: &str) -> bool {
+    matches!(route, "draft" | "once")
+}
+
+/// Whether a server id is that of an engine with layers.
+fn is_engine(server: &str) -> bool {
+    server.starts_with('e')
+}
+
 /// Checks a request as a server received it; returns the violated invariant.
 fn check_arrival(
     request: &Exchange,
@@ -119,8 +189,7 @@
     if arrival.has_key || arrival.organisation.as_deref() != Some("office") {
         return Some("the API key was forwarded, or the organisation is wrong");
     }
-    let is_stream = matches!(request.route, "draft" | "once");
-    if is_stream
+    if is_stream(request.route)
         != arrival
             .path
             .as_ref()
@@ -180,7 +249,7 @@
     let Some(seal) = &response.seal else {
         return Some("a success response without the seal of a server");
     };
-    let expected = if matches!(request.route, "draft" | "once") {
+    let expected = if is_stream(request.route) {
         let event = |number| format!("id: {number}\ndata: t{number}\n\n");
         (0..EVENTS).map(event).collect()
     } else {
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -4,6 +4,8 @@
 use std::path::PathBuf;
 
 use agatemill_soak::plan;
+use agatemill_soak::plan::Scope;
+use agatemill_soak::proxy;
 use agatemill_soak::run;
 
 /// Time within which the faults of the short soak start.
@@ -32,6 +34,32 @@
     );
 }
 
+/// Guards against a change of the generator by which the seeds that have failed no longer give their faults.
+#[test]
+fn the_faults_of_a_seed_never_change() {
+    let expected = plan::Fault {
+        start: Duration::from_millis(861),
+        duration: Duration::from_millis(2_650),
+        kind: plan::Kind::ServerLink(2, proxy::Mode::Reset),
+    };
+    assert_eq!(plan::faults(9, SHORT, plan::HOSTS)[0], expected);
+    let counts = SEEDS.map(|seed| plan::faults(seed, SHORT, plan::HOSTS).len());
+    assert_eq!(counts, [12, 16, 12, 13, 5, 13, 10]);
+}
+
+/// Guards against silences that a seed does not reproduce, or that do not reach one server, half of the engines and all.
+#[test]
+fn a_seed_gives_the_same_silences_of_every_scope() {
+    let over = Duration::from_mins(1);
+    let silences = plan::silences(7, over);
+    assert_eq!(silences, plan::silences(7, over));
+    assert_ne!(silences, plan::silences(8, over));
+    let has = |is_scope: fn(Scope) -> bool| silences.iter().any(|silence| is_scope(silence.scope));
+    assert!(has(|scope| matches!(scope, Scope::Server(_))));
+    assert!(has(|scope| matches!(scope, Scope::Half(_))));
+    assert!(has(|scope| scope == Scope::All));
+}
+
 /// Guards against schedules without concurrent faults: failures that coincide are the ones that other tests miss.
 #[test]
 fn faults_overlap() {
--- a/crates/soak/tests/verdict.rs
+++ b/crates/soak/tests/verdict.rs
@@ -1,28 +1,36 @@
 //! The verdict detects each kind of violation and reports none for a correct run.
 
+use core::net::Ipv4Addr;
+use core::net::SocketAddrV4;
 use core::time::Duration;
 
 use bytes::Bytes;
 use hyper::StatusCode;
 
 use agatemill_soak::Exchange;
+use agatemill_soak::caller::DEADLINE;
 use agatemill_soak::caller::Response;
 use agatemill_soak::verdict;
 use agatemill_soak::verdict::Change;
 use agatemill_soak::verdict::Disturbance;
 use agatemill_soak::verdict::Events;
+use agatemill_soak::verdict::Target;
 use agatemill_standin::engine::Arrival;
 
+const HOST: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 10_000);
+
 const STREAM: &str = "id: 0\ndata: t0\n\nid: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n\
     id: 4\ndata: t4\n\nid: 5\ndata: t5\n\n";
 
 fn exchange(route: &'static str, status: u16, body: &str) -> Exchange {
     Exchange {
         attempt: "a1".to_owned(),
+        host: HOST,
         route,
         key: "k1",
         body: "text".to_owned(),
         sent_at: Duration::from_secs(100),
+        ended_at: Duration::from_secs(102),
         response: Some(Response {
             status: StatusCode::from_u16(status).unwrap(),
             seal: Some("s1".to_owned()),
@@ -112,6 +120,7 @@
     );
     let mut cut = exchange("draft", 200, short);
     cut.response.as_mut().unwrap().is_complete = false;
+    cut.ended_at = cut.sent_at + DEADLINE;
     assert_eq!(violation_count(cut, &[arrival("draft")]), 0);
     let mut unsealed = exchange("pay", 200, "done by s1");
     unsealed.response.as_mut().unwrap().seal = None;
@@ -162,7 +171,7 @@
     let count = |route: &'static str, body: &str, server: &str, runs: usize| {
         let mut events = events(&[change(0, true)]);
         events.disturbances.push(Disturbance {
-            server: server.to_owned(),
+            target: Target::Link(server.to_owned()),
             from: Duration::from_secs(99),
             until: Duration::from_secs(102),
         });
@@ -173,3 +182,72 @@
     assert_eq!(count("draft", STREAM, "s2", 3), 1);
     assert_eq!(count("pay", "done by s1", "s1", 2), 1);
 }
+
+/// A stream that ended in the middle.
+fn cut_stream() -> Exchange {
+    let mut request = exchange("draft", 200, "id: 0\ndata: t0\n\n");
+    request.response.as_mut().unwrap().is_complete = false;
+    request
+}
+
+/// Number of violations by a request that ran on `s1`, beside a fault.
+fn count_beside(request: Exchange, target: Target, from: u64, until: u64) -> usize {
+    let arrivals = [arrival(request.route)];
+    let mut events = events(&[change(0, true)]);
+    events.disturbances.push(Disturbance {
+        target,
+        from: Duration::from_secs(from),
+        until: Duration::from_secs(until),
+    });
+    verdict::violations(&[request], &arrivals, &events).len()
+}
+
+/// Guards against a verdict that misses requests that end before their deadline although their servers are sound or only
+/// silent.
+#[test]
+fn requests_that_end_early_at_sound_servers_are_detected() {
+    assert_eq!(violation_count(cut_stream(), &[arrival("draft")]), 1);
+    for (route, status) in [("draft", 502), ("pay", 502), ("read", 504)] {
+        let mut failed = exchange(route, status, "");
+        failed.response.as_mut().unwrap().seal = None;
+        assert_eq!(violation_count(failed, &[arrival(route)]), 1, "{route}");
+    }
+    let mut unanswered = exchange("pay", 200, "");
+    unanswered.response = None;
+    assert_eq!(violation_count(unanswered, &[arrival("pay")]), 1);
+    let other_host = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 10_001);
+    for target in [
+        Target::Server("s2".to_owned()),
+        Target::Link("s2".to_owned()),
+        Target::Host(other_host),
+    ] {
+        assert_eq!(count_beside(cut_stream(), target, 99, 103), 1);
+    }
+    for (from, until) in [(98, 99), (103, 104)] {
+        let target = Target::Server("s1".to_owned());
+        assert_eq!(count_beside(cut_stream(), target, from, until), 1);
+    }
+}
+
+/// Guards against false positives for requests that a fault may have ended, that reached their deadline, or that were
+/// rejected as not run.
+#[test]
+fn requests_that_end_with_a_reason_pass() {
+    for target in [
+        Target::Server("s1".to_owned()),
+        Target::Link("e1".to_owned()),
+        Target::Host(HOST),
+    ] {
+        assert_eq!(count_beside(cut_stream(), target, 101, 103), 0);
+    }
+    let mut late = exchange("draft", 504, "");
+    late.response.as_mut().unwrap().seal = None;
+    late.ended_at = late.sent_at + DEADLINE;
+    assert_eq!(violation_count(late, &[arrival("draft")]), 0);
+    let mut unheard = exchange("pay", 200, "");
+    unheard.response = None;
+    assert_eq!(violation_count(unheard, &[]), 0);
+    let mut refused = exchange("draft", 503, "");
+    refused.response.as_mut().unwrap().seal = None;
+    assert_eq!(violation_count(refused, &[]), 0);
+}
