Read the body of a refused request before the connection is used again

What callers saw: a refused request (404, 401, 503) whose body had not arrived with its head got its answer, and the host then closed the connection without saying so. The next whole request on it got neither an answer nor a refusal, and a caller that was still sending its body could lose the refusal too. Beside a change of the configuration hosts refuse requests for routes and keys that come or go, so this is where it shows.

Cause: requests are refused on their heads. The HTTP library looks once for the rest of the body, and closes the connection if it is not there; the head of the answer, without `Connection: close`, is already encoded.

Change: the rest of the body of a refused request is read and dropped, for 0.5 s and up to the operator's limit. If it is not complete by then, the answer says `Connection: close`.

Before: the new test fails, the second request gets an empty answer. After: it passes.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -13,7 +13,10 @@
 use hyper::Response;
 use hyper::Uri;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
 use hyper::header::HOST;
+use hyper::header::HeaderValue;
+use hyper::http::request;
 
 use crate::State;
 use crate::call;
@@ -35,6 +38,9 @@
 /// the store responds again.
 const VIEW_RETRY_AFTER: Duration = Duration::from_millis(700);
 
+/// Time for which the rest of the body of a refused request is awaited: some round trips, since the refusal waits too.
+const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// An admitted request with everything that is needed to serve it.
 #[derive(Debug)]
 pub struct Job {
@@ -87,7 +93,8 @@
     let active = state.track_request();
     state.metrics.start_request();
     let arrived = agatemill_runtime::now();
-    let result = match admit(state, request, arrived).await {
+    let (head, mut body) = request.into_parts();
+    let result = match admit(state, head, &mut body, arrived).await {
         Ok(job) => serve(state, job, active).await,
         Err(refusal) => Err(refusal),
     };
@@ -99,11 +106,36 @@
                 refusal.outcome,
                 agatemill_runtime::now().saturating_sub(arrived),
             );
-            response::from_refusal(&refusal)
+            let mut response = response::from_refusal(&refusal);
+            if !drain(state, body).await {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            response
         }
     }
 }
 
+/// Reads and drops the rest of the body of a refused request; returns whether it is complete. Otherwise the connection has
+/// to be closed: the next request follows the body, and a caller that is still sending may not read the response.
+async fn drain(state: &State, body: Incoming) -> bool {
+    let configuration = state.view().configuration.clone();
+    let limits = configuration.map(|configuration| configuration.limits);
+    let limit = limits.unwrap_or_default().body_bytes;
+    let mut body = Limited::new(body, limit);
+    let read = async {
+        while let Some(frame) = body.frame().await {
+            if frame.is_err() {
+                return false;
+            }
+        }
+        true
+    };
+    agatemill_runtime::timeout(REFUSED_BODY_TIMEOUT, read)
+        .await
+        .unwrap_or(false)
+}
+
 async fn serve(
     state: &Arc<State>,
     job: Job,
@@ -139,10 +171,10 @@
 /// Authorizes a request, reads its body and selects the service.
 async fn admit(
     state: &Arc<State>,
-    request: Request<Incoming>,
+    head: request::Parts,
+    body: &mut Incoming,
     arrived: Duration,
 ) -> Result<Job, Refusal> {
-    let (head, body) = request.into_parts();
     let parameters = Parameters::from(&head.headers);
     let configuration = state.view().configuration.clone();
     let configuration = configuration.ok_or_else(|| {
@@ -216,7 +248,7 @@
     Ok((Arc::clone(route), Some(Arc::clone(organisation))))
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+async fn read_body(body: &mut Incoming, limit: usize) -> Result<Bytes, Refusal> {
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(Refusal::not_run(
--- /dev/null
+++ b/crates/gateway/tests/all/answers.rs
@@ -0,0 +1,87 @@
+//! Tests of requests that may end without an answer although no server failed, over connections that a caller keeps.
+
+use core::net::SocketAddrV4;
+use core::time::Duration;
+
+use futures::AsyncReadExt;
+use futures::AsyncWriteExt;
+use smol::net::TcpStream;
+
+use crate::run_test;
+use crate::system::System;
+
+/// Timeout for an answer; far above what it takes on a busy machine.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A connection of a caller.
+struct Connection(TcpStream);
+
+impl Connection {
+    async fn open(host: SocketAddrV4) -> Self {
+        Self(TcpStream::connect(host).await.unwrap())
+    }
+
+    async fn send(&mut self, text: &str) {
+        // A connection that the host has closed shows when the answer is read.
+        let _ = self.0.write_all(text.as_bytes()).await;
+    }
+
+    /// Reads one answer with a body of known length; what was received so far if the connection ends before.
+    async fn answer(&mut self) -> String {
+        let mut bytes = Vec::new();
+        let read = async {
+            let mut piece = vec![0; 64 << 10];
+            while !is_whole(&bytes) {
+                match self.0.read(&mut piece).await {
+                    Ok(0) | Err(_) => break,
+                    Ok(count) => bytes.extend_from_slice(&piece[..count]),
+                }
+            }
+        };
+        let result = agatemill_runtime::timeout(ANSWER_TIMEOUT, read).await;
+        assert!(result.is_some(), "no answer and no end of the connection");
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
+
+/// Whether the bytes are an answer with a complete body.
+fn is_whole(bytes: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(bytes);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    length.is_some_and(|length| body.len() >= length.parse().unwrap())
+}
+
+fn host(system: &System) -> SocketAddrV4 {
+    system.call("read", "").host
+}
+
+/// Head of a request with a body of `length` bytes.
+fn head(route: &str, attempt: &str, length: usize) -> String {
+    format!(
+        "POST /{route}/1 HTTP/1.1\r\nhost: office.example\r\nauthorization: Bearer k1\r\nx-attempt-id: {attempt}\r\n\
+         x-deadline-ms: 4000\r\ncontent-length: {length}\r\n\r\n"
+    )
+}
+
+/// Guards against a refusal that closes the connection before the body was sent, so that the caller may lose it.
+#[test]
+fn a_refused_request_whose_body_arrives_later_is_answered() {
+    run_test(2, |system| async move {
+        let mut connection = Connection::open(host(&system)).await;
+        connection.send(&head("nowhere", "n1", 6)).await;
+        agatemill_runtime::sleep(Duration::from_millis(100)).await;
+        connection.send("please").await;
+        let answer = connection.answer().await;
+        assert!(answer.contains("404 Not Found"), "{answer:?}");
+        connection
+            .send(&format!("{}please", head("read", "r1", 6)))
+            .await;
+        let answer = connection.answer().await;
+        assert!(answer.contains("200 OK"), "{answer:?}");
+    });
+}
