Close idle connections at the limit in force, not at that of an older configuration

What callers saw: after the operator raised `idle-timeout-ms`, connections that were open already were closed at the old limit. Callers reuse a connection until four fifths of the limit they know, so a whole request on such a connection got neither an answer nor a refusal, until all connections had been replaced.

Cause: the HTTP library takes the limit when the connection is accepted.

Change: its timer asks for the limit of the current configuration when it fires, and goes on if that is higher. A lowered limit does not take effect on open connections, as before.

Before: the new test fails, the request after the raised limit gets an empty answer. After: it passes; another test shows that idle connections are still closed.

Not changed: `max-header-bytes` is also taken when the connection is accepted; the library has no way to change it. A request with a larger head gets 431 there until the connection is replaced.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -119,10 +119,7 @@
 /// Reads and drops the rest of the body of a refused request; returns whether it is complete. Otherwise the connection has
 /// to be closed: the next request follows the body, and a caller that is still sending may not read the response.
 async fn drain(state: &State, body: Incoming) -> bool {
-    let configuration = state.view().configuration.clone();
-    let limits = configuration.map(|configuration| configuration.limits);
-    let limit = limits.unwrap_or_default().body_bytes;
-    let mut body = Limited::new(body, limit);
+    let mut body = Limited::new(body, state.limits().body_bytes);
     let read = async {
         while let Some(frame) = body.frame().await {
             if frame.is_err() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod exchange;
 pub mod feed;
 pub mod gossip;
+pub mod idle;
 pub mod log_output;
 pub mod planner;
 pub mod process;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -20,12 +20,12 @@
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
-use smol_hyper::rt::SmolTimer;
 
 use crate::Error;
 use crate::State;
 use crate::directory;
 use crate::exchange;
+use crate::idle;
 use crate::response;
 use crate::response::Body;
 use crate::state::Stage;
@@ -162,19 +162,14 @@
 {
     // Events are small writes that must be sent at once. Setting the option fails only on a closed connection.
     let _ = stream.set_nodelay(true);
-    let limits = state
-        .view()
-        .configuration
-        .as_ref()
-        .map(|configuration| configuration.limits)
-        .unwrap_or_default();
+    let limits = state.limits();
     let service = service_fn(|request| {
         let response = respond(Arc::clone(&state), request);
         async { Ok::<_, Infallible>(response.await) }
     });
     // The library's header timeout also covers the time in which a connection is idle.
     let connection = http1::Builder::new()
-        .timer(SmolTimer::new())
+        .timer(idle::Timer::new(&state))
         .header_read_timeout(limits.idle)
         .max_buf_size(limits.header_bytes.max(MIN_HEAD_BYTES))
         .serve_connection(FuturesIo::new(stream), service);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -32,6 +32,7 @@
 use agatemill_fleet::Throttle;
 use agatemill_fleet::budget::Balance;
 use agatemill_fleet::budget::Purpose;
+use agatemill_fleet::configuration::Limits;
 use agatemill_fleet::evidence;
 use agatemill_fleet::throttle::allocator::Allocator;
 use agatemill_http::Buffers;
@@ -149,6 +150,14 @@
         lock(&self.view)
     }
 
+    /// Limits on what callers send, from the current configuration.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        let view = self.view();
+        let configuration = view.configuration.as_ref();
+        configuration.map_or_else(Limits::default, |configuration| configuration.limits)
+    }
+
     /// Load of this host's own requests on the servers.
     pub fn load(&self) -> MutexGuard<'_, Load> {
         lock(&self.load)
--- a/crates/gateway/tests/all/answers.rs
+++ b/crates/gateway/tests/all/answers.rs
@@ -9,6 +9,7 @@
 
 use crate::run_test;
 use crate::system::System;
+use agatemill_standin::document;
 
 /// Timeout for an answer; far above what it takes on a busy machine.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -85,3 +86,56 @@
         assert!(answer.contains("200 OK"), "{answer:?}");
     });
 }
+
+/// The configuration with another idle limit of connections.
+fn with_idle_limit(version: u64, ms: u32) -> String {
+    let document = document::routes(version, r#""k1","k2""#);
+    document.replace(
+        r#""idle-timeout-ms":15000"#,
+        &format!(r#""idle-timeout-ms":{ms}"#),
+    )
+}
+
+async fn configure(system: &System, version: u64, document: &str) {
+    system.store.put(document::KEY, document);
+    let state = system.process.state();
+    let is_in_force = || {
+        let view = state.view();
+        let configuration = view.configuration.as_ref();
+        configuration.is_some_and(|configuration| configuration.version == version)
+    };
+    system
+        .wait_until("the configuration is in force", is_in_force)
+        .await;
+}
+
+/// Guards against a request without an answer on a connection that is closed after the idle limit of an older
+/// configuration.
+#[test]
+fn an_open_connection_follows_a_raised_idle_limit() {
+    run_test(2, |system| async move {
+        configure(&system, 4, &with_idle_limit(4, 900)).await;
+        let mut connection = Connection::open(host(&system)).await;
+        connection.send(&head("read", "r1", 0)).await;
+        assert!(connection.answer().await.contains("200 OK"));
+        configure(&system, 5, &with_idle_limit(5, 15_000)).await;
+        agatemill_runtime::sleep(Duration::from_millis(1_200)).await;
+        connection.send(&head("read", "r2", 0)).await;
+        let answer = connection.answer().await;
+        assert!(answer.contains("200 OK"), "{answer:?}");
+    });
+}
+
+/// Guards against idle connections that stay open without a limit.
+#[test]
+fn an_idle_connection_is_closed_at_its_limit() {
+    run_test(2, |system| async move {
+        configure(&system, 4, &with_idle_limit(4, 300)).await;
+        let mut connection = Connection::open(host(&system)).await;
+        let start = agatemill_runtime::now();
+        assert_eq!(connection.answer().await, "");
+        let taken = agatemill_runtime::now().saturating_sub(start);
+        assert!(taken >= Duration::from_millis(290), "{taken:?}");
+        assert!(taken < Duration::from_secs(3), "{taken:?}");
+    });
+}
