Wait for changes only for as long as the view stays fresh enough for keys

What callers saw: with a revocation time of 4 s, as in the tests of this repository, an idle host answered requests with keys with 503 `stale_configuration` for 0.4 s of each 2 s, although the store responded.

Cause: a watch without changes waits 2 s, and its response confirms the view as of the start of the watch. Shortly before the next response the view is therefore 4 s old, while 0.9 of the revocation time is allowed. With the platform's present 5 s, a margin of 0.5 s was left.

Change: a watch waits for at most 0.45 of the allowed age. At 5 s and more the wait stays 2 s.

Before: the new test fails. After: it passes.

--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -20,6 +20,10 @@
 /// keys need within the revocation time; each call is priced.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 
+/// Maximum wait of a watch as a share of the age at which the view is too old for keys: shortly before a response, the
+/// view is two waits old.
+const MAX_WATCH_SHARE: f64 = 0.45;
+
 /// Wait of a watch by a host that others follow: followers leave a host that had no response for some time, so
 /// that a change reaches them in time when only that host is cut off.
 const FOLLOWED_WATCH_WAIT: Duration = Duration::from_millis(700);
@@ -182,6 +186,8 @@
     } else {
         WATCH_WAIT
     };
+    let limit = state.settings().bounds.freshness_limit();
+    let wait = wait.min(limit.mul_f64(MAX_WATCH_SHARE));
     match state.store.watch(after, wait).await? {
         Changes::Compacted => {
             log::info!(after:%; "store: history compacted, loading a snapshot");
--- a/crates/gateway/tests/all/store.rs
+++ b/crates/gateway/tests/all/store.rs
@@ -8,6 +8,19 @@
 use agatemill_standin::document;
 use agatemill_standin::store::Fault;
 
+/// Guards against requests with keys that are refused while the store responds but has no changes.
+#[test]
+fn a_quiet_store_keeps_the_view_fresh() {
+    run_test(2, |system| async move {
+        let state = system.process.state();
+        let end = agatemill_runtime::now() + Duration::from_secs(6);
+        while agatemill_runtime::now() < end {
+            assert!(state.is_fresh());
+            agatemill_runtime::sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
+
 /// Guards against revoked keys that are still accepted, with the store reachable or not.
 #[test]
 fn a_revoked_key_is_refused_also_without_the_store() {
