Answer requests whose bodies do not arrive in time

What callers saw: a request whose body stopped on the way got no answer, however long its caller waited, and kept a host that was to stop until the end of the grace period.

Cause: the body was read without a time limit, before the deadline of the request was applied to anything.

Change: the body is awaited until the deadline of the request, then the answer is 408, which promises that nothing ran, and the connection is closed.

Before: the new test fails, there is no answer within 10 s. After: it passes.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -107,7 +107,8 @@
                 agatemill_runtime::now().saturating_sub(arrived),
             );
             let mut response = response::from_refusal(&refusal);
-            if !drain(state, body).await {
+            let is_late = refusal.reason == Reason::RequestTimeout;
+            if is_late || !drain(state, body).await {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -183,13 +184,17 @@
         let version = configuration.version;
         log::warn!(request:% = parameters.attempt, version, refusal:%; "request: refused");
     })?;
-    let body = read_body(body, limit).await?;
-    let service = route.pick(fastrand::f64()).clone();
-    let model = configuration.services.get(&service);
     let wait = parameters
         .deadline
         .unwrap_or(route.timeout)
         .min(route.timeout);
+    let body = agatemill_runtime::timeout(wait, read_body(body, limit)).await;
+    let body = body.ok_or_else(|| {
+        let detail = "the body did not arrive in time";
+        Refusal::not_run(Reason::RequestTimeout, detail)
+    })??;
+    let service = route.pick(fastrand::f64()).clone();
+    let model = configuration.services.get(&service);
     Ok(Job {
         method: head.method,
         uri: head.uri,
--- a/crates/gateway/tests/all/answers.rs
+++ b/crates/gateway/tests/all/answers.rs
@@ -139,3 +139,21 @@
         assert!(taken < Duration::from_secs(3), "{taken:?}");
     });
 }
+
+/// Guards against a caller that waits without an answer because its body does not arrive.
+#[test]
+fn a_request_whose_body_does_not_arrive_is_answered_at_its_deadline() {
+    run_test(2, |system| async move {
+        for (route, status) in [("read", "408"), ("nowhere", "404")] {
+            let mut connection = Connection::open(host(&system)).await;
+            let start = agatemill_runtime::now();
+            connection.send(&head(route, route, 6)).await;
+            connection.send("pl").await;
+            let answer = connection.answer().await;
+            assert!(answer.contains(status), "{answer:?}");
+            let taken = agatemill_runtime::now().saturating_sub(start);
+            assert!(taken < Duration::from_millis(4_500), "{taken:?}");
+            assert_eq!(system.run_count(route), 0);
+        }
+    });
+}
