Exit only after all responses are written, and answer calls that outlast the grace period

What callers saw, at a planned stop of a host: a response that was cut off because its caller read it slowly, a closed connection instead of an answer when a call outlasted the grace period, and a request that was sent to a server by a host that was exiting.

Cause: a request counts as active until its response is complete in memory, and the process exits when none is active. The bytes that the connection had not written were lost. At the end of the grace period connections were dropped with their requests, and until then idle connections accepted new ones.

Change: before it exits, a host closes its connections gracefully: idle ones at once, the others after their response is written, within the grace period. Calls, and streams without a head, that still run 0.25 s before its end get 504, which promises nothing. From then on requests get 503.

Before: the three new tests fail (the process ends 1.7 s before a slow caller has its response; no answer before the end of the process; a call runs after the end of the drain). After: they pass.

Not changed: streams that have begun and outlast the grace period are cut.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -22,9 +22,12 @@
 use crate::call;
 use crate::response;
 use crate::response::Body;
+use crate::state::Stage;
 use crate::stream;
 use agatemill_adapter::header::Parameters;
+use agatemill_core::Cause;
 use agatemill_core::Outcome;
+use agatemill_core::Phase;
 use agatemill_core::Reason;
 use agatemill_core::Refusal;
 use agatemill_core::id;
@@ -94,11 +97,11 @@
     state.metrics.start_request();
     let arrived = agatemill_runtime::now();
     let (head, mut body) = request.into_parts();
-    let result = match admit(state, head, &mut body, arrived).await {
-        Ok(job) => serve(state, job, active).await,
-        Err(refusal) => Err(refusal),
+    let work = async {
+        let job = admit(state, head, &mut body, arrived).await?;
+        serve(state, job, active).await
     };
-    match result {
+    match smol::future::or(work, end(state)).await {
         Ok(response) => response,
         Err(refusal) => {
             state.metrics.count_refusal(refusal.reason);
@@ -117,6 +120,14 @@
     }
 }
 
+/// Waits until the process exits, and returns the failure of a request that still runs.
+async fn end(state: &State) -> Result<Response<Body>, Refusal> {
+    state.ending().await;
+    let detail = "the host exits before the request has ended";
+    let (phase, cause) = (Phase::Sent, Cause::DeadlinePassed);
+    Err(Refusal::new(Reason::DeadlineExceeded, phase, cause, detail))
+}
+
 /// Reads and drops the rest of the body of a refused request; returns whether it is complete. Otherwise the connection has
 /// to be closed: the next request follows the body, and a caller that is still sending may not read the response.
 async fn drain(state: &State, body: Incoming) -> bool {
@@ -173,6 +184,11 @@
     body: &mut Incoming,
     arrived: Duration,
 ) -> Result<Job, Refusal> {
+    if state.stage() == Stage::Ending {
+        return Err(
+            Refusal::not_run(Reason::Draining, "the host exits").retry_after(Duration::ZERO)
+        );
+    }
     let parameters = Parameters::from(&head.headers);
     let configuration = state.view().configuration.clone();
     let configuration = configuration.ok_or_else(|| {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,12 +3,15 @@
 use core::convert::Infallible;
 use core::future::Future;
 use core::net::SocketAddrV4;
+use core::pin::pin;
 use core::sync::atomic::AtomicUsize;
 use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::sync::Arc;
 
 use bytes::Bytes;
+use futures::future;
+use futures::future::Either;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -121,11 +124,11 @@
         }
         match listener.accept().await {
             Ok((stream, _)) => {
-                let guard = ConnectionGuard::new(&open);
+                let guards = (SlotGuard::new(&open), state.track_connection());
                 let connection = serve_connection(Arc::clone(state), stream, respond.clone());
                 let task = async move {
                     connection.await;
-                    drop(guard);
+                    drop(guards);
                 };
                 agatemill_runtime::spawn(task).detach();
             }
@@ -137,17 +140,17 @@
     }
 }
 
-/// Counts an open connection of a listener until dropped.
-struct ConnectionGuard(Arc<AtomicUsize>);
+/// Takes one of the connections of a listener until dropped.
+struct SlotGuard(Arc<AtomicUsize>);
 
-impl ConnectionGuard {
+impl SlotGuard {
     fn new(open: &Arc<AtomicUsize>) -> Self {
         open.fetch_add(1, Ordering::Relaxed);
         Self(Arc::clone(open))
     }
 }
 
-impl Drop for ConnectionGuard {
+impl Drop for SlotGuard {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
@@ -173,7 +176,15 @@
         .header_read_timeout(limits.idle)
         .max_buf_size(limits.header_bytes.max(MIN_HEAD_BYTES))
         .serve_connection(FuturesIo::new(stream), service);
-    if let Err(error) = connection.await {
+    let connection = pin!(connection);
+    let result = match future::select(connection, pin!(state.ending())).await {
+        Either::Left((result, _)) => result,
+        Either::Right(((), mut connection)) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
         log::debug!(error:%; "server: connection failed");
     }
 }
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -16,13 +16,20 @@
 /// Share of the grace period after which no new streams start: a later one might not end in time.
 const STREAM_GRACE_SHARE: f64 = 0.4;
 
+/// Time before the exit at which requests that still run are answered.
+const ANSWER_TIME: Duration = Duration::from_millis(250);
+
 /// Interval between checks for remaining requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Deregisters the host and keeps serving until callers have moved to other hosts. Returns when the last request
-/// has ended or the grace period is almost over.
+/// Interval between checks for open connections, most of which are closed at once.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Deregisters the host and keeps serving until callers have moved to other hosts. Returns when the last response
+/// is written or the grace period is almost over.
 pub async fn run(state: &Arc<State>, registration: &Registration) {
     let began = agatemill_runtime::now();
+    let past = || agatemill_runtime::now().saturating_sub(began);
     let settings = state.settings();
     let grace = settings
         .bounds
@@ -34,15 +41,19 @@
     state.set_stage(Stage::Leaving);
     registration.close(state).await;
     loop {
-        let past = agatemill_runtime::now().saturating_sub(began);
-        if past >= grace.mul_f64(STREAM_GRACE_SHARE) && state.stage() == Stage::Leaving {
-            state.set_stage(Stage::Closing);
-        }
-        let is_idle = state.active() == 0 && past >= directory_expiry;
-        if is_idle || past >= grace {
+        let is_idle = state.active() == 0 && past() >= directory_expiry;
+        if is_idle || past() >= grace.saturating_sub(ANSWER_TIME) {
             break;
         }
+        if past() >= grace.mul_f64(STREAM_GRACE_SHARE) && state.stage() == Stage::Leaving {
+            state.set_stage(Stage::Closing);
+        }
         agatemill_runtime::sleep(POLL_INTERVAL).await;
     }
-    log::info!(active = state.active(); "shutdown: drain ended");
+    log::info!(active = state.active(), connections = state.connections(); "shutdown: closing connections");
+    state.set_stage(Stage::Ending);
+    while state.connections() > 0 && past() < grace {
+        agatemill_runtime::sleep(CLOSE_POLL_INTERVAL).await;
+    }
+    log::info!(active = state.active(), connections = state.connections(); "shutdown: drain ended");
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -82,8 +82,12 @@
     throttle: Mutex<Throttle>,
     allocator: Mutex<Allocator>,
     stage: AtomicU8,
+    /// Notified when the stage changes.
+    stage_changes: Event,
     /// Number of requests in progress.
     active: AtomicUsize,
+    /// Number of open connections of all listeners.
+    connections: AtomicUsize,
 }
 
 /// Shutdown stage of the process.
@@ -95,6 +99,8 @@
     Leaving,
     /// No new streams are started, since they might outlast the process.
     Closing,
+    /// No requests are started, and connections are closed as soon as their responses are written.
+    Ending,
 }
 
 impl State {
@@ -125,7 +131,9 @@
             throttle: Mutex::new(Throttle::new(fastrand::u64(..))),
             allocator: Mutex::default(),
             stage: AtomicU8::new(0),
+            stage_changes: Event::new(),
             active: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
         }
     }
 
@@ -325,13 +333,26 @@
         match self.stage.load(Ordering::Relaxed) {
             0 => Stage::Serving,
             1 => Stage::Leaving,
-            _ => Stage::Closing,
+            2 => Stage::Closing,
+            _ => Stage::Ending,
         }
     }
 
     /// Sets the shutdown stage.
     pub fn set_stage(&self, stage: Stage) {
         self.stage.store(stage as u8, Ordering::Relaxed);
+        self.stage_changes.notify(usize::MAX);
+    }
+
+    /// Waits for [`Stage::Ending`].
+    pub async fn ending(&self) {
+        loop {
+            let change = self.stage_changes.listen();
+            if self.stage() == Stage::Ending {
+                return;
+            }
+            change.await;
+        }
     }
 
     /// Number of requests in progress.
@@ -347,6 +368,19 @@
         RequestGuard(Arc::clone(self))
     }
 
+    /// Number of open connections of all listeners.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// Counts a connection as open until the guard is dropped.
+    #[must_use]
+    pub fn track_connection(self: &Arc<Self>) -> ConnectionGuard {
+        self.connections.fetch_add(1, Ordering::Relaxed);
+        ConnectionGuard(Arc::clone(self))
+    }
+
     /// Servers of a service that are ready and not avoided.
     #[must_use]
     pub fn usable_servers(&self, service: &id::Service) -> Vec<Arc<Server>> {
@@ -371,6 +405,16 @@
     }
 }
 
+/// Counts a connection as open until dropped.
+#[derive(Debug)]
+pub struct ConnectionGuard(Arc<State>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Locks a mutex. A value that a panicking thread left behind is still consistent, since no update is split.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -99,7 +99,7 @@
     job: Job,
     active: RequestGuard,
 ) -> Result<Response<Body>, Refusal> {
-    if state.stage() == Stage::Closing {
+    if state.stage() >= Stage::Closing {
         return Err(
             Refusal::not_run(Reason::Draining, "the host is leaving").retry_after(Duration::ZERO)
         );
--- a/crates/gateway/tests/all/answers.rs
+++ b/crates/gateway/tests/all/answers.rs
@@ -5,11 +5,14 @@
 
 use futures::AsyncReadExt;
 use futures::AsyncWriteExt;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use smol::net::TcpStream;
 
 use crate::run_test;
 use crate::system::System;
+use agatemill_standin::Engine;
 use agatemill_standin::document;
+use agatemill_standin::engine::Behaviour;
 
 /// Timeout for an answer; far above what it takes on a busy machine.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -157,3 +160,81 @@
         }
     });
 }
+
+/// Guards against a process that exits before a caller has received the whole answer.
+#[test]
+fn a_planned_stop_waits_until_answers_are_written() {
+    const BODY_BYTES: usize = 7_500_000;
+    run_test(2, |system| async move {
+        for server in &system.services {
+            server.set_behaviour(Behaviour::LargeBody(BODY_BYTES));
+        }
+        let mut connection = Connection::open(host(&system)).await;
+        set_socket_recv_buffer_size(&connection.0, 64 << 10).unwrap();
+        connection.send(&head("pay", "p1", 0)).await;
+        let state = system.process.state().clone();
+        let is_answered = || system.run_count("p1") == 1 && state.active() == 0;
+        system.wait_until("the call is answered", is_answered).await;
+        let read = async {
+            agatemill_runtime::sleep(Duration::from_millis(1_500)).await;
+            let answer = connection.answer().await;
+            (answer.len(), agatemill_runtime::now())
+        };
+        let stop = async {
+            system.process.close().await;
+            agatemill_runtime::now()
+        };
+        let ((length, received), stopped) = futures::join!(read, stop);
+        assert!(length > BODY_BYTES, "{length}");
+        assert!(stopped >= received, "{stopped:?} {received:?}");
+    });
+}
+
+/// Guards against a connection that is closed without an answer because the grace period ends while a call runs.
+#[test]
+fn a_call_that_outlasts_the_grace_period_is_answered() {
+    run_test(2, |system| async move {
+        for server in &system.services {
+            server.set_behaviour(Behaviour::Slow(3_900));
+        }
+        let mut connection = Connection::open(host(&system)).await;
+        connection.send(&head("pay", "p1", 0)).await;
+        system
+            .wait_until("the call runs", || system.run_count("p1") == 1)
+            .await;
+        let answer = async {
+            let answer = connection.answer().await;
+            (answer, agatemill_runtime::now())
+        };
+        let stop = async {
+            system.process.close().await;
+            agatemill_runtime::now()
+        };
+        let ((answer, received), stopped) = futures::join!(answer, stop);
+        assert!(answer.contains("504 Gateway Timeout"), "{answer:?}");
+        assert!(stopped >= received, "{stopped:?} {received:?}");
+    });
+}
+
+/// Guards against a request that begins at the moment at which the process exits.
+#[test]
+fn a_request_after_the_grace_period_is_not_sent() {
+    run_test(2, |system| async move {
+        let mut connection = Connection::open(host(&system)).await;
+        connection.send(&head("pay", "p1", 0)).await;
+        assert!(connection.answer().await.contains("200 OK"));
+        let callers = host(&system);
+        let (servers, process) = (system.services, system.process);
+        process.close().await;
+        connection.send(&head("pay", "p2", 0)).await;
+        let answer = connection.answer().await;
+        assert!(answer.is_empty() || answer.contains("503"), "{answer:?}");
+        let is_open = TcpStream::connect(callers).await.is_ok();
+        let arrivals = servers.iter().flat_map(Engine::arrivals);
+        assert_eq!(
+            arrivals.filter(|arrival| arrival.attempt == "p2").count(),
+            0
+        );
+        assert!(!is_open);
+    });
+}
