Use the retries that are kept for ended runs after a silent engine has ended

What callers saw: a stream was cut although retries were left, when its silent engine ended while a second run was being prepared.

Cause: the search for a second run went on with the purpose it began with. A quarter of the retries is kept for runs that have ended, so the search failed for want of a retry, and it had less time left to find a path.

Change: a search begins anew when the last run ends.

Before: the new test fails (`retry budget used up`, then `aborted`). After: it passes.

--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -319,7 +319,7 @@
             segments:? = self.job.parameters.parts.shared;
             "stream: run ended"
         );
-        if !self.active.is_empty() || self.search.is_some() {
+        if !self.active.is_empty() {
             return Ok(());
         }
         let may_have_run = self.attempts.runs() > 0 && !self.job.route.is_repeatable();
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod endless;
 mod hosts;
 mod quarantine;
+mod runs;
 mod serving;
 mod silence;
 mod store;
--- /dev/null
+++ b/crates/gateway/tests/all/runs.rs
@@ -0,0 +1,73 @@
+//! Tests of second runs of streams whose engines respond or end while the runs are prepared.
+
+use core::time::Duration;
+
+use crate::complete_stream;
+use crate::run_test;
+use crate::system::System;
+use agatemill_fleet::budget::Purpose;
+use agatemill_fleet::server;
+use agatemill_standin::Engine;
+use agatemill_standin::document;
+use agatemill_standin::engine::Behaviour;
+
+/// The two engines that hold the first layers.
+fn first_engines(system: &System) -> [Engine; 2] {
+    let is_first = |engine: &&Engine| engine.orders().last().unwrap()["from"] == 0;
+    let first: Vec<Engine> = system.engines.iter().filter(is_first).cloned().collect();
+    first.try_into().ok().unwrap()
+}
+
+async fn set_state(system: &System, engine: &Engine, text: &str, state: server::State) {
+    engine.set_entry("state", text.into());
+    let name: agatemill_core::id::Service = "model".parse().unwrap();
+    let is_known = || {
+        let view = system.process.state().view();
+        let servers = view.servers(&name);
+        let server = servers
+            .iter()
+            .find(|server| server.address == engine.address);
+        server.is_some_and(|server| server.state == state)
+    };
+    system
+        .wait_until("the view lists the state", is_known)
+        .await;
+}
+
+/// Guards against a stream that is cut although a retry is kept for it, because its engine ended during the search for a
+/// second run.
+#[test]
+fn a_stream_whose_silent_engine_ends_uses_the_retries_kept_for_it() {
+    run_test(4, |system| async move {
+        let document = document::routes(4, r#""k1","k2""#);
+        let document =
+            document.replace(r#""target-latency-ms":500"#, r#""target-latency-ms":3000"#);
+        system.store.put(document::KEY, &document);
+        let [first, other] = first_engines(&system);
+        set_state(&system, &other, "draining", server::State::Draining).await;
+        first.set_behaviour(Behaviour::PauseAt {
+            event: 2,
+            ms: 10_000,
+        });
+        let ending = async {
+            system
+                .wait_until("the stream runs", || system.run_count("a1") > 0)
+                .await;
+            let is_silent = || {
+                let now = agatemill_runtime::now();
+                let suspicion = system.process.state().suspicion();
+                suspicion.is_unreachable(&first.address, now)
+            };
+            system.wait_until("the engine is silent", is_silent).await;
+            agatemill_runtime::sleep(Duration::from_millis(100)).await;
+            let name: agatemill_core::id::Service = "model".parse().unwrap();
+            while system.process.state().take_retry(&name, Purpose::Backup) {}
+            first.crash();
+            agatemill_runtime::sleep(Duration::from_millis(150)).await;
+            other.set_entry("state", "ready".into());
+        };
+        let (response, ()) = futures::join!(system.send("draft", "a1"), ending);
+        assert_eq!(response.body, complete_stream());
+        assert!(response.is_complete);
+    });
+}
