Pass on an engine's error response that arrives during the search for a second run

What callers saw: 502 `backend_failed` instead of the answer that their engine had made, when an engine answered with a failure after it had been silent, while a second run was being searched for.

Cause: heads are held back while there may be two runs. The search ended only at the next poll of the runs, which read the body of the error response as events of a stream and dropped the run as broken. The head of a stream waited for the first event for the same reason.

Change: a head ends the search, since its engine responds.

Before: the new test fails (502). After: it passes.

--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -185,7 +185,10 @@
     /// Acts on a step of a run.
     async fn act(&mut self, index: usize, step: Step) -> Result<Option<Output>, Refusal> {
         match step {
-            Step::Head => self.check_head(index).map(|()| None),
+            Step::Head => {
+                self.search = None;
+                self.check_head(index).map(|()| None)
+            }
             Step::Events(events) => {
                 self.keep(index);
                 self.longest_pause = self.longest_pause.max(self.active[0].longest_pause);
--- a/crates/gateway/tests/all/runs.rs
+++ b/crates/gateway/tests/all/runs.rs
@@ -11,6 +11,23 @@
 use agatemill_standin::document;
 use agatemill_standin::engine::Behaviour;
 
+/// Guards against an engine's own error response that is replaced because a second run was being prepared.
+#[test]
+fn an_error_response_during_the_search_for_a_second_run_is_passed_on() {
+    run_test(2, |system| async move {
+        for engine in &system.engines {
+            engine.set_behaviour(Behaviour::Fail);
+            // No path is left for a second run, so the search takes from 1.25 s to 1.5 s after the request.
+            engine.pause(Duration::from_millis(1_380));
+        }
+        let response = system.send("draft", "a1").await;
+        assert_eq!(
+            (response.status.as_u16(), response.body.as_str()),
+            (500, "failed")
+        );
+    });
+}
+
 /// The two engines that hold the first layers.
 fn first_engines(system: &System) -> [Engine; 2] {
     let is_first = |engine: &&Engine| engine.orders().last().unwrap()["from"] == 0;
