End the runs of an engine when another one is listed at its address

What callers saw: a stream that waited until its deadline and was then cut, although other engines could have continued it. Its engine had ended without closing the connection, and another one had started at its address.

Cause: the new engine answers the report query of a stalled run, which clears the suspicion of the address, and it does not know the run. The run therefore counted as sound, and an ongoing search for a second run ended.

Change: the list of the platform is evidence too: if another server is listed at the address and the engine of the run is not, that engine has ended, and the run counts as lost. An engine that is merely no longer listed may still serve, so that alone changes nothing.

Before: the new test fails (the stream is cut at its deadline after two events). After: it passes.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -232,6 +232,9 @@
     /// Finds out whether the first engine of a run that ended has ended too, and records a crash.
     pub async fn has_lost_engine(&mut self) -> bool {
         let first = self.path.first();
+        if self.state.view().is_replaced(&first.server, first.address) {
+            return true;
+        }
         if !stall::has_ended(&self.state, first.address).await {
             return false;
         }
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -67,6 +67,9 @@
 /// Queries the first engine of a run that stalled for the engines that it waits for. The run was sent at `sent`.
 pub async fn investigate(state: &State, path: &Path, sent: Duration, attempt: &str) -> Standing {
     let first = path.first();
+    if state.view().is_replaced(&first.server, first.address) {
+        return Standing::Ended;
+    }
     let standing = || {
         let now = agatemill_runtime::now();
         state.suspicion().standing(path, sent, now)
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,5 +1,6 @@
 //! This host's view of the platform.
 
+use core::net::SocketAddrV4;
 use core::time::Duration;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -120,6 +121,16 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Whether another server is listed at the address of a server and it is not, which shows that it has ended.
+    #[must_use]
+    pub fn is_replaced(&self, id: &id::Server, address: SocketAddrV4) -> bool {
+        let servers = self.services.values().flatten();
+        let mut at_address = servers
+            .filter(|server| server.address == address)
+            .peekable();
+        at_address.peek().is_some() && at_address.all(|server| &server.id != id)
+    }
+
     fn keys(&self) -> Vec<String> {
         let servers = self.services.values().flatten();
         let servers = servers.map(|server| format!("{}{}", entry::PREFIX, server.id));
--- a/crates/gateway/tests/all/runs.rs
+++ b/crates/gateway/tests/all/runs.rs
@@ -88,3 +88,34 @@
         assert!(response.is_complete);
     });
 }
+
+/// Guards against a stream that waits until its deadline for an engine that has ended, because another one responds at
+/// its address.
+#[test]
+fn a_stream_whose_engine_was_replaced_at_its_address_goes_on_elsewhere() {
+    run_test(4, |system| async move {
+        for engine in &system.engines {
+            engine.set_behaviour(Behaviour::StallAfter(2));
+        }
+        let replacing = async {
+            system
+                .wait_until("the stream runs", || system.run_count("a1") > 0)
+                .await;
+            let has_run = |engine: &&Engine| !engine.arrivals().is_empty();
+            let first = system.engines.iter().find(has_run).unwrap();
+            for engine in &system.engines {
+                if engine.id != first.id {
+                    engine.set_behaviour(Behaviour::Serve);
+                }
+            }
+            let key = format!("servers/{}", first.id);
+            let entry = system.store.value(&key).unwrap();
+            system.store.remove(&key);
+            system.store.put("servers/e9", &entry);
+        };
+        let (response, ()) = futures::join!(system.send("draft", "a1"), replacing);
+        assert_eq!(response.body, complete_stream());
+        assert!(response.is_complete);
+        assert_eq!(system.run_count("a1"), 2);
+    });
+}
