--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -185,7 +185,10 @@
     /// Acts on a step of a run.
     async fn act(&mut self, index: usize, step: Step) -> Result<Option<Output>, Refusal> {
         match step {
-            Step::Head => self.check_head(index).map(|()| None),
+            Step::Head => {
+                self.search = None;
+                self.check_head(index).map(|()| None)
+            }
             Step::Events(events) => {
                 self.keep(index);
                 self.longest_pause = self.longest_pause.max(self.active[0].longest_pause);
@@ -319,7 +322,7 @@
             segments:? = self.job.parameters.parts.shared;
             "stream: run ended"
         );
-        if !self.active.is_empty() || self.search.is_some() {
+        if !self.active.is_empty() {
             return Ok(());
         }
         let may_have_run = self.attempts.runs() > 0 && !self.job.route.is_repeatable();
