--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -200,7 +200,7 @@
         match entry::decode(&item.key, &item.value) {
             Ok(server) => {
                 log::info!(
-                    server:% = server.id, service:% = server.service, zone:% = server.zone,
+                    server:% = server.id, service:% = server.service, zone:% = server.zone, address:% = server.address,
                     state:? = server.state, kind = server.accelerator.as_deref().unwrap_or("-"),
                     layers:% = server.layers.map_or_else(|| "none".to_owned(), |layers| layers.to_string()),
                     revision:% = item.revision; "servers: listed"
