Drop entries of engines that were replaced at their address

Cause: an engine that restarts is listed under a new id, at the address of its former instance, while the entry of that stays until its lease ends; after an outage of the store that takes seconds. The planner counted both: the ended instance held its layers, so the restarted engine got others, and ranges were sized for cards that do not exist. When the entry ended, zones lacked the first layers for as long as a load takes.

Ruled out: asking the ended engine for a report, since its address answers.

The new test failed before: the restarted engine was ordered to load layers 0..4, and nobody held 4..8.

--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -50,4 +50,11 @@
     pub fn is_same_start(&self, other: &Self) -> bool {
         self.id == other.id && self.born_ms == other.born_ms && self.address == other.address
     }
+
+    /// Whether `other` has ended because this server was started later at its address. The platform lists a server that
+    /// has ended until its lease ends, beside the one that was started in its place.
+    #[must_use]
+    pub fn replaces(&self, other: &Self) -> bool {
+        self.address == other.address && self.id != other.id && self.born_ms > other.born_ms
+    }
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -206,6 +206,22 @@
                     revision:% = item.revision; "servers: listed"
                 );
                 self.remove_server(&server.id);
+                if self
+                    .servers_where(|other| other.replaces(&server))
+                    .next()
+                    .is_some()
+                {
+                    log::info!(server:% = server.id; "servers: ignored the entry of a replaced server");
+                    return;
+                }
+                let replaced: Vec<id::Server> = self
+                    .servers_where(|other| server.replaces(other))
+                    .map(|other| other.id.clone())
+                    .collect();
+                for id in replaced {
+                    log::info!(server:% = id, by:% = server.id; "servers: replaced by another at its address");
+                    self.remove_server(&id);
+                }
                 let servers = self.services.entry(server.service.clone()).or_default();
                 let position = servers.partition_point(|other| other.id < server.id);
                 servers.insert(position, Arc::new(server));
@@ -217,6 +233,11 @@
         }
     }
 
+    fn servers_where(&self, matches: impl Fn(&Server) -> bool) -> impl Iterator<Item = &Server> {
+        let servers = self.services.values().flatten().map(AsRef::as_ref);
+        servers.filter(move |server| matches(server))
+    }
+
     fn remove_server(&mut self, id: &id::Server) {
         for servers in self.services.values_mut() {
             servers.retain(|server| &server.id != id);
--- a/crates/gateway/tests/all/hosts.rs
+++ b/crates/gateway/tests/all/hosts.rs
@@ -276,6 +276,40 @@
     assert!(taken < MAX_GAP_TIME, "{taken:?}");
 }
 
+/// Guards against layers that stay missing because the platform lists an engine that ended, with its layers, beside the one
+/// that was started at its address.
+#[test]
+fn the_layers_of_a_replaced_engine_are_assigned_again() {
+    run_test(2, |system| async move {
+        let engine = &system.engines[1];
+        let ordered = engine.orders().last().unwrap()["from"].clone();
+        let former = system
+            .store
+            .value(&format!("servers/{}", engine.id))
+            .unwrap();
+        system.store.put("servers/former", &former);
+        engine.restart_empty();
+        let start = agatemill_runtime::now();
+        let is_ordered = || engine.orders().len() > 1;
+        system
+            .wait_until("the engine is ordered again", is_ordered)
+            .await;
+        let order = engine.orders().last().unwrap().clone();
+        assert_eq!(
+            order["from"], ordered,
+            "no other engine holds these layers: {order}"
+        );
+        let waited = agatemill_runtime::now().saturating_sub(start);
+        assert!(waited < MAX_GAP_TIME, "{waited:?}");
+        // Entries are read again in any order.
+        system.store.put("servers/former", &former);
+        agatemill_runtime::sleep(Duration::from_millis(500)).await;
+        let view = system.process.state().view();
+        let servers = view.servers(&"model".parse().unwrap());
+        assert!(!servers.iter().any(|server| server.id.as_str() == "former"));
+    });
+}
+
 /// Guards against layers that stay missing for as long as the platform lists a lost engine.
 #[test]
 fn the_layers_of_a_lost_engine_move_before_its_entry_expires() {
