Send nothing new to servers that say in an answer that they leave

What callers see: nothing yet.

Cause: the header was passed over; only the view's entries told which servers leave.

Change: an answer with the header excludes the instance (id and start) from all that is new: streams, resumed ones, second runs, waiting ones, calls and their repeats, parts of repaired paths, and orders of the planner, if its host knows. Streams that run there go on. It lasts for the life of the instance, also while its entry is gone and comes back; a restart under the same id is another instance. Without a later instance it is forgotten five minutes after it was last listed. Calls that find all other servers suspected fall back to those only. If no server of a service stays, or the engines that stay lack layers, the request is refused at once with Retry-After. The latter also holds if the store lists the others as draining. Decisions: crates/fleet/src/departure.rs, without I/O.

Answers that prove nothing about the server are passed over: 421, another engine in At-Server, another attempt, a report without the listed start. Other values than 1 are logged. Other hosts are not told. Callers get the header unchanged.

Ruled out: a mark on the address (the next server there would be excluded), and the start of the instance that is listed when the answer arrives (a restart meanwhile would exclude the new one).

Failed before: with the recording of announcements disabled, all 14 tests of crates/gateway/tests/all/leaving.rs fail, for example 6 of 12 streams and 5 of 12 calls reached the server, a resumed stream ran there again, and a call fell back to it. Without the checks on whose answer it is, the two tests of that fail.

--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -35,6 +35,24 @@
     pub orders: u64,
 }
 
+/// One life of a backend server, from its start to its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Instance {
+    /// Name of the server.
+    pub server: id::Server,
+    /// Milliseconds since the Unix epoch at which it started; 0 when unknown.
+    pub born_ms: u64,
+}
+
+impl From<&Server> for Instance {
+    fn from(server: &Server) -> Self {
+        Self {
+            server: server.id.clone(),
+            born_ms: server.born_ms,
+        }
+    }
+}
+
 /// Whether a backend server accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -14,6 +14,7 @@
 
 use crate::State;
 use crate::clock;
+use crate::departure;
 use crate::exchange::Job;
 use crate::reservation::Reservation;
 use crate::response;
@@ -40,7 +41,7 @@
 /// Maximum number of servers that reject a request, stating that they did not run it, before the call fails.
 const MAX_REJECTIONS: u32 = 3;
 
-/// `Retry-After` of the refusal when all servers rejected the request.
+/// `Retry-After` of the refusal when all servers rejected the request, or none is usable.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
 
 /// Share of the target latency that a call may wait for a server that has reached its limit on requests.
@@ -83,7 +84,8 @@
     let mut purpose = None;
     let mut may_back_up = is_idempotent;
     let mut failure: Option<Response<Bytes>> = None;
-    let mut last = Refusal::not_run(Reason::NoServer, "no server of the service is usable");
+    let mut last = Refusal::not_run(Reason::NoServer, "no server of the service is usable")
+        .retry_after(RETRY_AFTER);
     loop {
         if in_flight.is_empty()
             && let Some(refusal) = check_deadline(&job, runs)
@@ -290,9 +292,9 @@
     let mut usable = state.usable_servers(&job.service);
     if usable.is_empty() {
         // Suspicions can be wrong: without other servers, a suspected one is tried.
-        let ready = agatemill_fleet::server::State::Ready;
         usable = state.view().servers(&job.service).to_vec();
-        usable.retain(|server| server.state == ready);
+        let departures = state.departures();
+        usable.retain(|server| departures.is_staying(server));
     }
     usable.retain(|server| !was_tried(server));
     fastrand::shuffle(&mut usable);
@@ -331,6 +333,7 @@
         _ => &state.unpooled,
     };
     let sent = clock::boot_time();
+    let to = departure::Sent::new(state, &server.id, server.address);
     let result = client
         .fetch(request(job, server, left), left, MAX_RESPONSE_BYTES)
         .await;
@@ -338,6 +341,7 @@
     if let Ok(response) = &result {
         state.record_response(server.address);
         throttle::observe(state, &server.id, response.headers(), sent);
+        to.observe(state, &job.parameters.attempt, response);
     }
     match result {
         Ok(response) if header::is_not_run(response.status(), response.headers()) => {
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -15,7 +15,6 @@
 use agatemill_fleet::path::Missing;
 use agatemill_fleet::path::Part;
 use agatemill_fleet::path::Request;
-use agatemill_fleet::server;
 use agatemill_fleet::tally::Key;
 
 /// Longest time to read the queued prompts before a first event, as a multiple of the route's target latency.
@@ -69,6 +68,7 @@
     drop(view);
     let load = state.load();
     let census = state.census();
+    let departures = state.departures();
     let throttle = state.throttle();
     let boot_time = clock::boot_time();
     let suspicion = state.suspicion();
@@ -86,8 +86,7 @@
             token_capacity: model.token_capacity(accelerator, layers.count()),
             usage,
             preference: 1.0 + COST_JITTER * fastrand::f64(),
-            is_usable: server.state == server::State::Ready
-                && !suspicion.is_avoided(&server.address, now),
+            is_usable: departures.is_staying(server) && !suspicion.is_avoided(&server.address, now),
             may_start: !excluded.contains(&server.address)
                 && throttle.may_send(server.key, boot_time),
         })
@@ -148,6 +147,14 @@
     Ok(path)
 }
 
+/// Whether engines of the service leave and the others lack layers, so that there is no path until others have loaded
+/// them.
+#[must_use]
+pub fn has_gap(state: &State, job: &Job, model: &Model) -> bool {
+    let servers = state.view().servers(&job.service).to_vec();
+    state.departures().has_gap(&servers, model.layers)
+}
+
 /// Replaces the lost engines in the path of a running request and charges the added traffic to the inter-zone
 /// links.
 ///
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod choice;
 pub mod clock;
 pub mod command;
+pub mod departure;
 pub mod directory;
 pub mod error;
 pub mod exchange;
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -7,6 +7,7 @@
 use hyper::StatusCode;
 
 use crate::State;
+use crate::departure;
 use crate::registration::Registration;
 use agatemill_adapter::engine;
 use agatemill_core::id;
@@ -17,7 +18,6 @@
 use agatemill_fleet::placement;
 use agatemill_fleet::placement::Card;
 use agatemill_fleet::placement::Move;
-use agatemill_fleet::server;
 
 /// Planning interval while this host leads.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -173,17 +173,18 @@
     }
 }
 
-/// Services that have a model, with their ready engines.
+/// Services that have a model, with their ready engines that do not leave.
 fn fleets(state: &State) -> Vec<(id::Service, Arc<Model>, Vec<Arc<Server>>)> {
     let view = state.view();
     let Some(configuration) = &view.configuration else {
         return Vec::new();
     };
+    let departures = state.departures();
     let models = configuration.services.iter().filter_map(|(name, service)| {
         let model = Arc::clone(service.model.as_ref()?);
-        let ready = view.servers(name).iter();
-        let ready = ready.filter(|server| server.state == server::State::Ready);
-        Some((name.clone(), model, ready.cloned().collect()))
+        let servers = view.servers(name).iter();
+        let staying = servers.filter(|server| departures.is_staying(server));
+        Some((name.clone(), model, staying.cloned().collect()))
     });
     models.collect()
 }
@@ -206,7 +207,8 @@
     }
     let reports = suspects.into_iter().map(async |server| {
         match engine::report(&state.pooled, server.address, CALL_TIMEOUT).await {
-            Ok(_) => {
+            Ok(report) => {
+                departure::observe_report(state, server.address, &report);
                 state.record_response(server.address);
                 None
             }
@@ -303,8 +305,10 @@
             // An earlier order took effect although its response was lost.
             return Ok(());
         }
-        if report.is_busy {
-            // The engine would refuse the order too. Its layers are listed when it is done.
+        departure::observe_report(state, server.address, &report);
+        if report.is_busy || !state.departures().is_staying(&server) {
+            // A busy engine would refuse the order too; its layers are listed when it is done. One that leaves has
+            // no use for other layers.
             let status = StatusCode::CONFLICT.as_u16();
             return Err(engine::Failure::Refused {
                 status,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -22,6 +22,7 @@
 use crate::call;
 use crate::choice::Size;
 use crate::clock;
+use crate::departure;
 use crate::exchange::Job;
 use crate::quarantine;
 use crate::quarantine::Probe;
@@ -79,6 +80,8 @@
     sent: Duration,
     /// When the request was sent, on a clock that also runs while the machine is suspended.
     sent_boot: Duration,
+    /// The instance that the request was sent to.
+    to: departure::Sent,
     phase: Phase,
     /// Bytes after the last complete event.
     partial: BytesMut,
@@ -160,6 +163,7 @@
         let request = call::forward(job, first.address, overrides);
         let client = state.pooled.clone();
         let response = async move { client.send(request, left).await };
+        let to = departure::Sent::new(state, &first.server, first.address);
         Self {
             reservation: Reservation::on_path(state, &path, size.prompt, size.answer),
             path,
@@ -173,6 +177,7 @@
             probe,
             sent: now,
             sent_boot: clock::boot_time(),
+            to,
             phase: Phase::Head(response.boxed()),
             partial: BytesMut::new(),
             has_survived: false,
@@ -302,6 +307,8 @@
             response.headers(),
             self.sent_boot,
         );
+        let attempt = &self.job.parameters.attempt;
+        self.to.observe(&self.state, attempt, &response);
         if header::is_not_run(response.status(), response.headers()) {
             let faulty = header::faulty_server(response.headers()).unwrap_or(first.address);
             self.state
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -11,6 +11,7 @@
 use smol::net::TcpStream;
 
 use crate::State;
+use crate::departure;
 use agatemill_adapter::engine;
 use agatemill_adapter::engine::Report;
 use agatemill_fleet::Evidence;
@@ -100,7 +101,11 @@
                 state.suspect(address, evidence);
             }
         }
-        Ok(_) | Err(_) => state.record_response(address),
+        Ok(report) => {
+            departure::observe_report(state, address, report);
+            state.record_response(address);
+        }
+        Err(_) => state.record_response(address),
     }
     result
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use agatemill_core::id;
 use agatemill_fleet::Budget;
 use agatemill_fleet::Census;
+use agatemill_fleet::Departures;
 use agatemill_fleet::Evidence;
 use agatemill_fleet::Headcount;
 use agatemill_fleet::Link;
@@ -75,6 +76,7 @@
     census: Mutex<Census>,
     link: Mutex<Link>,
     suspicion: Mutex<Suspicion>,
+    departures: Mutex<Departures>,
     quarantine: Mutex<Quarantine>,
     headcount: Mutex<Headcount>,
     budgets: Mutex<HashMap<id::Service, Budget>>,
@@ -118,6 +120,7 @@
             load: Mutex::default(),
             link: Mutex::default(),
             suspicion: Mutex::default(),
+            departures: Mutex::default(),
             quarantine: Mutex::default(),
             headcount: Mutex::default(),
             budgets: Mutex::default(),
@@ -169,6 +172,11 @@
         lock(&self.suspicion)
     }
 
+    /// Servers that have announced that they leave.
+    pub fn departures(&self) -> MutexGuard<'_, Departures> {
+        lock(&self.departures)
+    }
+
     /// Parts of prompts on which engines crash.
     pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         lock(&self.quarantine)
@@ -338,15 +346,15 @@
         RequestGuard(Arc::clone(self))
     }
 
-    /// Servers of a service that are ready and not avoided.
+    /// Servers of a service that are ready, do not leave and are not avoided.
     #[must_use]
     pub fn usable_servers(&self, service: &id::Service) -> Vec<Arc<Server>> {
         let now = agatemill_runtime::now();
         let servers = self.view().servers(service).to_vec();
+        let departures = self.departures();
         let suspicion = self.suspicion();
         let is_usable = |server: &Arc<Server>| {
-            server.state == agatemill_fleet::server::State::Ready
-                && !suspicion.is_avoided(&server.address, now)
+            departures.is_staying(server) && !suspicion.is_avoided(&server.address, now)
         };
         servers.into_iter().filter(is_usable).collect()
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -190,7 +190,7 @@
         };
         let path = match choice::choose(&state, &job, &model, size, &running) {
             Ok(path) => path,
-            Err(missing) if is_last => {
+            Err(missing) if is_last || choice::has_gap(&state, &job, &model) => {
                 log::warn!(
                     request:% = attempt, missing:?, prompt = size.prompt;
                     "stream: no path available"
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -5,6 +5,7 @@
 
 use crate::State;
 use crate::clock;
+use crate::departure;
 use crate::feed::remote::Remote;
 use agatemill_adapter::quarantine;
 use agatemill_adapter::store::Change;
@@ -275,6 +276,7 @@
         view.apply(change, now);
     }
     drop(view);
+    departure::retain_listed(state, now);
     state.count_hosts();
 }
 
--- a/crates/gateway/src/throttle.rs
+++ b/crates/gateway/src/throttle.rs
@@ -17,7 +17,6 @@
 use agatemill_adapter::header;
 use agatemill_core::id;
 use agatemill_fleet::Server;
-use agatemill_fleet::server;
 use agatemill_fleet::tally::Key;
 use agatemill_fleet::throttle::message::Ask;
 use agatemill_fleet::throttle::message::Grant;
@@ -60,10 +59,13 @@
         return;
     }
     let servers = state.view().servers(service).to_vec();
+    let departures = state.departures();
     let mut throttle = state.throttle();
-    let limited = servers
-        .iter()
-        .filter(|server| takes_requests(server) && throttle.limit(server.key).is_some());
+    let limited = servers.iter().filter(|server| {
+        departures.is_staying(server)
+            && takes_requests(server)
+            && throttle.limit(server.key).is_some()
+    });
     let limited: Vec<Key> = limited.map(|server| server.key).collect();
     if let Some(server) = fastrand::choice(limited) {
         throttle.want(server);
@@ -72,7 +74,7 @@
 
 /// Whether requests are sent to a server itself: it has the first layers, or is no engine.
 fn takes_requests(server: &Server) -> bool {
-    server.state == server::State::Ready && server.layers.is_none_or(|layers| layers.start() == 0)
+    server.layers.is_none_or(|layers| layers.start() == 0)
 }
 
 /// Asks the leader for credits until the process ends.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -120,6 +120,15 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The server with a name.
+    #[must_use]
+    pub fn server(&self, id: &id::Server) -> Option<&Arc<Server>> {
+        self.services.values().find_map(|servers| {
+            let position = servers.binary_search_by(|server| server.id.cmp(id));
+            position.ok().map(|position| &servers[position])
+        })
+    }
+
     fn keys(&self) -> Vec<String> {
         let servers = self.services.values().flatten();
         let servers = servers.map(|server| format!("{}{}", entry::PREFIX, server.id));
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod endless;
 mod hosts;
+mod leaving;
 mod quarantine;
 mod serving;
 mod silence;
