--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -131,6 +131,15 @@
         at_address.peek().is_some() && at_address.all(|server| &server.id != id)
     }
 
+    /// The server with a name.
+    #[must_use]
+    pub fn server(&self, id: &id::Server) -> Option<&Arc<Server>> {
+        self.services.values().find_map(|servers| {
+            let position = servers.binary_search_by(|server| server.id.cmp(id));
+            position.ok().map(|position| &servers[position])
+        })
+    }
+
     fn keys(&self) -> Vec<String> {
         let servers = self.services.values().flatten();
         let servers = servers.map(|server| format!("{}{}", entry::PREFIX, server.id));
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod endless;
 mod hosts;
+mod leaving;
 mod quarantine;
 mod runs;
 mod serving;
