--- a/crates/gateway/tests/all/runs.rs
+++ b/crates/gateway/tests/all/runs.rs
@@ -133,7 +133,7 @@
                 .await;
             agatemill_runtime::sleep(Duration::from_millis(100)).await;
             first.crash();
-            agatemill_runtime::sleep(Duration::from_millis(1_000)).await;
+            agatemill_runtime::sleep(Duration::from_secs(1)).await;
             other.set_entry("state", "ready".into());
         };
         let (response, ()) = futures::join!(system.send("draft", "a1"), ending);
