Let a stream wait for another run after its last one has ended

What callers saw: a stream was cut, seconds before its deadline, when its engine ended while the other engines were silent, or while the retries of the window were used up.

Cause: the search for another run gave up after half of the target latency, or at once without a retry. That bound is right for requests that can still be refused. A stream that has begun can only be cut instead.

Change: such a search is repeated for as long as callers wait for the next event. Without a retry no path is chosen any more, so none is charged in vain to the credits and to the links between zones.

Before: the two new tests fail (streams are cut after two events). After: they pass.

--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -32,6 +32,16 @@
 use agatemill_fleet::Model;
 use agatemill_fleet::budget::Purpose;
 
+/// Minimum gap of a stream after which callers leave.
+const MIN_CALLER_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Multiples of the target latency and of the longest gap of the target after which callers leave.
+const LATENCY_PATIENCE: u32 = 4;
+const GAP_PATIENCE: u32 = 8;
+
+/// Pause between searches for a run that continues a stream. Each search repeats its own attempts.
+const SEARCH_PAUSE: Duration = Duration::from_millis(250);
+
 /// The runs of one stream.
 ///
 /// A run is dropped only when it has ended, or when another one has delivered the next event. While the engine of a run
@@ -60,6 +70,8 @@
     longest_pause: Duration,
     /// Whether it was logged why no second run began.
     has_logged_obstacle: bool,
+    /// When the last run ended.
+    ended_at: Duration,
 }
 
 /// Output of the runs.
@@ -99,8 +111,9 @@
             last_event: None,
             longest_pause: Duration::ZERO,
             has_logged_obstacle: false,
+            ended_at: Duration::ZERO,
         };
-        runs.search(None);
+        runs.search(None, Duration::ZERO);
         runs
     }
 
@@ -134,7 +147,10 @@
                 Signal::Deadline => return Err(self.failure(Cause::DeadlinePassed)),
                 Signal::Search(Ok(start)) => self.start(start),
                 Signal::Search(Err(obstacle)) if self.active.is_empty() => {
-                    return Err(self.refusal(&obstacle));
+                    if !self.may_search_again(&obstacle) {
+                        return Err(self.refusal(&obstacle));
+                    }
+                    self.search(Some(Purpose::Retry), SEARCH_PAUSE);
                 }
                 Signal::Search(Err(obstacle)) => self.log_obstacle(&obstacle),
                 Signal::Run(index, step) => {
@@ -329,10 +345,26 @@
         if may_have_run || self.is_exhausted() {
             return Err(self.failure(cause));
         }
-        self.search(Some(Purpose::Retry));
+        self.ended_at = agatemill_runtime::now();
+        self.search(Some(Purpose::Retry), Duration::ZERO);
         Ok(())
     }
 
+    /// Whether a search that failed because of `obstacle` is repeated. A stream that has begun can only be cut instead, and
+    /// until its caller leaves, engines may respond again and retries become free.
+    fn may_search_again(&self, obstacle: &Obstacle) -> bool {
+        let is_lasting = matches!(obstacle, Obstacle::Quarantined(_) | Obstacle::Attempts);
+        if !self.has_head || is_lasting {
+            return false;
+        }
+        let route = &self.job.route;
+        let gap = route.gap_target.unwrap_or_default();
+        let patience = MIN_CALLER_PATIENCE
+            .max(route.target_latency * LATENCY_PATIENCE)
+            .max(gap * GAP_PATIENCE);
+        agatemill_runtime::now() < self.ended_at + patience
+    }
+
     /// Starts a search for a second run while the engines of all others are silent, if the route allows one.
     fn back_up(&mut self) {
         let is_silent = self.active.iter().all(|run| run.is_silent);
@@ -342,7 +374,7 @@
         if self.is_exhausted() {
             self.log_obstacle(&Obstacle::Attempts);
         } else if self.state.has_retry(&self.job.service, Purpose::Backup) {
-            self.search(Some(Purpose::Backup));
+            self.search(Some(Purpose::Backup), Duration::ZERO);
         } else {
             self.log_obstacle(&Obstacle::Budget);
         }
@@ -359,16 +391,19 @@
         }
     }
 
-    /// Starts a search for a path; `None` for the first run.
-    fn search(&mut self, purpose: Option<Purpose>) {
+    /// Starts a search for a path after `pause`; its purpose is `None` for the first run.
+    fn search(&mut self, purpose: Option<Purpose>, pause: Duration) {
         let running = self.active.iter().map(|run| run.path.first().address);
-        let search = stream::find_start(
-            Arc::clone(&self.state),
-            Arc::clone(&self.job),
-            Arc::clone(&self.model),
-            purpose,
-            running.collect(),
-        );
+        let running = running.collect();
+        let state = Arc::clone(&self.state);
+        let job = Arc::clone(&self.job);
+        let model = Arc::clone(&self.model);
+        let search = async move {
+            if !pause.is_zero() {
+                agatemill_runtime::sleep(pause).await;
+            }
+            stream::find_start(state, job, model, purpose, running).await
+        };
         self.search = Some(search.boxed());
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -166,6 +166,10 @@
     purpose: Option<Purpose>,
     running: Vec<SocketAddrV4>,
 ) -> Result<Start, Obstacle> {
+    // A path takes credits and a part of the links between zones.
+    if purpose.is_some_and(|purpose| !state.has_retry(&job.service, purpose)) {
+        return Err(budget_obstacle(&state, &job));
+    }
     let size = Size::of(&job, &model);
     throttle::want(&state, &job.service);
     let end = agatemill_runtime::now() + job.route.target_latency.mul_f64(PATH_WAIT_SHARE);
@@ -206,21 +210,24 @@
                 continue;
             }
         };
-        if let Some(purpose) = purpose
-            && !state.take_retry(&job.service, purpose)
-        {
-            let balance = state.retry_balance(&job.service);
-            log::warn!(
-                request:% = attempt, service:% = job.service, hosts = balance.hosts,
-                requests = balance.requests, retries = balance.retries, allowed = balance.allowed;
-                "stream: retry budget used up"
-            );
-            return Err(Obstacle::Budget);
+        let is_denied = |purpose| !state.take_retry(&job.service, purpose);
+        if purpose.is_some_and(is_denied) {
+            return Err(budget_obstacle(&state, &job));
         }
         return Ok(Start { path, probe });
     }
 }
 
+fn budget_obstacle(state: &State, job: &Job) -> Obstacle {
+    let balance = state.retry_balance(&job.service);
+    log::warn!(
+        request:% = job.parameters.attempt, service:% = job.service, hosts = balance.hosts,
+        requests = balance.requests, retries = balance.retries, allowed = balance.allowed;
+        "stream: retry budget used up"
+    );
+    Obstacle::Budget
+}
+
 /// The refusal of a request that engines rejected.
 #[must_use]
 pub fn overloaded() -> Refusal {
--- a/crates/gateway/tests/all/runs.rs
+++ b/crates/gateway/tests/all/runs.rs
@@ -119,3 +119,48 @@
         assert_eq!(system.run_count("a1"), 2);
     });
 }
+
+/// Guards against a stream that is cut with seconds left, because its engine ended while the others were silent.
+#[test]
+fn a_stream_whose_engine_ends_waits_for_a_silent_one() {
+    run_test(4, |system| async move {
+        let [first, other] = first_engines(&system);
+        set_state(&system, &other, "draining", server::State::Draining).await;
+        first.set_behaviour(Behaviour::StallAfter(2));
+        let ending = async {
+            system
+                .wait_until("the stream runs", || system.run_count("a1") > 0)
+                .await;
+            agatemill_runtime::sleep(Duration::from_millis(100)).await;
+            first.crash();
+            agatemill_runtime::sleep(Duration::from_secs(1)).await;
+            other.set_entry("state", "ready".into());
+        };
+        let (response, ()) = futures::join!(system.send("draft", "a1"), ending);
+        assert_eq!(response.body, complete_stream());
+        assert!(response.is_complete);
+    });
+}
+
+/// Guards against streams that are cut because other streams have used the retries up for a moment.
+#[test]
+fn a_stream_whose_engine_ends_waits_for_a_retry() {
+    run_test(4, |system| async move {
+        let name: agatemill_core::id::Service = "model".parse().unwrap();
+        let state = system.process.state();
+        while state.take_retry(&name, Purpose::Retry) {}
+        for engine in &system.engines {
+            engine.set_behaviour(Behaviour::BreakAfter(2));
+        }
+        let earning = async {
+            system
+                .wait_until("the stream runs", || system.run_count("a1") > 0)
+                .await;
+            agatemill_runtime::sleep(Duration::from_millis(700)).await;
+            (0..20).for_each(|_| state.count_request(&name));
+        };
+        let (response, ()) = futures::join!(system.send("draft", "a1"), earning);
+        assert_eq!(response.body, complete_stream());
+        assert!(response.is_complete);
+    });
+}
