Log callers that leave, and end their requests in the metrics

What operators saw: a request without any further line could mean that its host ended, that its answer was lost, or that its caller left. The gauge `agatemill_in_flight` grew with each caller that left.

Cause: a request ends in the log and the metrics where its answer is made. When its caller leaves, its future or its stream is only dropped.

Change: both are logged with how far they had come, and end in the metrics.

Before: the new test fails (the gauge stays at 1). After: it passes.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -24,6 +25,7 @@
 use crate::response::Body;
 use crate::state::Stage;
 use crate::stream;
+use agatemill_adapter::header;
 use agatemill_adapter::header::Parameters;
 use agatemill_core::Cause;
 use agatemill_core::Outcome;
@@ -97,11 +99,19 @@
     state.metrics.start_request();
     let arrived = agatemill_runtime::now();
     let (head, mut body) = request.into_parts();
+    let mut guard = Guard {
+        state,
+        attempt: header::attempt(&head.headers).into(),
+        arrived,
+        is_answered: false,
+    };
     let work = async {
         let job = admit(state, head, &mut body, arrived).await?;
         serve(state, job, active).await
     };
-    match smol::future::or(work, end(state)).await {
+    let result = smol::future::or(work, end(state)).await;
+    guard.is_answered = true;
+    match result {
         Ok(response) => response,
         Err(refusal) => {
             state.metrics.count_refusal(refusal.reason);
@@ -120,6 +130,26 @@
     }
 }
 
+/// Ends a request in the metrics if its caller leaves before it is answered.
+struct Guard<'a> {
+    state: &'a State,
+    attempt: CompactString,
+    arrived: Duration,
+    is_answered: bool,
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        let time = agatemill_runtime::now().saturating_sub(self.arrived);
+        let ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        log::info!(request:% = self.attempt, ms; "request: the caller left");
+        self.state.metrics.end_request(Outcome::Unknown, time);
+    }
+}
+
 /// Waits until the process exits, and returns the failure of a request that still runs.
 async fn end(state: &State) -> Result<Response<Body>, Refusal> {
     state.ending().await;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -69,3 +69,15 @@
         log::info!(request:% = self.job.parameters.attempt, outcome:%, ms, pause_ms; "stream: ended");
     }
 }
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.is_done {
+            log::info!(
+                request:% = self.job.parameters.attempt, last_event:? = self.runs.last_event();
+                "stream: the caller left"
+            );
+            self.end(Outcome::Unknown);
+        }
+    }
+}
--- a/crates/gateway/tests/all/answers.rs
+++ b/crates/gateway/tests/all/answers.rs
@@ -238,3 +238,36 @@
         assert!(!is_open);
     });
 }
+
+async fn in_flight(system: &System) -> String {
+    let uri = format!("http://{}/", system.process.state().settings().metrics);
+    let (_, metrics) = system.get(&uri).await;
+    let mut lines = metrics.lines();
+    let line = lines.find(|line| line.starts_with("agatemill_in_flight"));
+    line.unwrap().rsplit(' ').next().unwrap().to_owned()
+}
+
+/// Guards against requests of callers that left which count as in progress for ever.
+#[test]
+fn a_request_whose_caller_leaves_is_no_longer_in_flight() {
+    run_test(2, |system| async move {
+        for engine in &system.engines {
+            engine.set_behaviour(Behaviour::StallAfter(2));
+        }
+        for server in &system.services {
+            server.set_behaviour(Behaviour::Slow(3_000));
+        }
+        for route in ["draft", "read"] {
+            let mut connection = Connection::open(host(&system)).await;
+            connection.send(&head(route, route, 0)).await;
+            system
+                .wait_until("the request runs", || system.run_count(route) > 0)
+                .await;
+            agatemill_runtime::sleep(Duration::from_millis(100)).await;
+            assert_eq!(in_flight(&system).await, "1");
+            drop(connection);
+            agatemill_runtime::sleep(Duration::from_millis(300)).await;
+            assert_eq!(in_flight(&system).await, "0", "{route}");
+        }
+    });
+}
