Send servers no requests for the time that they name in a 503

Cause: nothing read the header of an engine.

Change: fleet::Backoff keeps, for one host, until when each incarnation of a server wants no requests. A path does not start at such an engine, a call is not sent to it, and the request that was chosen before the answer arrived is checked again when it is sent. This holds for first and second runs, resumed streams, retries, the fallback to suspected servers, the regular queries of silent servers and the asks for credits of limits. Orders, repath and reports are not requests. The time belongs to the server that answered, also if At-Server names another one, which is avoided for a moment as before. The later of two ends holds. A text that is no time from 0 to 3600 s changes nothing, is counted, and is logged at most once a second. A call's header is read with the head of the response, since its body may not end. If all servers that could take a request want none, it is rejected at once, not run, with the shortest wait plus up to half of it as Retry-After; if a time ends within the request's own waiting time, the request waits for it and begins up to 0.2 s later.

Path candidates state the obstacle to starting there (path::Start) instead of a flag, so that Missing::Backoff and Missing::Limit are told apart. Server::takes_requests replaces the function of the throttle and leaves out engines without layers.

Ruled out: a check only when a server is chosen. While another run of a stream ends, up to 0.1 s may pass until a new one is polled, and the connection may take 0.3 s more. Connections: both clients give up opening one after 0.3 s, and a request on a pooled connection is written at once, so no check after connecting is needed.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! ([`freshness`]). Nothing here does I/O; times are passed in.
 
 pub mod attempts;
+pub mod backoff;
 pub mod budget;
 pub mod census;
 pub mod configuration;
@@ -30,6 +31,7 @@
 pub mod upstream;
 
 pub use attempts::Attempts;
+pub use backoff::Backoff;
 pub use budget::Budget;
 pub use census::Census;
 pub use configuration::Configuration;
--- a/crates/fleet/src/path.rs
+++ b/crates/fleet/src/path.rs
@@ -3,6 +3,8 @@
 //! A fleet has mixed accelerators under uneven load. The path is the one of least cost through all layers,
 //! where the cost of an engine grows with its step time, its load and the share of its memory in use.
 
+pub mod start;
+
 use core::net::SocketAddrV4;
 use std::collections::HashMap;
 
@@ -11,6 +13,8 @@
 use agatemill_core::id;
 use agatemill_core::layer;
 
+pub use start::Start;
+
 /// Partial paths kept at each layer boundary. A few are enough, since they differ only in the last engine.
 const MAX_LABELS_PER_BOUNDARY: usize = 4;
 
@@ -77,8 +81,8 @@
     pub preference: f64,
     /// Whether it may be used.
     pub is_usable: bool,
-    /// Whether it may be the first of a path: its limit on requests, if it has one, is not reached.
-    pub may_start: bool,
+    /// Whether it may be the first of a path.
+    pub start: Start,
 }
 
 /// Requirements of the request that a path is chosen for.
@@ -92,8 +96,8 @@
     pub answer: f64,
     /// Whether the path may pass from one zone to another.
     pub may_cross: bool,
-    /// Whether the path may start at engines that have reached their limits on requests.
-    pub ignores_limits: bool,
+    /// The greatest obstacle in spite of which the path may start at an engine.
+    pub start: Start,
 }
 
 /// Why there is no path.
@@ -107,11 +111,13 @@
     Time,
     /// The engines that a path may start at have reached their limits on requests.
     Limit,
+    /// The engines that a path may start at asked this host for no requests for a while.
+    Backoff,
 }
 
 /// Key of a group of engines that hold the same layers in the same zone: zone, first layer, end of the layers, and
 /// whether a path may start there.
-type GroupKey<'a> = (&'a id::Zone, u32, u32, bool);
+type GroupKey<'a> = (&'a id::Zone, u32, u32, Start);
 
 /// A partial path.
 #[derive(Clone, Copy, Debug)]
@@ -282,13 +288,19 @@
     if search(model, candidates, &free, request, span).is_some() {
         return Err(Missing::Room);
     }
-    let request = Request {
-        ignores_limits: true,
-        ..request
+    let may_start_at = |start| {
+        let request = Request { start, ..request };
+        search(model, candidates, &free, request, span).is_some()
     };
-    match search(model, candidates, &free, request, span) {
-        Some(_) => Err(Missing::Limit),
-        None => Err(Missing::Layers),
+    let has_backoff = candidates
+        .iter()
+        .any(|candidate| candidate.start == Start::BackingOff);
+    if may_start_at(Start::Limited) {
+        Err(Missing::Limit)
+    } else if has_backoff && may_start_at(Start::BackingOff) {
+        Err(Missing::Backoff)
+    } else {
+        Err(Missing::Layers)
     }
 }
 
@@ -309,7 +321,7 @@
             &candidate.zone,
             layers.start(),
             layers.end(),
-            candidate.may_start,
+            candidate.start,
         ));
         let group = group.or_default();
         group.push((cost, index));
@@ -368,8 +380,8 @@
                 let crosses = previous.is_some_and(|label: usize| {
                     candidates[labels[label].candidate].zone != candidate.zone
                 });
-                let is_limited = boundary == 0 && !candidate.may_start && !request.ignores_limits;
-                let is_forbidden = (crosses && !request.may_cross) || is_limited;
+                let is_blocked = boundary == 0 && candidate.start > request.start;
+                let is_forbidden = (crosses && !request.may_cross) || is_blocked;
                 if !holds || is_forbidden || has_candidate(&labels, previous, index) {
                     continue;
                 }
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -45,6 +45,13 @@
 }
 
 impl Server {
+    /// Whether hosts send requests to it: it is ready, and has the first layers of its model or is no engine.
+    #[must_use]
+    pub fn takes_requests(&self) -> bool {
+        let has_first_layers = self.layers.is_some_and(|layers| layers.start() == 0);
+        self.state == State::Ready && (self.accelerator.is_none() || has_first_layers)
+    }
+
     /// Whether `other` is the same incarnation of the same server.
     #[must_use]
     pub fn is_same_start(&self, other: &Self) -> bool {
--- a/crates/fleet/tests/fleet/mod.rs
+++ b/crates/fleet/tests/fleet/mod.rs
@@ -8,6 +8,7 @@
 use agatemill_fleet::model::Delay;
 use agatemill_fleet::path::Candidate;
 use agatemill_fleet::path::Request;
+use agatemill_fleet::path::Start;
 use agatemill_fleet::placement::Card;
 
 pub fn zone(name: &str) -> id::Zone {
@@ -89,7 +90,7 @@
         usage: Usage::default(),
         preference: 1.0,
         is_usable: true,
-        may_start: true,
+        start: Start::Allowed,
     })
 }
 
@@ -100,6 +101,6 @@
         prompt: 775.0,
         answer: 220.0,
         may_cross: true,
-        ignores_limits: false,
+        start: Start::Allowed,
     }
 }
--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -10,6 +10,7 @@
 use agatemill_fleet::path::Candidate;
 use agatemill_fleet::path::Missing;
 use agatemill_fleet::path::Request;
+use agatemill_fleet::path::Start;
 use agatemill_fleet::placement;
 
 fn engines(model: &Model) -> Vec<Candidate> {
@@ -199,13 +200,40 @@
     let request = fleet::request(&local);
     let request = Request {
         may_cross: false,
-        ignores_limits: false,
+        start: Start::Allowed,
         ..request
     };
     let full = Path::choose(&model, &engines, request);
     assert_eq!(full, Err(Missing::Room));
 }
 
+/// Guards against requests that wait for room or layers, or are sent to a first engine that asks for no requests.
+#[test]
+fn first_engines_that_ask_for_no_requests_are_distinguished() {
+    let model = fleet::model();
+    let mut engines = engines(&model);
+    let zone = fleet::zone("a");
+    for engine in &mut engines {
+        engine.start = Start::BackingOff;
+    }
+    let all = Path::choose(&model, &engines, fleet::request(&zone));
+    assert_eq!(all, Err(Missing::Backoff));
+    let mut firsts = engines
+        .iter_mut()
+        .filter(|engine| engine.layers.start() == 0);
+    firsts.next().unwrap().start = Start::Limited;
+    let limited = Path::choose(&model, &engines, fleet::request(&zone));
+    assert_eq!(limited, Err(Missing::Limit));
+    let mut firsts = engines
+        .iter_mut()
+        .filter(|engine| engine.layers.start() == 0);
+    let first = firsts.next().unwrap();
+    first.start = Start::Allowed;
+    let server = first.server.clone();
+    let path = Path::choose(&model, &engines, fleet::request(&zone)).unwrap();
+    assert_eq!(path.first().server, server);
+}
+
 /// Guards against a repair that replaces healthy parts: the new engines would read the whole request again.
 #[test]
 fn a_repair_replaces_only_the_lost_part() {
--- a/crates/fleet/tests/suspicion.rs
+++ b/crates/fleet/tests/suspicion.rs
@@ -10,6 +10,7 @@
 use agatemill_fleet::Path;
 use agatemill_fleet::Suspicion;
 use agatemill_fleet::path::Request;
+use agatemill_fleet::path::Start;
 use agatemill_fleet::placement;
 use agatemill_fleet::suspicion::Standing;
 
@@ -42,7 +43,7 @@
         prompt: 800.0,
         answer: 200.0,
         may_cross: true,
-        ignores_limits: false,
+        start: Start::Allowed,
     };
     let path = Path::choose(&model, &candidates, request).unwrap();
     assert!(path.parts().len() > 1);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -13,6 +13,7 @@
 use hyper::Uri;
 
 use crate::State;
+use crate::backoff;
 use crate::clock;
 use crate::exchange::Job;
 use crate::reservation::Reservation;
@@ -167,7 +168,10 @@
         state.metrics.count_retry("call");
         (is_due, purpose) = (true, Some(Purpose::Retry));
     }
-    failure.map(caller_response).ok_or(last)
+    failure.map(caller_response).ok_or_else(|| {
+        let refusal = backoff::common_refusal(state, &job.service);
+        refusal.filter(|_| runs == 0).unwrap_or(last)
+    })
 }
 
 /// Selects the next server. `purpose` says why the call is sent again, if it is.
@@ -269,6 +273,9 @@
     loop {
         let untried = untried_servers(state, job, tried);
         if untried.is_empty() {
+            if wait_for_backoff(state, job, tried, end).await {
+                continue;
+            }
             return Selection::None;
         }
         if let Some(server) = cheapest_server(state, untried)
@@ -284,17 +291,38 @@
     }
 }
 
+/// Waits until a server that was not tried and asks for no requests may be used, if that is before `end`. Returns whether
+/// it waited.
+async fn wait_for_backoff(state: &State, job: &Job, tried: &[Arc<Server>], end: Duration) -> bool {
+    let is_untried = |server: &Server| !was_tried(tried, server);
+    let Some(wait) = backoff::shortest_wait(state, &job.service, is_untried) else {
+        return false;
+    };
+    let limit = end.saturating_sub(agatemill_runtime::now());
+    let is_in_time = wait < limit;
+    if is_in_time {
+        backoff::sleep(wait, limit).await;
+    } else {
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        log::info!(request:% = job.parameters.attempt, wait_ms; "request: the servers ask for no requests");
+    }
+    is_in_time
+}
+
+fn was_tried(tried: &[Arc<Server>], server: &Server) -> bool {
+    tried.iter().any(|other| other.is_same_start(server))
+}
+
 /// Usable servers that were not tried, in random order.
 fn untried_servers(state: &State, job: &Job, tried: &[Arc<Server>]) -> Vec<Arc<Server>> {
-    let was_tried = |server: &Server| tried.iter().any(|other| other.is_same_start(server));
     let mut usable = state.usable_servers(&job.service);
     if usable.is_empty() {
         // Suspicions can be wrong: without other servers, a suspected one is tried.
         let ready = agatemill_fleet::server::State::Ready;
         usable = state.view().servers(&job.service).to_vec();
-        usable.retain(|server| server.state == ready);
+        usable.retain(|server| server.state == ready && backoff::left(state, server).is_none());
     }
-    usable.retain(|server| !was_tried(server));
+    usable.retain(|server| !was_tried(tried, server));
     fastrand::shuffle(&mut usable);
     usable
 }
@@ -331,9 +359,18 @@
         _ => &state.unpooled,
     };
     let sent = clock::boot_time();
-    let result = client
-        .fetch(request(job, server, left), left, MAX_RESPONSE_BYTES)
-        .await;
+    let exchange = async {
+        let sending = client.send(request(job, server, left), left);
+        let response = backoff::send(state, Some(server), sending).await?;
+        let (head, body) = response.into_parts();
+        // The time that a server names begins with its head, and the body may take long.
+        backoff::observe(state, server, head.status, &head.headers);
+        let body = client.read(body, MAX_RESPONSE_BYTES).await?;
+        Ok(Response::from_parts(head, body))
+    };
+    let result = agatemill_runtime::timeout(left, exchange)
+        .await
+        .unwrap_or(Err(agatemill_http::Error::TimedOut));
     drop(reservation);
     if let Ok(response) = &result {
         state.record_response(server.address);
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -10,11 +10,13 @@
 use agatemill_core::id;
 use agatemill_fleet::Model;
 use agatemill_fleet::Path;
+use agatemill_fleet::Server;
 use agatemill_fleet::link;
 use agatemill_fleet::path::Candidate;
 use agatemill_fleet::path::Missing;
 use agatemill_fleet::path::Part;
 use agatemill_fleet::path::Request;
+use agatemill_fleet::path::Start;
 use agatemill_fleet::server;
 use agatemill_fleet::tally::Key;
 
@@ -72,6 +74,16 @@
     let throttle = state.throttle();
     let boot_time = clock::boot_time();
     let suspicion = state.suspicion();
+    let backoff = state.backoff();
+    let start = |server: &Server| {
+        if backoff.left(server, boot_time).is_some() {
+            Start::BackingOff
+        } else if excluded.contains(&server.address) || !throttle.may_send(server.key, boot_time) {
+            Start::Limited
+        } else {
+            Start::Allowed
+        }
+    };
     let candidates = servers.iter().filter_map(|server| {
         let layers = server.layers?;
         let accelerator = model.accelerator(server.accelerator.as_deref()?)?;
@@ -88,8 +100,7 @@
             preference: 1.0 + COST_JITTER * fastrand::f64(),
             is_usable: server.state == server::State::Ready
                 && !suspicion.is_avoided(&server.address, now),
-            may_start: !excluded.contains(&server.address)
-                && throttle.may_send(server.key, boot_time),
+            start: start(server),
         })
     });
     candidates.collect()
@@ -125,7 +136,7 @@
         prompt: size.prompt,
         answer: size.answer,
         may_cross: may_cross(state, job, model),
-        ignores_limits: false,
+        start: Start::Allowed,
     };
     let candidates = candidates(state, job, model, excluded);
     let path = Path::choose(model, &candidates, request)?;
@@ -163,7 +174,7 @@
         prompt: size.prompt + size.answer / 2.0,
         answer: size.answer / 2.0,
         may_cross: may_cross(state, job, model),
-        ignores_limits: false,
+        start: Start::Allowed,
     };
     let candidates = candidates(state, job, model, &[]);
     let now = agatemill_runtime::now();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -19,6 +19,7 @@
 use smol::Timer;
 
 use crate::State;
+use crate::backoff;
 use crate::call;
 use crate::choice::Size;
 use crate::clock;
@@ -33,6 +34,7 @@
 use agatemill_core::Cause;
 use agatemill_fleet::Evidence;
 use agatemill_fleet::Path;
+use agatemill_fleet::Server;
 use agatemill_fleet::suspicion::Standing;
 
 /// Time without a response head after which the first engine is queried for the engine that it waits for: well
@@ -70,6 +72,8 @@
     pub longest_pause: Duration,
     state: Arc<State>,
     job: Arc<Job>,
+    /// The first engine as it was listed when the run began; `None` if it was not.
+    server: Option<Arc<Server>>,
     size: Size,
     /// Load of the stream on the engines.
     reservation: Reservation,
@@ -149,6 +153,7 @@
         let now = agatemill_runtime::now();
         let left = job.time_left(now);
         let first = path.first();
+        let server = state.view().server(&job.service, first).cloned();
         let overrides = header::Overrides {
             deadline: left,
             server: &first.server,
@@ -159,7 +164,11 @@
         };
         let request = call::forward(job, first.address, overrides);
         let client = state.pooled.clone();
-        let response = async move { client.send(request, left).await };
+        let (sender, receiver) = (Arc::clone(state), server.clone());
+        let response = async move {
+            let sending = client.send(request, left);
+            backoff::send(&sender, receiver.as_deref(), sending).await
+        };
         Self {
             reservation: Reservation::on_path(state, &path, size.prompt, size.answer),
             path,
@@ -169,6 +178,7 @@
             longest_pause: Duration::ZERO,
             state: Arc::clone(state),
             job: Arc::clone(job),
+            server,
             size,
             probe,
             sent: now,
@@ -302,10 +312,15 @@
             response.headers(),
             self.sent_boot,
         );
+        if let Some(server) = &self.server {
+            backoff::observe(&self.state, server, response.status(), response.headers());
+        }
         if header::is_not_run(response.status(), response.headers()) {
             let faulty = header::faulty_server(response.headers()).unwrap_or(first.address);
-            self.state
-                .avoid(faulty, stream::AVOID_DURATION, "it rejected a request");
+            if faulty != first.address || !self.is_backing_off() {
+                self.state
+                    .avoid(faulty, stream::AVOID_DURATION, "it rejected a request");
+            }
             return Step::NotRun(Cause::Rejected);
         }
         if response.status().is_success() && !header::is_sealed(response.headers()) {
@@ -348,6 +363,13 @@
         Some(self.partial.split_to(end).freeze())
     }
 
+    /// Whether the first engine asks for no requests for longer than one that rejects a request is avoided.
+    fn is_backing_off(&self) -> bool {
+        let server = self.server.as_deref();
+        let left = server.and_then(|server| backoff::left(&self.state, server));
+        left.is_some_and(|left| left > stream::AVOID_DURATION)
+    }
+
     fn stall_timeout(&self) -> Duration {
         match self.phase {
             Phase::Head(_) => HEAD_STALL_TIMEOUT,
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -18,6 +18,7 @@
 use smol::Timer;
 
 use crate::State;
+use crate::backoff;
 use crate::choice::Size;
 use crate::exchange::Job;
 use crate::run::Run;
@@ -407,7 +408,8 @@
     /// The refusal of a request whose runs have ended.
     fn failure(&self, cause: Cause) -> Refusal {
         if self.attempts.runs() == 0 {
-            return stream::overloaded();
+            let refusal = backoff::common_refusal(&self.state, &self.job.service);
+            return refusal.unwrap_or_else(stream::overloaded);
         }
         let reason = if cause == Cause::DeadlinePassed {
             Reason::DeadlineExceeded
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -11,6 +11,7 @@
 use smol::net::TcpStream;
 
 use crate::State;
+use crate::backoff;
 use agatemill_adapter::engine;
 use agatemill_adapter::engine::Report;
 use agatemill_fleet::Evidence;
@@ -136,7 +137,10 @@
             let view = state.view();
             let suspicion = state.suspicion();
             let servers = view.services.values().flatten();
-            let suspects = servers.filter(|server| suspicion.is_unreachable(&server.address, now));
+            let suspects = servers.filter(|server| {
+                suspicion.is_unreachable(&server.address, now)
+                    && backoff::left(&state, server).is_none()
+            });
             suspects.cloned().collect()
         };
         let checks = suspects.into_iter().map(async |server| {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,11 +15,13 @@
 
 use crate::Settings;
 use crate::View;
+use crate::backoff;
 use crate::clock;
 use crate::feed::Feed;
 use crate::stall;
 use agatemill_adapter::Store;
 use agatemill_core::id;
+use agatemill_fleet::Backoff;
 use agatemill_fleet::Budget;
 use agatemill_fleet::Census;
 use agatemill_fleet::Evidence;
@@ -75,6 +77,7 @@
     census: Mutex<Census>,
     link: Mutex<Link>,
     suspicion: Mutex<Suspicion>,
+    backoff: Mutex<Backoff>,
     quarantine: Mutex<Quarantine>,
     headcount: Mutex<Headcount>,
     budgets: Mutex<HashMap<id::Service, Budget>>,
@@ -118,6 +121,7 @@
             load: Mutex::default(),
             link: Mutex::default(),
             suspicion: Mutex::default(),
+            backoff: Mutex::default(),
             quarantine: Mutex::default(),
             headcount: Mutex::default(),
             budgets: Mutex::default(),
@@ -169,6 +173,11 @@
         lock(&self.suspicion)
     }
 
+    /// Servers that asked this host for no requests for a while.
+    pub fn backoff(&self) -> MutexGuard<'_, Backoff> {
+        lock(&self.backoff)
+    }
+
     /// Parts of prompts on which engines crash.
     pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         lock(&self.quarantine)
@@ -338,7 +347,7 @@
         RequestGuard(Arc::clone(self))
     }
 
-    /// Servers of a service that are ready and not avoided.
+    /// Servers of a service that are ready and not avoided, and accept requests of this host.
     #[must_use]
     pub fn usable_servers(&self, service: &id::Service) -> Vec<Arc<Server>> {
         let now = agatemill_runtime::now();
@@ -347,6 +356,7 @@
         let is_usable = |server: &Arc<Server>| {
             server.state == agatemill_fleet::server::State::Ready
                 && !suspicion.is_avoided(&server.address, now)
+                && backoff::left(self, server).is_none()
         };
         servers.into_iter().filter(is_usable).collect()
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -16,6 +16,7 @@
 use log::Level;
 
 use crate::State;
+use crate::backoff;
 use crate::choice;
 use crate::choice::Size;
 use crate::exchange::Job;
@@ -81,6 +82,9 @@
     /// No path is available.
     #[display("no path is available")]
     NoPath(Missing),
+    /// The engines that a run may start at ask for no requests for this time.
+    #[display("the engines ask for no requests")]
+    Backoff(Duration),
     /// The retry budget is used up.
     #[display("the retry budget is used up")]
     Budget,
@@ -190,6 +194,11 @@
         };
         let path = match choice::choose(&state, &job, &model, size, &running) {
             Ok(path) => path,
+            Err(Missing::Backoff) => {
+                drop(probe);
+                wait_for_backoff(&state, &job, end).await?;
+                continue;
+            }
             Err(missing) if is_last => {
                 log::warn!(
                     request:% = attempt, missing:?, prompt = size.prompt;
@@ -221,6 +230,28 @@
     }
 }
 
+/// Waits until one of the engines that ask for no requests may be used, if that is before `end`.
+///
+/// # Errors
+///
+/// [`Obstacle::Backoff`] at once when it is not.
+async fn wait_for_backoff(state: &State, job: &Job, end: Duration) -> Result<(), Obstacle> {
+    let wait = backoff::shortest_wait(state, &job.service, |_| true).unwrap_or_default();
+    let limit = end.min(job.deadline);
+    let limit = limit.saturating_sub(agatemill_runtime::now());
+    if wait < limit {
+        backoff::sleep(wait, limit).await;
+        return Ok(());
+    }
+    let missing = Missing::Backoff;
+    let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+    log::warn!(
+        request:% = job.parameters.attempt, missing:?, wait_ms;
+        "stream: no path available"
+    );
+    Err(Obstacle::Backoff(wait))
+}
+
 /// The refusal of a request that engines rejected.
 #[must_use]
 pub fn overloaded() -> Refusal {
@@ -239,6 +270,7 @@
             let detail = "engines crash on a part of the prompt";
             return Refusal::not_run(Reason::Quarantined, detail).retry_after(*left);
         }
+        Obstacle::Backoff(wait) => return backoff::refusal(*wait),
         Obstacle::Suspected => {
             let detail = "another request with a suspected part of the prompt comes first";
             (Reason::Quarantined, detail)
@@ -251,7 +283,9 @@
             Reason::Overloaded,
             "the engines have reached their limits on requests",
         ),
-        Obstacle::NoPath(Missing::Room) | Obstacle::Budget | Obstacle::Attempts => {
+        Obstacle::NoPath(Missing::Room | Missing::Backoff)
+        | Obstacle::Budget
+        | Obstacle::Attempts => {
             return overloaded();
         }
     };
--- a/crates/gateway/src/throttle.rs
+++ b/crates/gateway/src/throttle.rs
@@ -10,14 +10,13 @@
 use smol::net::UdpSocket;
 
 use crate::State;
+use crate::backoff;
 use crate::clock;
 use crate::gossip;
 use crate::gossip::Message;
 use crate::registration::Registration;
 use agatemill_adapter::header;
 use agatemill_core::id;
-use agatemill_fleet::Server;
-use agatemill_fleet::server;
 use agatemill_fleet::tally::Key;
 use agatemill_fleet::throttle::message::Ask;
 use agatemill_fleet::throttle::message::Grant;
@@ -61,20 +60,17 @@
     }
     let servers = state.view().servers(service).to_vec();
     let mut throttle = state.throttle();
-    let limited = servers
-        .iter()
-        .filter(|server| takes_requests(server) && throttle.limit(server.key).is_some());
+    let limited = servers.iter().filter(|server| {
+        server.takes_requests()
+            && throttle.limit(server.key).is_some()
+            && backoff::left(state, server).is_none()
+    });
     let limited: Vec<Key> = limited.map(|server| server.key).collect();
     if let Some(server) = fastrand::choice(limited) {
         throttle.want(server);
     }
 }
 
-/// Whether requests are sent to a server itself: it has the first layers, or is no engine.
-fn takes_requests(server: &Server) -> bool {
-    server.state == server::State::Ready && server.layers.is_none_or(|layers| layers.start() == 0)
-}
-
 /// Asks the leader for credits until the process ends.
 pub async fn run(state: Arc<State>, registration: Arc<Registration>, socket: UdpSocket) {
     loop {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -17,6 +17,7 @@
 use agatemill_fleet::Freshness;
 use agatemill_fleet::Member;
 use agatemill_fleet::Server;
+use agatemill_fleet::path::Part;
 use agatemill_fleet::prompt::Segment;
 
 /// Time for which entries deleted during an outage are kept after it: live engines write theirs again within
@@ -120,6 +121,13 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The server of a service that is a part of a path.
+    #[must_use]
+    pub fn server(&self, service: &id::Service, part: &Part) -> Option<&Arc<Server>> {
+        let mut servers = self.servers(service).iter();
+        servers.find(|server| server.id == part.server && server.address == part.address)
+    }
+
     fn keys(&self) -> Vec<String> {
         let servers = self.services.values().flatten();
         let servers = servers.map(|server| format!("{}{}", entry::PREFIX, server.id));
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a gateway host between callers and stand-ins of the platform.
 
+mod backoff;
 mod endless;
 mod hosts;
 mod quarantine;
