--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,11 +15,13 @@
 
 use crate::Settings;
 use crate::View;
+use crate::backoff;
 use crate::clock;
 use crate::feed::Feed;
 use crate::stall;
 use agatemill_adapter::Store;
 use agatemill_core::id;
+use agatemill_fleet::Backoff;
 use agatemill_fleet::Budget;
 use agatemill_fleet::Census;
 use agatemill_fleet::Departures;
@@ -77,6 +79,7 @@
     census: Mutex<Census>,
     link: Mutex<Link>,
     suspicion: Mutex<Suspicion>,
+    backoff: Mutex<Backoff>,
     departures: Mutex<Departures>,
     quarantine: Mutex<Quarantine>,
     headcount: Mutex<Headcount>,
@@ -127,6 +130,7 @@
             load: Mutex::default(),
             link: Mutex::default(),
             suspicion: Mutex::default(),
+            backoff: Mutex::default(),
             departures: Mutex::default(),
             quarantine: Mutex::default(),
             headcount: Mutex::default(),
@@ -194,6 +198,11 @@
         lock(&self.departures)
     }
 
+    /// Servers that asked this host for no requests for a while.
+    pub fn backoff(&self) -> MutexGuard<'_, Backoff> {
+        lock(&self.backoff)
+    }
+
     /// Parts of prompts on which engines crash.
     pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         lock(&self.quarantine)
@@ -389,7 +398,7 @@
         ConnectionGuard(Arc::clone(self))
     }
 
-    /// Servers of a service that are ready, do not leave and are not avoided.
+    /// Servers of a service that are ready, do not leave, are not avoided and accept requests of this host.
     #[must_use]
     pub fn usable_servers(&self, service: &id::Service) -> Vec<Arc<Server>> {
         let now = agatemill_runtime::now();
@@ -397,7 +406,9 @@
         let departures = self.departures();
         let suspicion = self.suspicion();
         let is_usable = |server: &Arc<Server>| {
-            departures.is_staying(server) && !suspicion.is_avoided(&server.address, now)
+            departures.is_staying(server)
+                && !suspicion.is_avoided(&server.address, now)
+                && backoff::left(self, server).is_none()
         };
         servers.into_iter().filter(is_usable).collect()
     }
--- a/crates/gateway/src/throttle.rs
+++ b/crates/gateway/src/throttle.rs
@@ -10,13 +10,13 @@
 use smol::net::UdpSocket;
 
 use crate::State;
+use crate::backoff;
 use crate::clock;
 use crate::gossip;
 use crate::gossip::Message;
 use crate::registration::Registration;
 use agatemill_adapter::header;
 use agatemill_core::id;
-use agatemill_fleet::Server;
 use agatemill_fleet::tally::Key;
 use agatemill_fleet::throttle::message::Ask;
 use agatemill_fleet::throttle::message::Grant;
@@ -63,8 +63,9 @@
     let mut throttle = state.throttle();
     let limited = servers.iter().filter(|server| {
         departures.is_staying(server)
-            && takes_requests(server)
+            && server.takes_requests()
             && throttle.limit(server.key).is_some()
+            && backoff::left(state, server).is_none()
     });
     let limited: Vec<Key> = limited.map(|server| server.key).collect();
     if let Some(server) = fastrand::choice(limited) {
@@ -72,11 +73,6 @@
     }
 }
 
-/// Whether requests are sent to a server itself: it has the first layers, or is no engine.
-fn takes_requests(server: &Server) -> bool {
-    server.layers.is_none_or(|layers| layers.start() == 0)
-}
-
 /// Asks the leader for credits until the process ends.
 pub async fn run(state: Arc<State>, registration: Arc<Registration>, socket: UdpSocket) {
     loop {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a gateway host between callers and stand-ins of the platform.
 
 mod answers;
+mod backoff;
 mod endless;
 mod hosts;
 mod leaving;
