Ask engines for their reports before the plan is final

Cause: an engine lists no layers while it loads some, nor for a moment afterwards. A planner that takes over knows nothing of the orders of the former one: it planned such an engine as an empty one, repeated orders that were refused with `busy` each 200 ms, and had the engine load other layers as soon as the first load was complete. An order of its own that took longer than expected, as those of cards whose streams have to end do, was forgotten in the same way, and the card counted as empty.

Change: the reports that were asked for with each order come first, and the plan is made again with them. An engine that is busy keeps its place in the sizes of ranges but gets no order for a second; layers that it reports count as held; an order that is overdue stays pending while the engine is busy. The decisions move to `agatemill_fleet::Plan`.

Ruled out: that the engines refuse for want of a fencing number or of the count of orders; all were refused by the planner itself, since the report said busy.

Failed before: `a_new_planner_keeps_the_layers_that_an_engine_loads` (two orders to the engine). New: crates/fleet/tests/plan.rs.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -44,6 +44,8 @@
     pub accelerator: CompactString,
     /// Layers that it holds or is loading; `None` when it is empty.
     pub layers: Option<layer::Range>,
+    /// Whether it can take an order.
+    pub is_available: bool,
 }
 
 /// An order for an engine to load other layers.
@@ -66,10 +68,11 @@
     total: Vec<i32>,
 }
 
-/// Assigns ranges to all empty cards. Cards of a kind that the model does not list get none.
+/// Assigns ranges to all empty cards that can take orders. Cards of a kind that the model does not list get none.
 #[must_use]
 pub fn fill(model: &Model, cards: &[Card]) -> Vec<Move> {
-    if cards.iter().all(|card| card.layers.is_some()) {
+    let is_free = |card: &&Card| card.layers.is_none() && card.is_available;
+    if !cards.iter().any(|card| is_free(&card)) {
         return Vec::new();
     }
     let capacity = token_capacity(model, cards);
@@ -80,7 +83,7 @@
     };
     let mut empty: Vec<(&Card, u32)> = cards
         .iter()
-        .filter(|card| card.layers.is_none())
+        .filter(is_free)
         .filter_map(|card| Some((card, sized(card)?)))
         .collect();
     // Fastest cards first, then large ranges; where memory grows with speed, these are the same cards. Small
@@ -133,7 +136,7 @@
     let capacity = token_capacity(model, cards);
     let mut coverage = Coverage::new(model, cards, capacity);
     let mut best: Option<(f64, f64, Move)> = None;
-    for card in cards {
+    for card in cards.iter().filter(|card| card.is_available) {
         let Some((current, accelerator)) = card.layers.zip(model.accelerator(&card.accelerator))
         else {
             continue;
--- /dev/null
+++ b/crates/fleet/src/plan.rs
@@ -0,0 +1,210 @@
+//! Decides which engines of a service load which layers, from their entries and what they report.
+
+use core::time::Duration;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::Model;
+use crate::Server;
+use crate::placement;
+use crate::placement::Card;
+use crate::placement::Move;
+use agatemill_core::id;
+use agatemill_core::layer;
+
+/// Time beyond the expected load time after which an engine is asked whether it still carries out an order.
+const LOAD_TIMEOUT_MARGIN: Duration = Duration::from_secs(3);
+
+/// Time after which an order without a response is sent again. Each order states how many orders the engine has
+/// accepted, so a late one is refused if the engine has accepted another one since.
+const ORDER_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Time after which an engine that cannot take an order is asked again.
+const RECHECK_DELAY: Duration = Duration::from_secs(1);
+
+/// Interval between searches for better placements of cards that hold layers.
+const REBALANCE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Maximum number of concurrent moves: several small cards may be needed to replace a large one, and few loads
+/// should share the weight store.
+const MAX_CONCURRENT_MOVES: usize = 4;
+
+/// Planning state of one service. Services are planned separately, since each plan covers only the service's own
+/// engines.
+#[derive(Debug, Default)]
+pub struct Plan {
+    /// Orders whose effect is not visible yet.
+    pending: HashMap<id::Server, Pending>,
+    /// Engines that cannot take an order at the moment.
+    unavailable: HashMap<id::Server, Unavailable>,
+    /// Time of the last search for better placements.
+    last_rebalance: Duration,
+}
+
+/// An order whose effect is not visible yet.
+#[derive(Clone, Debug)]
+struct Pending {
+    target: layer::Range,
+    born_ms: u64,
+    /// Time at which the engine is asked what became of the order.
+    expires: Duration,
+}
+
+/// An engine that cannot take an order: it carries out one that another planner sent, it holds layers that its entry does
+/// not list yet, or it does not respond.
+#[derive(Clone, Debug)]
+struct Unavailable {
+    layers: Option<layer::Range>,
+    until: Duration,
+}
+
+/// What an engine says about itself. Its entry may be older: it lists no layers while the engine loads some, nor for a moment
+/// afterwards.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Whether it carries out an order.
+    pub is_busy: bool,
+    /// Layers that it has loaded.
+    pub layers: Option<layer::Range>,
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Receipt {
+    /// The engine carries it out.
+    Accepted,
+    /// The engine refused it.
+    Refused,
+    /// The engine did not respond; it may carry the order out later.
+    Unknown,
+}
+
+impl Plan {
+    /// Whether most engines have no layers and no pending order.
+    #[must_use]
+    pub fn is_mostly_empty(&self, servers: &[Arc<Server>]) -> bool {
+        let is_empty = |server: &&Arc<Server>| {
+            server.layers.is_none() && !self.pending.contains_key(&server.id)
+        };
+        2 * servers.iter().filter(is_empty).count() > servers.len()
+    }
+
+    /// Forgets the orders that took effect, and what is known about engines that restarted or are no longer listed.
+    /// Returns the engines whose orders should have taken effect by now; their reports tell what became of these orders.
+    pub fn refresh(&mut self, servers: &[Arc<Server>], now: Duration) -> Vec<Arc<Server>> {
+        let find = |id: &id::Server| servers.iter().find(|server| &server.id == id);
+        self.pending.retain(|id, order| {
+            find(id).is_some_and(|server| {
+                server.born_ms == order.born_ms && server.layers != Some(order.target)
+            })
+        });
+        self.unavailable
+            .retain(|id, engine| find(id).is_some() && now < engine.until);
+        let overdue = self
+            .pending
+            .iter()
+            .filter(|(_, order)| now >= order.expires);
+        overdue.filter_map(|(id, _)| find(id).cloned()).collect()
+    }
+
+    /// Returns the next orders. They may be sent to engines whose reports were recorded at `now`.
+    pub fn propose(&mut self, model: &Model, servers: &[Arc<Server>], now: Duration) -> Vec<Move> {
+        let cards = self.cards(servers);
+        let mut moves = placement::fill(model, &cards);
+        let is_idle = moves.is_empty() && self.pending.is_empty() && self.unavailable.is_empty();
+        let is_same_round = now == self.last_rebalance;
+        if is_idle && (is_same_round || now > self.last_rebalance + REBALANCE_INTERVAL) {
+            moves.extend(placement::best_moves(model, &cards, MAX_CONCURRENT_MOVES));
+            self.last_rebalance = now;
+        }
+        moves
+    }
+
+    /// Records what an engine reported; `None` when it did not respond. Returns the target of an order that had no effect.
+    pub fn record_report(
+        &mut self,
+        server: &Server,
+        report: Option<Report>,
+        now: Duration,
+    ) -> Option<layer::Range> {
+        let report = report.unwrap_or(Report {
+            is_busy: true,
+            layers: server.layers,
+        });
+        if report.is_busy
+            && let Some(order) = self.pending.get_mut(&server.id)
+        {
+            order.expires = now + RECHECK_DELAY;
+            return None;
+        }
+        let order = self.pending.remove(&server.id);
+        if report.is_busy || report.layers != server.layers {
+            let engine = Unavailable {
+                layers: report.layers.or(server.layers),
+                until: now + RECHECK_DELAY,
+            };
+            self.unavailable.insert(server.id.clone(), engine);
+        }
+        let target = order.map(|order| order.target);
+        target.filter(|target| report.layers != Some(*target))
+    }
+
+    /// Whether an order may be sent to an engine.
+    #[must_use]
+    pub fn can_order(&self, server: &id::Server) -> bool {
+        !self.pending.contains_key(server) && !self.unavailable.contains_key(server)
+    }
+
+    /// Records that an order is sent.
+    pub fn record_order(
+        &mut self,
+        model: &Model,
+        server: &Server,
+        target: layer::Range,
+        now: Duration,
+    ) {
+        let pending = Pending {
+            target,
+            born_ms: server.born_ms,
+            expires: now + load_time(model, target) + LOAD_TIMEOUT_MARGIN,
+        };
+        self.pending.insert(server.id.clone(), pending);
+    }
+
+    /// Records the response to an order.
+    pub fn record_receipt(&mut self, server: &id::Server, receipt: Receipt, now: Duration) {
+        match receipt {
+            Receipt::Accepted => {}
+            Receipt::Refused => {
+                self.pending.remove(server);
+            }
+            Receipt::Unknown => {
+                if let Some(order) = self.pending.get_mut(server) {
+                    order.expires = now + ORDER_RETRY_DELAY;
+                }
+            }
+        }
+    }
+
+    fn cards(&self, servers: &[Arc<Server>]) -> Vec<Card> {
+        let cards = servers.iter().filter_map(|server| {
+            let target = self.pending.get(&server.id).map(|order| order.target);
+            let unavailable = self.unavailable.get(&server.id);
+            Some(Card {
+                server: server.id.clone(),
+                zone: server.zone.clone(),
+                accelerator: server.accelerator.clone()?,
+                layers: target
+                    .or(unavailable.and_then(|engine| engine.layers))
+                    .or(server.layers),
+                is_available: unavailable.is_none(),
+            })
+        });
+        cards.collect()
+    }
+}
+
+fn load_time(model: &Model, target: layer::Range) -> Duration {
+    let share = f64::from(target.count()) / f64::from(model.layers);
+    Duration::try_from_secs_f64(model.load_s * share * 2.0).unwrap_or_default()
+}
--- a/crates/fleet/tests/fleet/mod.rs
+++ b/crates/fleet/tests/fleet/mod.rs
@@ -61,6 +61,7 @@
                     zone: zone(name),
                     accelerator: kind.into(),
                     layers: None,
+                    is_available: true,
                 });
             }
         }
--- /dev/null
+++ b/crates/fleet/tests/plan.rs
@@ -0,0 +1,164 @@
+//! Orders of a planner whose view of the engines is incomplete.
+
+mod fleet;
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use agatemill_core::layer;
+use agatemill_fleet::Model;
+use agatemill_fleet::Plan;
+use agatemill_fleet::Server;
+use agatemill_fleet::plan::Receipt;
+use agatemill_fleet::plan::Report;
+use agatemill_fleet::server::State;
+use agatemill_fleet::tally;
+
+const NOW: Duration = Duration::from_secs(100);
+const LATER: Duration = Duration::from_secs(102);
+
+/// The usual fleet with all layers placed.
+fn placed_servers(model: &Model) -> Vec<Arc<Server>> {
+    let cards = fleet::usual_cards();
+    let moves = agatemill_fleet::placement::fill(model, &cards);
+    let servers = cards.into_iter().map(|card| {
+        let order = moves.iter().find(|order| order.server == card.server);
+        Arc::new(Server {
+            key: tally::Key::from(&card.server),
+            born_ms: 1,
+            service: "model".parse().unwrap(),
+            address: "10.0.0.1:80".parse().unwrap(),
+            zone: card.zone,
+            state: State::Ready,
+            slots: 192,
+            accelerator: Some(card.accelerator),
+            layers: order.map(|order| order.target),
+            orders: 1,
+            id: card.server,
+        })
+    });
+    servers.collect()
+}
+
+/// Sets the listed layers of one server and returns it.
+fn set_layers(
+    servers: &mut [Arc<Server>],
+    name: &str,
+    layers: Option<layer::Range>,
+) -> Arc<Server> {
+    let server = servers.iter_mut().find(|server| server.id.as_str() == name);
+    let server = server.unwrap();
+    Arc::make_mut(server).layers = layers;
+    Arc::clone(server)
+}
+
+fn report(is_busy: bool, layers: Option<layer::Range>) -> Report {
+    Report { is_busy, layers }
+}
+
+/// Guards against a planner that sends orders to an engine as long as it loads what another planner ordered.
+#[test]
+fn an_engine_that_carries_out_an_order_is_left_alone() {
+    let model = fleet::model();
+    let mut servers = placed_servers(&model);
+    let busy = set_layers(&mut servers, "large-b-0", None);
+    let mut plan = Plan::default();
+    let moves = plan.propose(&model, &servers, NOW);
+    assert_eq!(moves.len(), 1, "{moves:?}");
+    plan.record_report(&busy, Some(report(true, None)), NOW);
+    assert!(!plan.can_order(&busy.id));
+    assert_eq!(plan.propose(&model, &servers, NOW), []);
+    assert!(plan.refresh(&servers, LATER).is_empty());
+    assert_eq!(
+        plan.propose(&model, &servers, LATER),
+        moves,
+        "it is asked again later"
+    );
+}
+
+/// Guards against layers that are loaded a second time elsewhere, or given up, because the entry of an engine does not list
+/// them yet.
+#[test]
+fn layers_that_an_engine_reports_count_as_held() {
+    let model = fleet::model();
+    let mut servers = placed_servers(&model);
+    let all = placed_servers(&model);
+    let held = all
+        .iter()
+        .find(|server| server.id.as_str() == "large-b-0")
+        .unwrap()
+        .layers;
+    let loaded = set_layers(&mut servers, "large-b-0", None);
+    let empty = set_layers(&mut servers, "large-c-0", None);
+    let mut plan = Plan::default();
+    plan.record_report(&loaded, Some(report(false, held)), NOW);
+    let moves = plan.propose(&model, &servers, NOW);
+    let targets: Vec<_> = moves.iter().map(|order| &order.server).collect();
+    assert_eq!(targets, [&empty.id]);
+}
+
+/// Guards against ranges that do not fit the fleet because an engine that takes no orders for a while counts as lost.
+#[test]
+fn ranges_have_their_usual_size_while_an_engine_is_unavailable() {
+    let model = fleet::model();
+    let mut servers = placed_servers(&model);
+    let busy = set_layers(&mut servers, "large-b-0", None);
+    let empty = set_layers(&mut servers, "large-c-0", None);
+    let usual = placed_servers(&model);
+    let usual = usual.iter().find(|server| server.id == empty.id).unwrap();
+    let mut plan = Plan::default();
+    plan.record_report(&busy, Some(report(true, None)), NOW);
+    let moves = plan.propose(&model, &servers, NOW);
+    assert_eq!(moves.len(), 1);
+    assert_eq!(moves[0].target.count(), usual.layers.unwrap().count());
+}
+
+/// Guards against an order that is given up, and sent to another engine as well, because the engine takes longer than expected.
+#[test]
+fn an_order_that_takes_longer_than_expected_stays_pending() {
+    let model = fleet::model();
+    let mut servers = placed_servers(&model);
+    let slow = set_layers(&mut servers, "large-b-0", None);
+    let mut plan = Plan::default();
+    let target = plan.propose(&model, &servers, NOW)[0].target;
+    plan.record_order(&model, &slow, target, NOW);
+    plan.record_receipt(&slow.id, Receipt::Accepted, NOW);
+    assert_eq!(plan.refresh(&servers, LATER), []);
+    let late = NOW + Duration::from_mins(1);
+    assert_eq!(plan.refresh(&servers, late), [Arc::clone(&slow)]);
+    assert_eq!(
+        plan.record_report(&slow, Some(report(true, None)), late),
+        None
+    );
+    assert_eq!(plan.refresh(&servers, late), []);
+    assert_eq!(plan.propose(&model, &servers, late), []);
+    let late = late + Duration::from_secs(2);
+    assert_eq!(
+        plan.record_report(&slow, Some(report(false, None)), late),
+        Some(target),
+        "the order had no effect"
+    );
+    assert_eq!(plan.propose(&model, &servers, late).len(), 1);
+}
+
+/// Guards against layers that stay missing because an engine that does not respond counts as their holder.
+#[test]
+fn an_engine_without_a_response_holds_only_what_it_lists() {
+    let model = fleet::model();
+    let mut servers = placed_servers(&model);
+    let silent = set_layers(&mut servers, "large-b-0", None);
+    let other = set_layers(&mut servers, "large-c-0", None);
+    let mut plan = Plan::default();
+    let expected = {
+        let only = servers.iter().filter(|server| server.id != silent.id);
+        let only: Vec<_> = only.cloned().collect();
+        Plan::default().propose(&model, &only, NOW)[0].clone()
+    };
+    plan.record_report(&silent, None, NOW);
+    let moves = plan.propose(&model, &servers, NOW);
+    assert_eq!(moves.len(), 1);
+    assert_eq!(moves[0].server, other.id);
+    assert_eq!(moves[0].target.start(), expected.target.start());
+    plan.refresh(&servers, LATER);
+    assert_eq!(plan.propose(&model, &servers, LATER).len(), 2);
+}
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -4,8 +4,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use hyper::StatusCode;
-
 use crate::State;
 use crate::registration::Registration;
 use agatemill_adapter::engine;
@@ -13,10 +11,10 @@
 use agatemill_core::layer;
 use agatemill_core::number::Fence;
 use agatemill_fleet::Model;
+use agatemill_fleet::Plan;
 use agatemill_fleet::Server;
-use agatemill_fleet::placement;
-use agatemill_fleet::placement::Card;
-use agatemill_fleet::placement::Move;
+use agatemill_fleet::plan;
+use agatemill_fleet::plan::Receipt;
 use agatemill_fleet::server;
 
 /// Planning interval while this host leads.
@@ -37,27 +35,12 @@
 /// Timeout of a call to an engine.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Time beyond the expected load time after which an order counts as lost.
-const LOAD_TIMEOUT_MARGIN: Duration = Duration::from_secs(3);
-
-/// Time after which an order without a response is sent again. Each order states how many orders the engine has
-/// accepted, so a late one is refused if the engine has accepted another one since.
-const ORDER_RETRY_DELAY: Duration = Duration::from_secs(1);
-
-/// Interval between searches for better placements of cards that hold layers.
-const REBALANCE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Maximum number of concurrent moves: several small cards may be needed to replace a large one, and few loads
-/// should share the weight store.
-const MAX_CONCURRENT_MOVES: usize = 4;
+/// Timeout of a report query before an order; orders to other engines wait for it.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// An order whose effect is not visible yet.
-#[derive(Clone, Debug)]
-struct Pending {
-    target: layer::Range,
-    born_ms: u64,
-    expires: Duration,
-}
+/// Maximum number of plans that one planning interval makes: each takes into account what the engines of the previous one
+/// reported.
+const MAX_PLANS: usize = 3;
 
 /// Runs the planner until the process ends.
 pub async fn run(state: Arc<State>, registration: Arc<Registration>) {
@@ -82,62 +65,93 @@
             if !is_settled && plan.is_mostly_empty(&servers) {
                 continue;
             }
-            let moves = plan.next(&model, &servers, now);
-            execute_moves(
-                &state,
-                &registration,
-                &servers,
-                moves,
-                fence,
-                &mut plan.pending,
-            )
-            .await;
+            let orders = choose_orders(&state, plan, &model, &servers, now).await;
+            execute(&state, &registration, plan, &model, orders, fence).await;
         }
     }
 }
 
-/// Planning state of one service. Services are planned separately, since each plan covers only the service's own
-/// engines.
-#[derive(Debug, Default)]
-pub struct Plan {
-    /// Orders whose effect is not visible yet.
-    pending: HashMap<id::Server, Pending>,
-    /// Time of the last search for better placements.
-    last_rebalance: Duration,
+/// An order for an engine that can take it.
+struct Order {
+    server: Arc<Server>,
+    target: layer::Range,
+    /// Number of orders that the engine has accepted.
+    accepted: u64,
 }
 
-impl Plan {
-    /// Whether most engines have no layers and no pending order.
-    #[must_use]
-    pub fn is_mostly_empty(&self, servers: &[Arc<Server>]) -> bool {
-        let is_empty = |server: &&Arc<Server>| {
-            server.layers.is_none() && !self.pending.contains_key(&server.id)
-        };
-        2 * servers.iter().filter(is_empty).count() > servers.len()
+/// Chooses the next orders. Each engine is asked for a report before it gets one, since its entry may be older than what
+/// another planner ordered, and the plan is made again if an engine cannot take its order.
+async fn choose_orders(
+    state: &Arc<State>,
+    plan: &mut Plan,
+    model: &Model,
+    servers: &[Arc<Server>],
+    now: Duration,
+) -> Vec<Order> {
+    let overdue = plan.refresh(servers, now);
+    let mut accepted = HashMap::new();
+    ask(state, plan, overdue, now, &mut accepted).await;
+    let mut moves = Vec::new();
+    for _ in 0..MAX_PLANS {
+        moves = plan.propose(model, servers, now);
+        let unasked = servers.iter().filter(|server| {
+            !accepted.contains_key(&server.id)
+                && moves.iter().any(|order| order.server == server.id)
+        });
+        let unasked: Vec<Arc<Server>> = unasked.cloned().collect();
+        if unasked.is_empty() {
+            break;
+        }
+        ask(state, plan, unasked, now, &mut accepted).await;
     }
+    let orders = moves.into_iter().filter_map(|order| {
+        let server = servers.iter().find(|server| server.id == order.server)?;
+        Some(Order {
+            server: Arc::clone(server),
+            target: order.target,
+            accepted: *accepted.get(&server.id)?,
+        })
+    });
+    orders.collect()
+}
 
-    /// Returns the next orders and records them as pending.
-    pub fn next(&mut self, model: &Model, servers: &[Arc<Server>], now: Duration) -> Vec<Move> {
-        prune_pending(&mut self.pending, servers, now);
-        let cards = cards(servers, &self.pending);
-        let mut moves = placement::fill(model, &cards);
-        let is_idle = moves.is_empty() && self.pending.is_empty();
-        if is_idle && now > self.last_rebalance + REBALANCE_INTERVAL {
-            moves.extend(placement::best_moves(model, &cards, MAX_CONCURRENT_MOVES));
-            self.last_rebalance = now;
+/// Asks engines for their reports and records them. `accepted` gets the number of orders that each engine has accepted, of
+/// those that can take another one.
+async fn ask(
+    state: &Arc<State>,
+    plan: &mut Plan,
+    servers: Vec<Arc<Server>>,
+    now: Duration,
+    accepted: &mut HashMap<id::Server, u64>,
+) {
+    let queries = servers.into_iter().map(async |server| {
+        let result = engine::report(&state.pooled, server.address, REPORT_TIMEOUT).await;
+        (server, result)
+    });
+    for (server, result) in futures::future::join_all(queries).await {
+        let report = result.as_ref().ok().map(|report| plan::Report {
+            is_busy: report.is_busy,
+            layers: report.layers,
+        });
+        if let Some(target) = plan.record_report(&server, report, now) {
+            log::warn!(server:% = server.id, target:%; "planner: order had no effect");
         }
-        for order in &moves {
-            let Some(server) = servers.iter().find(|server| server.id == order.server) else {
-                continue;
-            };
-            let pending = Pending {
-                target: order.target,
-                born_ms: server.born_ms,
-                expires: now + load_time(model, order.target) + LOAD_TIMEOUT_MARGIN,
-            };
-            self.pending.insert(order.server.clone(), pending);
+        match result {
+            Ok(report) if plan.can_order(&server.id) => {
+                accepted.insert(server.id.clone(), report.orders);
+            }
+            Ok(report) => {
+                log::info!(
+                    server:% = server.id, is_busy = report.is_busy, held:? = report.layers, listed:? = server.layers;
+                    "planner: engine cannot take an order"
+                );
+                state.metrics.count_event("planner", "deferred");
+            }
+            Err(error) => {
+                log::warn!(server:% = server.id, error:%; "planner: no report before an order");
+                state.metrics.count_event("planner", "deferred");
+            }
         }
-        moves
     }
 }
 
@@ -222,109 +236,56 @@
     servers.into_iter().filter(is_present).collect()
 }
 
-/// Removes the pending orders that took effect, whose engine restarted, or that expired.
-fn prune_pending(
-    pending: &mut HashMap<id::Server, Pending>,
-    servers: &[Arc<Server>],
-    now: Duration,
-) {
-    pending.retain(|id, order| {
-        let Some(server) = servers.iter().find(|server| &server.id == id) else {
-            return false;
-        };
-        let is_done = server.layers == Some(order.target);
-        let is_lost = now >= order.expires || server.born_ms != order.born_ms;
-        if is_lost && !is_done {
-            log::warn!(server:% = id, target:% = order.target; "planner: order had no effect");
-        }
-        !is_done && !is_lost
-    });
-}
-
-fn cards(servers: &[Arc<Server>], pending: &HashMap<id::Server, Pending>) -> Vec<Card> {
-    let cards = servers.iter().filter_map(|server| {
-        let target = pending.get(&server.id).map(|order| order.target);
-        Some(Card {
-            server: server.id.clone(),
-            zone: server.zone.clone(),
-            accelerator: server.accelerator.clone()?,
-            layers: target.or(server.layers),
-        })
-    });
-    cards.collect()
-}
-
-fn load_time(model: &Model, target: layer::Range) -> Duration {
-    let share = f64::from(target.count()) / f64::from(model.layers);
-    Duration::try_from_secs_f64(model.load_s * share * 2.0).unwrap_or_default()
-}
-
-async fn execute_moves(
+async fn execute(
     state: &Arc<State>,
     registration: &Registration,
-    servers: &[Arc<Server>],
-    moves: Vec<Move>,
+    plan: &mut Plan,
+    model: &Model,
+    orders: Vec<Order>,
     fence: Fence,
-    pending: &mut HashMap<id::Server, Pending>,
 ) {
-    let orders = moves.into_iter().filter_map(|order| {
-        let server = servers.iter().find(|server| server.id == order.server)?;
-        Some(send_order(state, Arc::clone(server), order.target, fence))
-    });
+    let now = agatemill_runtime::now();
+    for order in &orders {
+        plan.record_order(model, &order.server, order.target, now);
+    }
+    let orders = orders
+        .into_iter()
+        .map(|order| send_order(state, order, fence));
     for (id, result) in futures::future::join_all(orders).await {
-        match result {
-            Err(engine::Failure::Fenced) => registration.step_down(fence),
-            Ok(()) => {}
+        let receipt = match result {
+            Ok(()) => Receipt::Accepted,
+            Err(engine::Failure::Fenced) => {
+                registration.step_down(fence);
+                Receipt::Refused
+            }
+            Err(engine::Failure::Refused { .. }) => Receipt::Refused,
             Err(
                 engine::Failure::NotConnected(_)
                 | engine::Failure::TimedOut
                 | engine::Failure::Lost(_),
-            ) => {
-                if let Some(order) = pending.get_mut(&id) {
-                    order.expires = agatemill_runtime::now() + ORDER_RETRY_DELAY;
-                }
-            }
-            Err(engine::Failure::Refused { .. }) => {
-                pending.remove(&id);
-            }
-        }
+            ) => Receipt::Unknown,
+        };
+        plan.record_receipt(&id, receipt, agatemill_runtime::now());
     }
 }
 
 async fn send_order(
     state: &Arc<State>,
-    server: Arc<Server>,
-    target: layer::Range,
+    order: Order,
     fence: Fence,
 ) -> (id::Server, Result<(), engine::Failure>) {
-    let result = async {
-        let report = engine::report(&state.pooled, server.address, CALL_TIMEOUT).await?;
-        if report.layers == Some(target) {
-            // An earlier order took effect although its response was lost.
-            return Ok(());
-        }
-        if report.is_busy {
-            // The engine would refuse the order too. Its layers are listed when it is done.
-            let status = StatusCode::CONFLICT.as_u16();
-            return Err(engine::Failure::Refused {
-                status,
-                address: None,
-            });
-        }
-        let order = engine::Placement {
-            layers: target,
-            fence,
-            orders: report.orders,
-        };
-        engine::place(
-            &state.pooled,
-            (&server.id, server.address),
-            order,
-            CALL_TIMEOUT,
-        )
-        .await
+    let Order {
+        server,
+        target,
+        accepted,
+    } = order;
+    let placement = engine::Placement {
+        layers: target,
+        fence,
+        orders: accepted,
     };
-    let result = result.await;
+    let receiver = (&server.id, server.address);
+    let result = engine::place(&state.pooled, receiver, placement, CALL_TIMEOUT).await;
     match &result {
         Ok(()) => {
             log::info!(server:% = server.id, target:%, held:? = server.layers, fence:%; "planner: order accepted");
--- a/crates/gateway/tests/all/hosts.rs
+++ b/crates/gateway/tests/all/hosts.rs
@@ -229,6 +229,42 @@
     });
 }
 
+/// Guards against a new planner that lets an engine load other layers because its entry lists none while it loads those that
+/// the former planner ordered, nor for a moment afterwards.
+#[test]
+fn a_new_planner_keeps_the_layers_that_an_engine_loads() {
+    run_test(3, |system| async move {
+        let (single, others) = unbalanced_fleet(&system).await;
+        let late = Engine::start(&system.store, "e9", "model", Some("card"));
+        late.set_behaviour(Behaviour::LoadUntilCompleted);
+        let is_ordered = || !late.orders().is_empty();
+        system
+            .wait_until("the new engine is ordered", is_ordered)
+            .await;
+        let from = |engine: &Engine| engine.orders().last().unwrap()["from"].clone();
+        assert_eq!(from(&late), from(&single));
+        // The other layers now have as few holders, so that a planner without knowledge of the order chooses them.
+        system.store.remove(&format!("servers/{}", others[0].id));
+        let second = settings("h2", system.store_address);
+        let process = agatemill_gateway::Process::start(second).await.unwrap();
+        let listed = || system.store.value("agatemill/hosts/h2").is_some();
+        system.wait_until("the second host is listed", listed).await;
+        let state = system.process.state().clone();
+        state.set_stage(agatemill_gateway::state::Stage::Closing);
+        let leader = || system.store.value("agatemill/planner").unwrap_or_default();
+        system
+            .wait_until("the second host leads", || leader().starts_with("h2-"))
+            .await;
+        agatemill_runtime::sleep(Duration::from_secs(1)).await;
+        late.complete_load();
+        agatemill_runtime::sleep(Duration::from_millis(1_500)).await;
+        late.list_layers();
+        agatemill_runtime::sleep(Duration::from_millis(1_500)).await;
+        assert_eq!(late.orders().len(), 1, "{:?}", late.orders());
+        drop(process);
+    });
+}
+
 /// Waits for a fleet in which one engine holds one half of the layers and two hold the other. Returns the single
 /// holder, and the other two.
 async fn unbalanced_fleet(system: &System) -> (Engine, Vec<Engine>) {
--- a/crates/load/src/bound/document.rs
+++ b/crates/load/src/bound/document.rs
@@ -187,6 +187,7 @@
                     zone: cards.zone.clone(),
                     accelerator: cards.kind.clone(),
                     layers: None,
+                    is_available: true,
                 });
             }
         }
