Let a restarted leader end the leadership of its former process

Cause: the new process took the key of its former process for another leader.

Change: a process that finds the leadership of another process of its own host removes the key, on condition of its revision, and campaigns at once. Orders of the former process that are still under way carry the lower fencing number.

Ruled out: ending the former lease, which other hosts' views do not carry.

Failed before: `a_restarted_leader_leads_again_before_its_former_lease_ends` (2.8 s without a leader).

--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -147,15 +147,22 @@
             // Another host leads, or an earlier campaign succeeded and its response was lost.
             let is_own = planner.name == name;
             self.lock().fence = is_own.then_some(Fence(planner.fence.0));
-            return Ok(());
+            if is_own || planner.host().as_ref() != Some(&state.settings().host) {
+                return Ok(());
+            }
+            // A former process of this host led. It has ended, but its lease may last for seconds.
+            if !state.store.remove(host::PLANNER, planner.fence).await? {
+                return Ok(());
+            }
+            log::info!(fence:% = planner.fence; "planner: ended the leadership of this host's former process");
+        } else {
+            self.lock().fence = None;
+            agatemill_runtime::sleep(LEADERSHIP_STAGGER * rank(state)).await;
+            if state.view().planner.is_some() {
+                return Ok(());
+            }
         }
-        self.lock().fence = None;
-        agatemill_runtime::sleep(LEADERSHIP_STAGGER * rank(state)).await;
-        let lease = self
-            .status()
-            .lease
-            .filter(|_| state.view().planner.is_none());
-        let Some(lease) = lease else {
+        let Some(lease) = self.status().lease else {
             return Ok(());
         };
         if let Creation::Created(revision) = state
--- a/crates/gateway/tests/all/hosts.rs
+++ b/crates/gateway/tests/all/hosts.rs
@@ -136,6 +136,33 @@
     });
 }
 
+/// Guards against seconds without a planner after the leader's process was restarted, since its lease outlasts it.
+#[test]
+fn a_restarted_leader_leads_again_before_its_former_lease_ends() {
+    run_test(2, |mut system| async move {
+        let fence = |engine: &Engine| engine.orders().last().unwrap()["fence"].as_u64().unwrap();
+        let former_fence = fence(&system.engines[0]);
+        let leader = |system: &System| system.store.value("agatemill/planner");
+        let former = leader(&system).unwrap();
+        let started = agatemill_runtime::now();
+        system.process = agatemill_gateway::Process::start(settings("h1", system.store_address))
+            .await
+            .unwrap();
+        let is_replaced =
+            || leader(&system).is_some_and(|name| name != former && name.starts_with("h1-"));
+        system
+            .wait_until("the new process leads", is_replaced)
+            .await;
+        let waited = agatemill_runtime::now().saturating_sub(started);
+        assert!(waited < Duration::from_millis(1_500), "{waited:?}");
+        let late = Engine::start(&system.store, "e9", "model", Some("card"));
+        system
+            .wait_until("the new engine is ordered", || !late.orders().is_empty())
+            .await;
+        assert!(fence(&late) > former_fence);
+    });
+}
+
 /// Guards against a directory that returns a dead host.
 #[test]
 fn the_directory_returns_serving_hosts() {
