Wait for a crashed engine before cards give up layers for it

Cause: 1 s after a crash the planner moved up to four cards that hold layers to the crashed engine's.

Change: for 5 s after an engine was seen to refuse connections it counts as a holder when cards are moved, unless no zone holds its layers. Engines that fall silent, drain or are no longer listed are replaced as before.

The first form of the new tests failed before: cards were moved at once. tests/plan.rs has five for this.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -108,6 +108,16 @@
     moves
 }
 
+/// Whether each layer has a holder in some zone.
+#[must_use]
+pub fn is_whole(model: &Model, cards: &[Card]) -> bool {
+    let held = |layer: u32| {
+        let mut ranges = cards.iter().filter_map(|card| card.layers);
+        ranges.any(|range| range.start() <= layer && layer < range.end())
+    };
+    (0..model.layers).all(held)
+}
+
 /// Finds up to `max_moves` moves of cards that hold layers, best first. Each is evaluated as if the moves before it
 /// were complete.
 #[must_use]
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -22,6 +22,10 @@
 /// Time after which an engine that cannot take an order is asked again.
 const RECHECK_DELAY: Duration = Duration::from_secs(1);
 
+/// Time for which no card gives up layers for those of a crashed engine, if some zone holds them. It is
+/// started again within seconds, while a card that gives up layers accepts nothing until its streams have ended.
+const REPLACEMENT_TIME: Duration = Duration::from_secs(5);
+
 /// Interval between searches for better placements of cards that hold layers.
 const REBALANCE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -37,6 +41,8 @@
     pending: HashMap<id::Server, Pending>,
     /// Engines that cannot take an order at the moment.
     unavailable: HashMap<id::Server, Unavailable>,
+    /// Crashed engines that may be started again, with the time at which the crash became known.
+    crashed: Vec<(Arc<Server>, Duration)>,
     /// Time of the last search for better placements.
     last_rebalance: Duration,
 }
@@ -107,6 +113,29 @@
         overdue.filter_map(|(id, _)| find(id).cloned()).collect()
     }
 
+    /// Records the listed engines that refuse connections.
+    pub fn record_crashes(
+        &mut self,
+        crashed: &[Arc<Server>],
+        servers: &[Arc<Server>],
+        now: Duration,
+    ) {
+        let is_known = |known: &[(Arc<Server>, Duration)], id: &id::Server| {
+            known.iter().any(|(server, _)| &server.id == id)
+        };
+        for server in crashed {
+            if !is_known(&self.crashed, &server.id) {
+                self.crashed.push((Arc::clone(server), now));
+            }
+        }
+        self.crashed.retain(|(known, at)| {
+            let is_same = |server: &Arc<Server>| server.id == known.id;
+            let is_back = |server: &Arc<Server>| is_same(server) || server.address == known.address;
+            let is_recent = now < *at + REPLACEMENT_TIME;
+            crashed.iter().any(is_same) || (is_recent && !servers.iter().any(is_back))
+        });
+    }
+
     /// Returns the next orders. They may be sent to engines whose reports were recorded at `now`.
     pub fn propose(&mut self, model: &Model, servers: &[Arc<Server>], now: Duration) -> Vec<Move> {
         let cards = self.cards(servers);
@@ -114,12 +143,24 @@
         let is_idle = moves.is_empty() && self.pending.is_empty() && self.unavailable.is_empty();
         let is_same_round = now == self.last_rebalance;
         if is_idle && (is_same_round || now > self.last_rebalance + REBALANCE_INTERVAL) {
-            moves.extend(placement::best_moves(model, &cards, MAX_CONCURRENT_MOVES));
+            moves.extend(self.rebalance(model, cards, now));
             self.last_rebalance = now;
         }
         moves
     }
 
+    /// Moves of cards that hold layers. Crashed engines count as holders for a while if all layers have others.
+    fn rebalance(&self, model: &Model, mut cards: Vec<Card>, now: Duration) -> Vec<Move> {
+        if placement::is_whole(model, &cards) {
+            let recent = self
+                .crashed
+                .iter()
+                .filter(|(_, at)| now < *at + REPLACEMENT_TIME);
+            cards.extend(recent.filter_map(|(server, _)| card(server, server.layers, false)));
+        }
+        placement::best_moves(model, &cards, MAX_CONCURRENT_MOVES)
+    }
+
     /// Records what an engine reported; `None` when it did not respond. Returns the target of an order that had no effect.
     pub fn record_report(
         &mut self,
@@ -190,20 +231,25 @@
         let cards = servers.iter().filter_map(|server| {
             let target = self.pending.get(&server.id).map(|order| order.target);
             let unavailable = self.unavailable.get(&server.id);
-            Some(Card {
-                server: server.id.clone(),
-                zone: server.zone.clone(),
-                accelerator: server.accelerator.clone()?,
-                layers: target
-                    .or(unavailable.and_then(|engine| engine.layers))
-                    .or(server.layers),
-                is_available: unavailable.is_none(),
-            })
+            let layers = target
+                .or(unavailable.and_then(|engine| engine.layers))
+                .or(server.layers);
+            card(server, layers, unavailable.is_none())
         });
         cards.collect()
     }
 }
 
+fn card(server: &Server, layers: Option<layer::Range>, is_available: bool) -> Option<Card> {
+    Some(Card {
+        server: server.id.clone(),
+        zone: server.zone.clone(),
+        accelerator: server.accelerator.clone()?,
+        layers,
+        is_available,
+    })
+}
+
 fn load_time(model: &Model, target: layer::Range) -> Duration {
     let share = f64::from(target.count()) / f64::from(model.layers);
     Duration::try_from_secs_f64(model.load_s * share * 2.0).unwrap_or_default()
--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -21,13 +21,13 @@
 fn placed_servers(model: &Model) -> Vec<Arc<Server>> {
     let cards = fleet::usual_cards();
     let moves = agatemill_fleet::placement::fill(model, &cards);
-    let servers = cards.into_iter().map(|card| {
+    let servers = cards.into_iter().zip(1..).map(|(card, number)| {
         let order = moves.iter().find(|order| order.server == card.server);
         Arc::new(Server {
             key: tally::Key::from(&card.server),
             born_ms: 1,
             service: "model".parse().unwrap(),
-            address: "10.0.0.1:80".parse().unwrap(),
+            address: core::net::SocketAddrV4::new([10, 0, 0, number].into(), 80),
             zone: card.zone,
             state: State::Ready,
             slots: 192,
@@ -162,3 +162,81 @@
     plan.refresh(&servers, LATER);
     assert_eq!(plan.propose(&model, &servers, LATER).len(), 2);
 }
+
+/// Removes an engine and returns it.
+fn take(servers: &mut Vec<Arc<Server>>, name: &str) -> Arc<Server> {
+    let position = servers.iter().position(|server| server.id.as_str() == name);
+    servers.remove(position.unwrap())
+}
+
+/// Guards against cards that give up layers, and accept nothing for as long as their streams last, shortly before a crashed
+/// engine is back.
+#[test]
+fn cards_that_hold_layers_stay_while_a_crashed_engine_may_return() {
+    let model = fleet::model();
+    let mut servers = placed_servers(&model);
+    let crashed = take(&mut servers, "large-b-0");
+    let mut plan = Plan::default();
+    plan.record_crashes(core::slice::from_ref(&crashed), &servers, NOW);
+    assert_eq!(plan.propose(&model, &servers, NOW), []);
+    let removed = NOW + Duration::from_secs(3);
+    plan.record_crashes(&[], &servers, removed);
+    assert_eq!(plan.propose(&model, &servers, removed), []);
+    let late = NOW + Duration::from_secs(6);
+    plan.record_crashes(&[], &servers, late);
+    assert_ne!(plan.propose(&model, &servers, late), []);
+}
+
+/// Guards against layers that stay missing while the platform goes on listing an engine that ended for good.
+#[test]
+fn an_engine_that_stays_listed_after_a_crash_is_replaced() {
+    let model = fleet::model();
+    let mut servers = placed_servers(&model);
+    let crashed = [take(&mut servers, "large-b-0")];
+    let mut plan = Plan::default();
+    plan.record_crashes(&crashed, &servers, NOW);
+    let late = NOW + Duration::from_secs(6);
+    plan.record_crashes(&crashed, &servers, late);
+    assert_ne!(plan.propose(&model, &servers, late), []);
+}
+
+/// Guards against layers that stay missing as long as any engine crashes now and then.
+#[test]
+fn the_crash_of_another_engine_does_not_delay_a_move() {
+    let model = fleet::model();
+    let mut servers = placed_servers(&model);
+    let mut plan = Plan::default();
+    let crashed = take(&mut servers, "large-b-0");
+    plan.record_crashes(&[crashed], &servers, NOW);
+    let late = NOW + Duration::from_secs(6);
+    let another = take(&mut servers, "middle-c-0");
+    plan.record_crashes(&[another], &servers, late);
+    assert_ne!(plan.propose(&model, &servers, late), []);
+}
+
+/// Guards against layers that stay missing after an engine left for good.
+#[test]
+fn the_layers_of_an_engine_that_leaves_are_moved_at_once() {
+    let model = fleet::model();
+    let mut servers = placed_servers(&model);
+    let mut plan = Plan::default();
+    plan.refresh(&servers, NOW);
+    take(&mut servers, "large-b-0");
+    plan.refresh(&servers, NOW);
+    assert_ne!(plan.propose(&model, &servers, NOW), []);
+}
+
+/// Guards against streams that no engine can serve until a lost one is back.
+#[test]
+fn layers_without_any_holder_are_moved_at_once() {
+    let model = fleet::model();
+    let servers = placed_servers(&model);
+    let mut plan = Plan::default();
+    plan.refresh(&servers, NOW);
+    let is_first = |layers: layer::Range| layers.start() == 0;
+    let (crashed, servers): (Vec<_>, Vec<_>) = servers
+        .into_iter()
+        .partition(|server| server.layers.is_some_and(is_first));
+    plan.record_crashes(&crashed, &servers, NOW);
+    assert_ne!(plan.propose(&model, &servers, NOW), []);
+}
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -10,6 +10,7 @@
 use agatemill_core::id;
 use agatemill_core::layer;
 use agatemill_core::number::Fence;
+use agatemill_fleet::Evidence;
 use agatemill_fleet::Model;
 use agatemill_fleet::Plan;
 use agatemill_fleet::Server;
@@ -60,8 +61,9 @@
             continue;
         }
         for (service, model, servers) in fleets(&state) {
-            let servers = exclude_lost(&state, servers, now).await;
+            let (servers, crashed) = exclude_lost(&state, servers, now).await;
             let plan = plans.entry(service).or_default();
+            plan.record_crashes(&crashed, &servers, now);
             if !is_settled && plan.is_mostly_empty(&servers) {
                 continue;
             }
@@ -202,21 +204,21 @@
     models.collect()
 }
 
-/// Returns the engines without the lost ones. The platform lists an engine for some seconds after its loss,
+/// Returns the engines without the lost ones, and the lost ones that refuse connections. The platform lists an engine for some seconds after its loss,
 /// while its layers are missing at once. An engine counts as lost if requests observed that it has ended, or that it was
 /// silent for longer than sound engines are, and it does not respond to the planner's status query either.
 async fn exclude_lost(
     state: &Arc<State>,
     servers: Vec<Arc<Server>>,
     now: Duration,
-) -> Vec<Arc<Server>> {
+) -> (Vec<Arc<Server>>, Vec<Arc<Server>>) {
     let suspects: Vec<Arc<Server>> = {
         let suspicion = state.suspicion();
         let is_suspect = |server: &&Arc<Server>| suspicion.is_presumed_lost(&server.address, now);
         servers.iter().filter(is_suspect).cloned().collect()
     };
     if suspects.len() * LOST_SHARE_DIVISOR > servers.len() {
-        return servers;
+        return (servers, Vec::new());
     }
     let reports = suspects.into_iter().map(async |server| {
         match engine::report(&state.pooled, server.address, CALL_TIMEOUT).await {
@@ -226,14 +228,16 @@
             }
             Err(error) => {
                 log::debug!(server:% = server.id, error:%; "planner: no report from a suspected engine");
-                Some(server)
+                Some((server, error.evidence() == Some(Evidence::Refused)))
             }
         }
     });
     let lost = futures::future::join_all(reports).await;
-    let lost: Vec<Arc<Server>> = lost.into_iter().flatten().collect();
-    let is_present = |server: &Arc<Server>| !lost.iter().any(|lost| lost.id == server.id);
-    servers.into_iter().filter(is_present).collect()
+    let lost: Vec<(Arc<Server>, bool)> = lost.into_iter().flatten().collect();
+    let is_present = |server: &Arc<Server>| !lost.iter().any(|(lost, _)| lost.id == server.id);
+    let present = servers.into_iter().filter(is_present).collect();
+    let crashed = lost.into_iter().filter(|(_, has_crashed)| *has_crashed);
+    (present, crashed.map(|(server, _)| server).collect())
 }
 
 async fn execute(
