Move layers that no zone holds while other engines are away

Cause: cards that hold layers were moved only while no order was pending, and since the reports come first, while no engine was left out of the plan. An engine that is listed and refuses connections, or a load of other layers, delayed these moves until the store was away.

Change: layers that no engine holds or loads are moved at once; an engine that does not respond delays no move; an engine with a pending order is never moved.

Failed before: both tests `layers_without_any_holder_are_moved_while_another_engine_does_not_respond` and `..._loads`.

--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -61,6 +61,8 @@
 #[derive(Clone, Debug)]
 struct Unavailable {
     layers: Option<layer::Range>,
+    /// Whether it responded.
+    has_reported: bool,
     until: Duration,
 }
 
@@ -140,15 +142,21 @@
     pub fn propose(&mut self, model: &Model, servers: &[Arc<Server>], now: Duration) -> Vec<Move> {
         let cards = self.cards(servers);
         let mut moves = placement::fill(model, &cards);
-        let is_idle = moves.is_empty() && self.pending.is_empty() && self.unavailable.is_empty();
+        let is_idle = moves.is_empty() && self.pending.is_empty() && !self.has_busy_engines();
+        let is_whole = placement::is_whole(model, &cards);
         let is_same_round = now == self.last_rebalance;
-        if is_idle && (is_same_round || now > self.last_rebalance + REBALANCE_INTERVAL) {
+        let is_due = is_same_round || now > self.last_rebalance + REBALANCE_INTERVAL;
+        if is_due && (is_idle || !is_whole) {
             moves.extend(self.rebalance(model, cards, now));
             self.last_rebalance = now;
         }
         moves
     }
 
+    fn has_busy_engines(&self) -> bool {
+        self.unavailable.values().any(|engine| engine.has_reported)
+    }
+
     /// Moves of cards that hold layers. Crashed engines count as holders for a while if all layers have others.
     fn rebalance(&self, model: &Model, mut cards: Vec<Card>, now: Duration) -> Vec<Move> {
         if placement::is_whole(model, &cards) {
@@ -168,6 +176,7 @@
         report: Option<Report>,
         now: Duration,
     ) -> Option<layer::Range> {
+        let has_reported = report.is_some();
         let report = report.unwrap_or(Report {
             is_busy: true,
             layers: server.layers,
@@ -182,6 +191,7 @@
         if report.is_busy || report.layers != server.layers {
             let engine = Unavailable {
                 layers: report.layers.or(server.layers),
+                has_reported,
                 until: now + RECHECK_DELAY,
             };
             self.unavailable.insert(server.id.clone(), engine);
@@ -234,7 +244,7 @@
             let layers = target
                 .or(unavailable.and_then(|engine| engine.layers))
                 .or(server.layers);
-            card(server, layers, unavailable.is_none())
+            card(server, layers, self.can_order(&server.id))
         });
         cards.collect()
     }
--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -9,6 +9,7 @@
 use agatemill_fleet::Model;
 use agatemill_fleet::Plan;
 use agatemill_fleet::Server;
+use agatemill_fleet::placement::Move;
 use agatemill_fleet::plan::Receipt;
 use agatemill_fleet::plan::Report;
 use agatemill_fleet::server::State;
@@ -240,3 +241,37 @@
     plan.record_crashes(&crashed, &servers, NOW);
     assert_ne!(plan.propose(&model, &servers, NOW), []);
 }
+
+/// Guards against streams that no engine can serve because the planner waits for an engine that has ended.
+#[test]
+fn layers_without_any_holder_are_moved_while_another_engine_does_not_respond() {
+    let model = fleet::model();
+    let mut servers = placed_servers(&model);
+    let empty = set_layers(&mut servers, "slow-c-0", None);
+    let is_first = |layers: layer::Range| layers.start() == 0;
+    servers.retain(|server| !server.layers.is_some_and(is_first));
+    let mut plan = Plan::default();
+    plan.refresh(&servers, NOW);
+    plan.record_report(&empty, None, NOW);
+    let moves = plan.propose(&model, &servers, NOW);
+    let start = |order: &Move| order.target.start();
+    assert!(moves.iter().any(|order| start(order) == 0), "{moves:?}");
+}
+
+/// Guards against streams that no engine can serve because the planner waits for a load of other layers.
+#[test]
+fn layers_without_any_holder_are_moved_while_another_engine_loads() {
+    let model = fleet::model();
+    let mut servers = placed_servers(&model);
+    let empty = set_layers(&mut servers, "slow-c-0", None);
+    let is_first = |layers: layer::Range| layers.start() == 0;
+    servers.retain(|server| !server.layers.is_some_and(is_first));
+    let mut plan = Plan::default();
+    plan.refresh(&servers, NOW);
+    let other = layer::Range::new(40, 49).unwrap();
+    plan.record_order(&model, &empty, other, NOW);
+    let moves = plan.propose(&model, &servers, NOW);
+    let start = |order: &Move| order.target.start();
+    assert!(moves.iter().any(|order| start(order) == 0), "{moves:?}");
+    assert!(!moves.iter().any(|order| order.server == empty.id));
+}
