Do not move cards for layers that an empty engine is about to take

Since cards are moved while empty engines get orders, if no zone holds some layers; the layers of these orders did not count yet. `no_card_gives_up_layers_that_an_empty_engine_takes` failed before: four cards were moved beside the empty engine. Found by reading; no play showed it.

--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -140,8 +140,14 @@
 
     /// Returns the next orders. They may be sent to engines whose reports were recorded at `now`.
     pub fn propose(&mut self, model: &Model, servers: &[Arc<Server>], now: Duration) -> Vec<Move> {
-        let cards = self.cards(servers);
+        let mut cards = self.cards(servers);
         let mut moves = placement::fill(model, &cards);
+        for order in &moves {
+            for card in cards.iter_mut().filter(|card| card.server == order.server) {
+                card.layers = Some(order.target);
+                card.is_available = false;
+            }
+        }
         let is_idle = moves.is_empty() && self.pending.is_empty() && !self.has_busy_engines();
         let is_whole = placement::is_whole(model, &cards);
         let is_same_round = now == self.last_rebalance;
--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -275,3 +275,24 @@
     assert!(moves.iter().any(|order| start(order) == 0), "{moves:?}");
     assert!(!moves.iter().any(|order| order.server == empty.id));
 }
+
+/// Guards against cards that give up layers although an empty engine takes those that nobody holds.
+#[test]
+fn no_card_gives_up_layers_that_an_empty_engine_takes() {
+    let model = fleet::model();
+    let mut servers = placed_servers(&model);
+    let first = servers
+        .iter()
+        .find(|server| server.id.as_str() == "large-b-0");
+    let range = first.unwrap().layers.unwrap();
+    // One engine of each zone would hold the layers; only the empty one is left for them.
+    let overlaps =
+        |layers: layer::Range| layers.start() < range.end() && range.start() < layers.end();
+    servers
+        .retain(|server| server.id.as_str() == "large-b-0" || !server.layers.is_some_and(overlaps));
+    let empty = set_layers(&mut servers, "large-b-0", None);
+    let mut plan = Plan::default();
+    let moves = plan.propose(&model, &servers, NOW);
+    let targets: Vec<_> = moves.iter().map(|order| &order.server).collect();
+    assert_eq!(targets, [&empty.id]);
+}
