--- a/crates/gateway/tests/all/hosts.rs
+++ b/crates/gateway/tests/all/hosts.rs
@@ -136,6 +136,33 @@
     });
 }
 
+/// Guards against seconds without a planner after the leader's process was restarted, since its lease outlasts it.
+#[test]
+fn a_restarted_leader_leads_again_before_its_former_lease_ends() {
+    run_test(2, |mut system| async move {
+        let fence = |engine: &Engine| engine.orders().last().unwrap()["fence"].as_u64().unwrap();
+        let former_fence = fence(&system.engines[0]);
+        let leader = |system: &System| system.store.value("agatemill/planner");
+        let former = leader(&system).unwrap();
+        let started = agatemill_runtime::now();
+        system.process = agatemill_gateway::Process::start(settings("h1", system.store_address))
+            .await
+            .unwrap();
+        let is_replaced =
+            || leader(&system).is_some_and(|name| name != former && name.starts_with("h1-"));
+        system
+            .wait_until("the new process leads", is_replaced)
+            .await;
+        let waited = agatemill_runtime::now().saturating_sub(started);
+        assert!(waited < Duration::from_millis(1_500), "{waited:?}");
+        let late = Engine::start(&system.store, "e9", "model", Some("card"));
+        system
+            .wait_until("the new engine is ordered", || !late.orders().is_empty())
+            .await;
+        assert!(fence(&late) > former_fence);
+    });
+}
+
 /// Guards against a directory that returns a dead host.
 #[test]
 fn the_directory_returns_serving_hosts() {
@@ -229,6 +256,42 @@
     });
 }
 
+/// Guards against a new planner that lets an engine load other layers because its entry lists none while it loads those that
+/// the former planner ordered, nor for a moment afterwards.
+#[test]
+fn a_new_planner_keeps_the_layers_that_an_engine_loads() {
+    run_test(3, |system| async move {
+        let (single, others) = unbalanced_fleet(&system).await;
+        let late = Engine::start(&system.store, "e9", "model", Some("card"));
+        late.set_behaviour(Behaviour::LoadUntilCompleted);
+        let is_ordered = || !late.orders().is_empty();
+        system
+            .wait_until("the new engine is ordered", is_ordered)
+            .await;
+        let from = |engine: &Engine| engine.orders().last().unwrap()["from"].clone();
+        assert_eq!(from(&late), from(&single));
+        // The other layers now have as few holders, so that a planner without knowledge of the order chooses them.
+        system.store.remove(&format!("servers/{}", others[0].id));
+        let second = settings("h2", system.store_address);
+        let process = agatemill_gateway::Process::start(second).await.unwrap();
+        let listed = || system.store.value("agatemill/hosts/h2").is_some();
+        system.wait_until("the second host is listed", listed).await;
+        let state = system.process.state().clone();
+        state.set_stage(agatemill_gateway::state::Stage::Closing);
+        let leader = || system.store.value("agatemill/planner").unwrap_or_default();
+        system
+            .wait_until("the second host leads", || leader().starts_with("h2-"))
+            .await;
+        agatemill_runtime::sleep(Duration::from_secs(1)).await;
+        late.complete_load();
+        agatemill_runtime::sleep(Duration::from_millis(1_500)).await;
+        late.list_layers();
+        agatemill_runtime::sleep(Duration::from_millis(1_500)).await;
+        assert_eq!(late.orders().len(), 1, "{:?}", late.orders());
+        drop(process);
+    });
+}
+
 /// Waits for a fleet in which one engine holds one half of the layers and two hold the other. Returns the single
 /// holder, and the other two.
 async fn unbalanced_fleet(system: &System) -> (Engine, Vec<Engine>) {
