Let all streams that wait for a silent engine share one report query

What callers saw: 504 at the deadline, or a stream that its caller gave up, although other engines could have continued it, when many streams of a host waited for one engine that fell silent.

Cause: the result of a query is kept for 80 ms, counted from the start of the query. A query without a response takes 350 ms, so its result was too old for those who had waited for it, and each of them asked again, one after the other. The 12th stream of a silent engine learned of the silence after some 4 s. Each query is priced, too.

Ruled out: want of room or of retries (the same test passes with the change alone).

Change: a result also serves those who asked before the query ended.

Failed before: `all_streams_of_a_silent_engine_continue_at_another_one_in_time` (504 deadline_exceeded, two runs of two).

--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -32,7 +32,7 @@
 /// Interval between queries of engines that are silent, which show that they respond again.
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Cached report or failure, with the time of the query.
+/// Cached report or failure, with the end of the query.
 type Cached = Arc<smol::lock::Mutex<Option<(Duration, Result<Arc<Report>, engine::Failure>)>>>;
 
 /// Cache of engine reports, shared by all requests that wait for the same engine.
@@ -51,17 +51,17 @@
             let mut engines = self.engines.lock().unwrap_or_else(PoisonError::into_inner);
             Arc::clone(engines.entry(address).or_default())
         };
+        let asked_at = agatemill_runtime::now();
         let mut slot = slot.lock().await;
-        let now = agatemill_runtime::now();
-        if let Some((queried_at, result)) = &*slot
-            && now < *queried_at + MAX_REPORT_AGE
+        if let Some((ended_at, result)) = &*slot
+            && asked_at < *ended_at + MAX_REPORT_AGE
         {
             return result.clone();
         }
         let result = engine::report(http, address, REPORT_TIMEOUT)
             .await
             .map(Arc::new);
-        *slot = Some((now, result.clone()));
+        *slot = Some((agatemill_runtime::now(), result.clone()));
         result
     }
 }
--- a/crates/gateway/tests/all/silence.rs
+++ b/crates/gateway/tests/all/silence.rs
@@ -175,3 +175,26 @@
         assert!(taken < Duration::from_secs(1), "{taken:?}");
     });
 }
+
+/// Guards against streams of a silent engine that wait for the report queries of each other.
+#[test]
+fn all_streams_of_a_silent_engine_continue_at_another_one_in_time() {
+    run_test(4, |system| async move {
+        assert_eq!(system.send("draft", "a0").await.status, 200);
+        let mut engines = system.engines.iter();
+        let silent = engines.find(|engine| !engine.arrivals().is_empty());
+        let silent = silent.unwrap();
+        silent.pause(Duration::from_secs(6));
+        let start = agatemill_runtime::now();
+        let attempts: Vec<String> = (1..=24).map(|number| format!("a{number}")).collect();
+        let sending = attempts.iter().map(|attempt| system.send("draft", attempt));
+        for response in futures::future::join_all(sending).await {
+            assert_eq!(response.status, 200, "{response:?}");
+            assert_eq!(response.body, complete_stream());
+        }
+        let taken = agatemill_runtime::now().saturating_sub(start);
+        assert!(taken < Duration::from_secs(2), "{taken:?}");
+        let silenced = silent.arrivals().len();
+        assert!(silenced > 4, "{silenced} streams met the silent engine");
+    });
+}
