Do not take an extra rejection of another request for one's own

What callers saw: a stream that may run once was refused with 503, which promises that it has not run, although its engine had received it and served it.

Cause: an engine may send an extra response late, where the next response of the connection is due. Its attempt id was checked only after status 421 and X-Not-Executed, so a late rejection of an earlier request counted as that of the new one. The request was then sent again or refused with a promise.

Ruled out: calls that may run once, since each opens a connection of its own.

Change: a response that names another attempt states nothing about this one. Without an id, 421 and X-Not-Executed hold as before.

Before: an_extra_rejection_of_another_request_does_not_repeat_a_stream failed with "503 Service Unavailable after 1 runs". It does not run twice in that test only because the engine is avoided for longer than the request waits for a path. After: it passes, and only_stated_refusals_are_not_run has both cases.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -377,13 +377,14 @@
         .await
         .unwrap_or(Err(agatemill_http::Error::TimedOut));
     drop(reservation);
+    let attempt = &job.parameters.attempt;
     if let Ok(response) = &result {
         state.record_response(server.address);
         throttle::observe(state, &server.id, response.headers(), sent);
-        to.observe(state, &job.parameters.attempt, response);
+        to.observe(state, attempt, response);
     }
     match result {
-        Ok(response) if header::is_not_run(response.status(), response.headers()) => {
+        Ok(response) if header::is_not_run(attempt, response.status(), response.headers()) => {
             if response.status() == StatusCode::MISDIRECTED_REQUEST {
                 state.avoid(
                     server.address,
@@ -393,7 +394,7 @@
             }
             Attempt::NotRun(Cause::Rejected)
         }
-        Ok(response) if !header::is_answer_to(&job.parameters.attempt, response.headers()) => {
+        Ok(response) if !header::is_answer_to(attempt, response.headers()) => {
             state.metrics.count_dropped_answer("other_attempt");
             Attempt::Unknown(Cause::ConnectionLost)
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -326,7 +326,7 @@
         if let Some(server) = &self.server {
             backoff::observe(&self.state, server, response.status(), response.headers());
         }
-        if header::is_not_run(response.status(), response.headers()) {
+        if header::is_not_run(attempt, response.status(), response.headers()) {
             let faulty = header::faulty_server(response.headers()).unwrap_or(first.address);
             if faulty != first.address || !self.is_backing_off() {
                 self.state
@@ -338,7 +338,7 @@
             self.state.metrics.count_dropped_answer("unsealed");
             return Step::Unknown(Cause::ConnectionLost);
         }
-        if !header::is_answer_to(&self.job.parameters.attempt, response.headers()) {
+        if !header::is_answer_to(attempt, response.headers()) {
             self.state.metrics.count_dropped_answer("other_attempt");
             return Step::Unknown(Cause::ConnectionLost);
         }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod hosts;
 mod leaving;
 mod quarantine;
+mod reused;
 mod runs;
 mod serving;
 mod silence;
--- a/crates/gateway/tests/all/system.rs
+++ b/crates/gateway/tests/all/system.rs
@@ -8,7 +8,9 @@
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::StatusCode;
+use serde_json::json;
 
+use agatemill_core::id;
 use agatemill_gateway::Process;
 use agatemill_gateway::Settings;
 use agatemill_standin::Engine;
@@ -98,7 +100,7 @@
 
     /// Waits until this host's view lists layers for every engine.
     pub async fn wait_for_layers(&self) {
-        let name: agatemill_core::id::Service = "model".parse().unwrap();
+        let name: id::Service = "model".parse().unwrap();
         self.wait_until("the view lists the layers", || {
             let view = self.process.state().view();
             let servers = view.servers(&name);
@@ -214,4 +216,23 @@
             .filter(|arrival| arrival.attempt == attempt)
             .count()
     }
+
+    /// Gives a server the address of another process and waits until the host knows it.
+    pub async fn move_server(&self, server: &Engine, service: &str, address: SocketAddrV4) {
+        server.set_entry("address", json!(address.to_string()));
+        let service: id::Service = service.parse().unwrap();
+        self.wait_until("the new address is known", || {
+            let view = self.process.state().view();
+            let mut servers = view.servers(&service).iter();
+            servers.any(|server| server.address == address)
+        })
+        .await;
+    }
+
+    /// The engine with the first layers.
+    pub fn first_engine(&self) -> &Engine {
+        let mut engines = self.engines.iter();
+        let first = engines.find(|engine| engine.orders().last().unwrap()["from"] == 0);
+        first.unwrap()
+    }
 }
--- a/crates/gateway/tests/all/unframed.rs
+++ b/crates/gateway/tests/all/unframed.rs
@@ -1,17 +1,11 @@
 //! Responses that have neither a length nor chunks and end with their connection.
 
-use core::net::SocketAddrV4;
 use core::sync::atomic::AtomicUsize;
 use core::sync::atomic::Ordering;
 use std::sync::Arc;
 
-use serde_json::json;
-
 use crate::complete_stream;
 use crate::run_test;
-use crate::system::System;
-use agatemill_core::id;
-use agatemill_standin::Engine;
 use agatemill_standin::engine::EVENTS;
 use agatemill_standin::http;
 use agatemill_standin::http::End;
@@ -22,26 +16,6 @@
     (first..end).map(event).collect()
 }
 
-/// Gives a server the address of another process and waits until the host knows it.
-async fn move_server(system: &System, server: &Engine, service: &str, address: SocketAddrV4) {
-    server.set_entry("address", json!(address.to_string()));
-    let service: id::Service = service.parse().unwrap();
-    system
-        .wait_until("the new address is known", || {
-            let view = system.process.state().view();
-            let mut servers = view.servers(&service).iter();
-            servers.any(|server| server.address == address)
-        })
-        .await;
-}
-
-/// The engine with the first layers.
-fn first_engine(system: &System) -> &Engine {
-    let mut engines = system.engines.iter();
-    let first = engines.find(|engine| engine.orders().last().unwrap()["from"] == 0);
-    first.unwrap()
-}
-
 /// Guards against streams that lose their end, or repeat events, because the first run ends inside an event or is reset.
 #[test]
 fn only_a_stream_that_is_closed_between_events_is_complete() {
@@ -73,7 +47,9 @@
             };
             let respond = Arc::new(respond);
             let address = http::serve_unframed(move |last_event| respond(last_event));
-            move_server(&system, first_engine(&system), "model", address).await;
+            system
+                .move_server(system.first_engine(), "model", address)
+                .await;
             let response = system.send("draft", &format!("a{number}")).await;
             assert_eq!(response.body, complete_stream(), "{name}");
             assert!(response.is_complete, "{name}");
@@ -86,7 +62,9 @@
 fn a_reset_stream_that_cannot_be_resumed_is_incomplete() {
     run_test(2, |system| async move {
         let address = http::serve_unframed(|_| (events(0, 3), End::Reset));
-        move_server(&system, first_engine(&system), "model", address).await;
+        system
+            .move_server(system.first_engine(), "model", address)
+            .await;
         let response = system.send("once", "a1").await;
         assert_eq!(response.body, events(0, 3));
         assert!(!response.is_complete);
@@ -99,7 +77,7 @@
     run_test(2, |system| async move {
         for server in &system.services {
             let closed = http::serve_unframed(|_| ("done by raw".to_owned(), End::Close));
-            move_server(&system, server, "plain", closed).await;
+            system.move_server(server, "plain", closed).await;
         }
         let response = system.send("pay", "p1").await;
         assert_eq!(
@@ -107,13 +85,17 @@
             (200, "done by raw")
         );
         let reset = http::serve_unframed(|_| ("done by".to_owned(), End::Reset));
-        move_server(&system, &system.services[0], "plain", reset).await;
+        system
+            .move_server(&system.services[0], "plain", reset)
+            .await;
         for number in 0..6 {
             let response = system.send("read", &format!("r{number}")).await;
             assert_eq!(response.body, "done by raw");
         }
         let reset = http::serve_unframed(|_| ("done by".to_owned(), End::Reset));
-        move_server(&system, &system.services[1], "plain", reset).await;
+        system
+            .move_server(&system.services[1], "plain", reset)
+            .await;
         let response = system.send("pay", "p2").await;
         assert_eq!(response.status, 502);
     });
@@ -129,7 +111,9 @@
             counted.fetch_add(1, Ordering::Relaxed);
             (String::new(), End::Exit)
         });
-        move_server(&system, first_engine(&system), "model", address).await;
+        system
+            .move_server(system.first_engine(), "model", address)
+            .await;
         // Another engine has the first layers as well, and either is chosen.
         let mut number = 0;
         while runs.load(Ordering::Relaxed) == 0 {
