Send streams that may run once over new connections

What callers saw: a 502 for a stream that may run once, although its engine was sound and had not begun with it.

Cause: streams used kept connections. An engine may close an idle one while a request is on its way, most easily after a second in which the link was silent, and may send an extra response where the next one is due. In both cases it is unknown whether the request runs, so it may not be sent again. Calls that may run once already used new connections for this reason.

Ruled out: to honour the engine's Keep-Alive. It makes the close rarer, but a close that is on its way while the link is silent remains.

Change: State::client chooses by what the route allows. Streams that may be resumed keep the pool.

Before: a_stream_that_may_run_once_is_not_lost_with_a_kept_connection failed with status 502, "the engines did not answer".

Not measured: the price of these connections.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -356,12 +356,7 @@
 async fn fetch(state: &Arc<State>, job: &Job, server: &Server) -> Attempt {
     let reservation = Reservation::on_server(state, &server.id);
     let left = job.time_left(agatemill_runtime::now());
-    // Calls that run at most once use a new connection: a reused one may break without showing whether the call
-    // arrived.
-    let client = match job.route.kind {
-        route::Kind::Idempotent => &state.pooled,
-        _ => &state.unpooled,
-    };
+    let client = state.client(&job.route);
     let sent = clock::boot_time();
     let to = departure::Sent::new(state, &server.id, server.address);
     let exchange = async {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -167,7 +167,7 @@
             last_event,
         };
         let request = call::forward(job, first.address, overrides);
-        let client = state.pooled.clone();
+        let client = state.client(&job.route).clone();
         let (sender, receiver) = (Arc::clone(state), server.clone());
         let response = async move {
             let sending = client.send(request, left);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -30,6 +30,7 @@
 use agatemill_fleet::Link;
 use agatemill_fleet::Load;
 use agatemill_fleet::Quarantine;
+use agatemill_fleet::Route;
 use agatemill_fleet::Server;
 use agatemill_fleet::Suspicion;
 use agatemill_fleet::Throttle;
@@ -65,7 +66,7 @@
     /// Client with pooled connections to backend servers.
     pub pooled: agatemill_http::Client,
     /// Client that opens a new connection for each request.
-    pub unpooled: agatemill_http::Client,
+    unpooled: agatemill_http::Client,
     /// Cached reports of engines.
     pub reports: stall::Reports,
     /// Recent store changes for hosts that follow this one.
@@ -144,6 +145,17 @@
         }
     }
 
+    /// The client for requests of a route. Requests that run at most once use a new connection: a reused one may break
+    /// without showing whether the request arrived.
+    #[must_use]
+    pub fn client(&self, route: &Route) -> &agatemill_http::Client {
+        if route.is_repeatable() {
+            &self.pooled
+        } else {
+            &self.unpooled
+        }
+    }
+
     /// Returns the current settings.
     #[must_use]
     pub fn settings(&self) -> Arc<Settings> {
--- a/crates/gateway/tests/all/reused.rs
+++ b/crates/gateway/tests/all/reused.rs
@@ -48,3 +48,19 @@
         );
     });
 }
+
+/// Guards against a stream that may run once and fails at a sound engine, because the engine closed the connection while the
+/// request was on its way.
+#[test]
+fn a_stream_that_may_run_once_is_not_lost_with_a_kept_connection() {
+    run_test(2, |system| async move {
+        let address = http::serve_kept(|number, attempt| (number == 0).then(|| stream(attempt)));
+        system
+            .move_server(system.first_engine(), "model", address)
+            .await;
+        for attempt in ["a1", "a2", "a3"] {
+            let response = system.send("once", attempt).await;
+            assert_eq!(response.body, complete_stream(), "{response:?}");
+        }
+    });
+}
