Count a silence from the last response before it

What callers saw: nothing that was traced to it. Layers of a sound engine are moved, and cards that hold others accept nothing meanwhile, after a silence of 0.7 s where 1.7 s are meant.

Cause: a server that other engines wait for stays suspected when it responds, and kept the time of its first observation. From one second after that on, any further silence counted as a loss once the planner's query of 0.7 s failed too.

Change: a response begins the second anew.

Before: a_silence_that_has_ended_does_not_count_for_the_next_one failed at its first check, 0.1 s after the silence began.

--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -37,7 +37,7 @@
 /// A server that may be lost.
 #[derive(Clone, Copy, Debug)]
 struct Suspect {
-    /// First observation since the server responded.
+    /// First observation, or the last response after it.
     since: Duration,
     /// Time of the last refused connection.
     refused_at: Option<Duration>,
@@ -109,6 +109,7 @@
         let Some(suspect) = self.suspects.get_mut(address) else {
             return false;
         };
+        suspect.since = now;
         suspect.refused_until = Duration::ZERO;
         suspect.silent_until = Duration::ZERO;
         let is_cleared = suspect.awaited_until <= now;
--- a/crates/fleet/tests/suspicion.rs
+++ b/crates/fleet/tests/suspicion.rs
@@ -119,6 +119,19 @@
     assert!(suspicion.is_avoided(&address(), ms(3_000)));
 }
 
+/// Guards against layers that move away from an engine that has just become silent, because it was silent before it
+/// responded.
+#[test]
+fn a_silence_that_has_ended_does_not_count_for_the_next_one() {
+    let mut suspicion = Suspicion::default();
+    suspicion.suspect(address(), Evidence::Awaited, ms(0));
+    suspicion.suspect(address(), Evidence::Silent, ms(0));
+    assert!(!suspicion.record_response(&address(), ms(1_400)));
+    suspicion.suspect(address(), Evidence::Silent, ms(1_500));
+    assert!(!suspicion.is_presumed_lost(&address(), ms(1_600)));
+    assert!(suspicion.is_presumed_lost(&address(), ms(2_500)));
+}
+
 /// Guards against a connection attempt that times out and counts as the end of the server.
 #[test]
 fn only_a_refused_connection_shows_an_end() {
