Use an engine again when streams that waited for it go on

What callers saw: 503 "some layers have no engine" for up to 4 s after an engine in the middle of paths had been silent for a second, although it went on and streams passed through it.

Cause: an engine that reports of first engines name as the one they wait for was avoided for 4 s. A response to this host does not end that, since the link between the engines may be cut, and nothing else did.

Ruled out: to clear it when a report no longer names the engine. Reports are some hundred milliseconds old, and a rerouted request is not named either.

Change: when a run that was stalled and could not be rerouted delivers events again, its path has passed through all of its engines, so none of them is suspected any longer. If a late report names one again, the next such run ends that too.

--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -119,6 +119,14 @@
         is_cleared
     }
 
+    /// Records that a run which waited for engines of its path delivers events again: they all respond, to each other as
+    /// well. Returns the engines that are no longer suspected.
+    pub fn record_progress(&mut self, path: &Path) -> Vec<SocketAddrV4> {
+        let addresses = path.parts().iter().map(|part| part.address);
+        let cleared = addresses.filter(|address| self.suspects.remove(address).is_some());
+        cleared.collect()
+    }
+
     /// Avoids a server for `time`, or longer when it was avoided recently. Returns for how long, or `None` when
     /// it is already being avoided.
     pub fn avoid(
--- a/crates/fleet/tests/suspicion.rs
+++ b/crates/fleet/tests/suspicion.rs
@@ -119,6 +119,21 @@
     assert!(suspicion.is_avoided(&address(), ms(3_000)));
 }
 
+/// Guards against engines that are avoided for seconds after the streams that waited for them have gone on.
+#[test]
+fn events_clear_what_other_engines_observed() {
+    let path = path();
+    let last = path.parts().last().unwrap().address;
+    let other = "10.1.0.1:8080".parse().unwrap();
+    let mut suspicion = Suspicion::default();
+    suspicion.suspect(last, Evidence::Awaited, ms(0));
+    suspicion.suspect(other, Evidence::Awaited, ms(0));
+    assert_eq!(suspicion.record_progress(&path), [last]);
+    assert_eq!(suspicion.standing(&path, ms(0), ms(1)), Standing::Sound);
+    assert!(!suspicion.is_avoided(&last, ms(1)));
+    assert!(suspicion.is_avoided(&other, ms(1)));
+}
+
 /// Guards against layers that move away from an engine that has just become silent, because it was silent before it
 /// responded.
 #[test]
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -202,10 +202,10 @@
     pub fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
         if let Poll::Ready(step) = self.poll_response(cx) {
             let was_silent = core::mem::take(&mut self.is_silent);
-            let responds =
-                matches!(step, Step::Head) || was_silent && matches!(step, Step::Events(_));
-            if responds {
-                self.state.record_response(self.path.first().address);
+            match &step {
+                Step::Head => self.state.record_response(self.path.first().address),
+                Step::Events(_) if was_silent => self.state.record_progress(&self.path),
+                _ => {}
             }
             return Poll::Ready(step);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! Shared state of the process.
 
+use core::net::SocketAddrV4;
 use core::sync::atomic::AtomicU8;
 use core::sync::atomic::AtomicUsize;
 use core::sync::atomic::Ordering;
@@ -29,6 +30,7 @@
 use agatemill_fleet::Headcount;
 use agatemill_fleet::Link;
 use agatemill_fleet::Load;
+use agatemill_fleet::Path;
 use agatemill_fleet::Quarantine;
 use agatemill_fleet::Route;
 use agatemill_fleet::Server;
@@ -315,7 +317,7 @@
     }
 
     /// Records an observation of a server that may be lost, and logs it.
-    pub fn suspect(&self, server: core::net::SocketAddrV4, evidence: Evidence) {
+    pub fn suspect(&self, server: SocketAddrV4, evidence: Evidence) {
         let now = agatemill_runtime::now();
         if self.suspicion().suspect(server, evidence, now) {
             let ms = u64::try_from(evidence::AVOIDANCE.as_millis()).unwrap_or(u64::MAX);
@@ -325,16 +327,28 @@
     }
 
     /// Records that a server responded, and logs if it was suspected.
-    pub fn record_response(&self, server: core::net::SocketAddrV4) {
+    pub fn record_response(&self, server: SocketAddrV4) {
         let now = agatemill_runtime::now();
         if self.suspicion().record_response(&server, now) {
-            log::info!(server:% = server; "servers: responds again");
-            self.metrics.count_event("servers", "responds_again");
+            self.log_response(server);
         }
     }
 
+    /// Records that a run which waited for engines of its path delivers events again, and logs which were suspected.
+    pub fn record_progress(&self, path: &Path) {
+        let cleared = self.suspicion().record_progress(path);
+        for server in cleared {
+            self.log_response(server);
+        }
+    }
+
+    fn log_response(&self, server: SocketAddrV4) {
+        log::info!(server:% = server; "servers: responds again");
+        self.metrics.count_event("servers", "responds_again");
+    }
+
     /// Avoids a server for new requests for `time` and logs the `reason`.
-    pub fn avoid(&self, server: core::net::SocketAddrV4, time: Duration, reason: &'static str) {
+    pub fn avoid(&self, server: SocketAddrV4, time: Duration, reason: &'static str) {
         let now = agatemill_runtime::now();
         if let Some(time) = self.suspicion().avoid(server, now, time) {
             let ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
--- a/crates/gateway/tests/all/silence.rs
+++ b/crates/gateway/tests/all/silence.rs
@@ -175,3 +175,34 @@
         assert!(taken < Duration::from_secs(1), "{taken:?}");
     });
 }
+
+/// Guards against requests that are refused for seconds because an engine, for which others have waited, is avoided although
+/// streams pass through it again.
+#[test]
+fn an_engine_that_streams_pass_through_again_is_used() {
+    run_test(2, |system| async move {
+        let first = system.first_engine();
+        let mut engines = system.engines.iter();
+        let second = engines.find(|engine| engine.id != first.id).unwrap();
+        first.set_behaviour(Behaviour::StallAfter(2));
+        first.set_stalled("a1", second.address);
+        let silence = async {
+            let is_suspected = || {
+                let now = agatemill_runtime::now();
+                let suspicion = system.process.state().suspicion();
+                suspicion.is_suspected(&second.address, now)
+            };
+            system
+                .wait_until("the second engine is suspected", is_suspected)
+                .await;
+            agatemill_runtime::sleep(Duration::from_millis(500)).await;
+            first.clear_stalled();
+            agatemill_runtime::sleep(Duration::from_millis(200)).await;
+            first.set_behaviour(Behaviour::Serve);
+        };
+        let (response, ()) = futures::join!(system.send("draft", "a1"), silence);
+        assert_eq!(response.body, complete_stream());
+        let response = system.send("draft", "a2").await;
+        assert_eq!(response.body, complete_stream(), "{response:?}");
+    });
+}
