Do not let a cut stream of an older HTTP version look complete

What callers saw: a stream that was cut ended like a whole one, if its engine answered in HTTP/1.0.

Cause: the version of the engine's head was passed on for streams. In HTTP/1.0 a body without a length ends with its connection, so the caller cannot tell a cut from the end. Calls already had the version of this host.

Ruled out: callers that speak HTTP/1.0 themselves; the platform names HTTP/1.1.

Change: one function makes the head for callers from that of a server, for calls, streams and error responses.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -213,11 +213,8 @@
 
 /// The response to the caller for a complete response of a server.
 fn caller_response(response: Response<Bytes>) -> Response<Body> {
-    let (mut head, body) = response.into_parts();
-    head.headers = header::end_to_end(&head.headers);
-    head.headers.remove(hyper::header::CONTENT_LENGTH);
-    head.version = hyper::Version::HTTP_11;
-    Response::from_parts(head, response::full(body))
+    let (head, body) = response.into_parts();
+    Response::from_parts(response::caller_head(head), response::full(body))
 }
 
 /// Returns a refusal if the deadline of the call has passed.
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -8,10 +8,14 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::Version;
+use hyper::header::CONTENT_LENGTH;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
+use hyper::http::response::Parts;
 
+use agatemill_adapter::header;
 use agatemill_core::Refusal;
 
 /// Response body. An error aborts the connection, so that the caller can tell that the body is incomplete.
@@ -39,6 +43,17 @@
     response
 }
 
+/// The head of the response to a caller for that of a backend server. The length is left to the HTTP library, since a
+/// resumed stream may differ from what its first engine stated. The version is that of this host: in older ones, a body that
+/// is cut off could look complete.
+#[must_use]
+pub fn caller_head(mut head: Parts) -> Parts {
+    head.headers = header::end_to_end(&head.headers);
+    head.headers.remove(CONTENT_LENGTH);
+    head.version = Version::HTTP_11;
+    head
+}
+
 /// The response to a request that this host refused or that failed.
 #[must_use]
 pub fn from_refusal(refusal: &Refusal) -> Response<Body> {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -115,10 +115,8 @@
     let job = Arc::new(job);
     let mut runs = Runs::new(state, &job, &model);
     match runs.next().await? {
-        Output::Head(mut head) => {
-            head.headers = header::end_to_end(&head.headers);
-            // A resumed stream may differ in length from what its first engine stated.
-            head.headers.remove(hyper::header::CONTENT_LENGTH);
+        Output::Head(head) => {
+            let head = response::caller_head(head);
             let relay = Relay::new(state, &job, runs, active);
             let frames = stream::unfold(relay, |mut relay| async move {
                 let next = relay.next().await?;
@@ -127,9 +125,8 @@
             let body = StreamBody::new(frames.boxed());
             Ok(Response::from_parts(head, body.boxed_unsync()))
         }
-        Output::Other(mut head, body) => {
-            head.headers = header::end_to_end(&head.headers);
-            head.headers.remove(hyper::header::CONTENT_LENGTH);
+        Output::Other(head, body) => {
+            let head = response::caller_head(head);
             let body = read_error(state, &job, body).await?;
             let time = agatemill_runtime::now().saturating_sub(job.arrived);
             state.metrics.end_request(Outcome::Complete, time);
--- a/crates/gateway/tests/all/unframed.rs
+++ b/crates/gateway/tests/all/unframed.rs
@@ -123,3 +123,21 @@
         }
     });
 }
+
+/// Guards against a part of a stream that passes for all of it because its engine speaks an older version of HTTP.
+#[test]
+fn a_cut_stream_of_an_older_version_is_incomplete() {
+    run_test(2, |system| async move {
+        let address = http::serve_kept(|_, attempt| {
+            let head = "HTTP/1.0 200 OK\r\nconnection: keep-alive\r\ncontent-length: 1000\r\nx-response-seal: raw";
+            let body = events(0, 3);
+            Some(format!("{head}\r\nx-attempt-id: {attempt}\r\n\r\n{body}"))
+        });
+        system
+            .move_server(system.first_engine(), "model", address)
+            .await;
+        let response = system.send("once", "a1").await;
+        assert_eq!(response.body, events(0, 3));
+        assert!(!response.is_complete);
+    });
+}
