Do not cut a begun stream because four paths rejected it

What callers saw: a stream that had begun was cut about 0.5 s after its engine ended, with seconds left, when the other engines were full or could not be reached for a moment.

Cause: four rejections end a request. A connection attempt that times out counts as one too, so the silence of a few engines had the same effect. A stream that has begun can only be cut then, while no path and no retry were already waited for.

Change: four rejections fail a request only before its response has begun. The end no longer moves with each rejection.

Before: a_stream_whose_engine_ends_waits_for_engines_that_reject_it failed, with two of six events. After: it passed three times with its module, and all 110 tests of the gateway passed (one run, load about 20).

--- a/crates/fleet/src/attempts.rs
+++ b/crates/fleet/src/attempts.rs
@@ -7,7 +7,8 @@
 /// Maximum number of engine losses in a request before it fails.
 const MAX_LOSSES: usize = 4;
 
-/// Maximum number of paths that reject a request, stating that they did not run it, before it fails.
+/// Maximum number of paths that reject a request, stating that they did not run it, or that are not reached, before it fails
+/// if no response has begun.
 const MAX_REJECTIONS: u32 = 4;
 
 /// Attempts to run one request of a caller, and their outcomes.
@@ -86,17 +87,21 @@
         self.runs.iter().filter(|run| run.is_lost).count()
     }
 
-    /// Whether no further attempt is allowed, given which servers the platform lists.
+    /// Whether no further run is allowed, given which servers the platform lists.
     #[must_use]
-    pub fn is_exhausted(
+    pub fn has_run_enough(
         &self,
         max_attempts: u32,
         is_listed: impl Fn(&id::Server, SocketAddrV4) -> bool,
     ) -> bool {
         let may_live = |run: &&Run| !run.is_lost || is_listed(&run.server, run.address);
         let runs = self.runs.iter().filter(may_live).count();
-        runs >= usize::try_from(max_attempts).unwrap_or(usize::MAX)
-            || self.losses() >= MAX_LOSSES
-            || self.rejections >= MAX_REJECTIONS
+        runs >= usize::try_from(max_attempts).unwrap_or(usize::MAX) || self.losses() >= MAX_LOSSES
+    }
+
+    /// Whether so many paths rejected the request that it fails if no response has begun.
+    #[must_use]
+    pub fn is_often_rejected(&self) -> bool {
+        self.rejections >= MAX_REJECTIONS
     }
 }
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -71,7 +71,7 @@
     longest_pause: Duration,
     /// Whether it was logged why no second run began.
     has_logged_obstacle: bool,
-    /// When the last run ended.
+    /// When the last run ended that may have begun.
     ended_at: Duration,
 }
 
@@ -248,6 +248,7 @@
             self.active[index].record_survival();
         } else if self.active[index].has_lost_engine().await {
             let run = self.active.remove(index);
+            self.ended_at = agatemill_runtime::now();
             self.attempts.record_loss(&run.path.first().server);
             self.replace(&run, Cause::ConnectionLost, "the engine crashed")?;
             return Ok(None);
@@ -263,6 +264,7 @@
         why: &'static str,
     ) -> Result<Option<Output>, Refusal> {
         let mut run = self.active.remove(index);
+        self.ended_at = agatemill_runtime::now();
         if run.has_lost_engine().await {
             self.attempts.record_loss(&run.path.first().server);
         }
@@ -343,27 +345,35 @@
             return Ok(());
         }
         let may_have_run = self.attempts.runs() > 0 && !self.job.route.is_repeatable();
-        if may_have_run || self.is_exhausted() {
+        let is_often_rejected = self.attempts.is_often_rejected();
+        if may_have_run || self.has_run_enough() || is_often_rejected && !self.is_awaited() {
             return Err(self.failure(cause));
         }
-        self.ended_at = agatemill_runtime::now();
-        self.search(Some(Purpose::Retry), Duration::ZERO);
+        let pause = if is_often_rejected {
+            SEARCH_PAUSE
+        } else {
+            Duration::ZERO
+        };
+        self.search(Some(Purpose::Retry), pause);
         Ok(())
     }
 
-    /// Whether a search that failed because of `obstacle` is repeated. A stream that has begun can only be cut instead, and
-    /// until its caller leaves, engines may respond again and retries become free.
+    /// Whether a search that failed because of `obstacle` is repeated: until its caller leaves, engines may respond again and
+    /// retries become free.
     fn may_search_again(&self, obstacle: &Obstacle) -> bool {
         let is_lasting = matches!(obstacle, Obstacle::Quarantined(_) | Obstacle::Attempts);
-        if !self.has_head || is_lasting {
-            return false;
-        }
+        !is_lasting && self.is_awaited()
+    }
+
+    /// Whether the stream has begun, so that it can only be cut instead, and its caller has not left yet although no run is in
+    /// progress.
+    fn is_awaited(&self) -> bool {
         let route = &self.job.route;
         let gap = route.gap_target.unwrap_or_default();
         let patience = MIN_CALLER_PATIENCE
             .max(route.target_latency * LATENCY_PATIENCE)
             .max(gap * GAP_PATIENCE);
-        agatemill_runtime::now() < self.ended_at + patience
+        self.has_head && agatemill_runtime::now() < self.ended_at + patience
     }
 
     /// Starts a search for a second run while the engines of all others are silent, if the route allows one.
@@ -372,7 +382,7 @@
         if !is_silent || self.search.is_some() || !self.job.route.is_repeatable() {
             return;
         }
-        if self.is_exhausted() {
+        if self.attempts.is_often_rejected() || self.has_run_enough() {
             self.log_obstacle(&Obstacle::Attempts);
         } else if self.state.has_retry(&self.job.service, Purpose::Backup) {
             self.search(Some(Purpose::Backup), Duration::ZERO);
@@ -432,11 +442,11 @@
     }
 
     /// Whether the route of the request allows no further run.
-    fn is_exhausted(&self) -> bool {
+    fn has_run_enough(&self) -> bool {
         let view = self.state.view();
         let servers = view.servers(&self.job.service);
         let max_attempts = self.job.route.max_attempts;
-        self.attempts.is_exhausted(max_attempts, |id, address| {
+        self.attempts.has_run_enough(max_attempts, |id, address| {
             servers
                 .iter()
                 .any(|server| &server.id == id && server.address == address)
--- a/crates/gateway/tests/all/runs.rs
+++ b/crates/gateway/tests/all/runs.rs
@@ -164,3 +164,28 @@
         assert!(response.is_complete);
     });
 }
+
+/// Guards against streams that are cut with seconds left, because the other engines rejected them several times in a moment.
+#[test]
+fn a_stream_whose_engine_ends_waits_for_engines_that_reject_it() {
+    run_test(4, |system| async move {
+        for engine in &system.engines {
+            engine.set_behaviour(Behaviour::BreakAfter(2));
+        }
+        let rejecting = async {
+            system
+                .wait_until("the stream runs", || system.run_count("a1") > 0)
+                .await;
+            for engine in &system.engines {
+                engine.set_behaviour(Behaviour::Reject);
+            }
+            agatemill_runtime::sleep(Duration::from_millis(1_200)).await;
+            for engine in &system.engines {
+                engine.set_behaviour(Behaviour::Serve);
+            }
+        };
+        let (response, ()) = futures::join!(system.send("draft", "a1"), rejecting);
+        assert_eq!(response.body, complete_stream());
+        assert!(response.is_complete);
+    });
+}
