Let others decide about a suspected part while a run is silent

What callers saw: a stream whose prompt shares a part with one that was there when an engine crashed waited for a silent engine until its caller left, 3.6 s in the test, although other engines were free and the route allows a second run. Other requests with the part were refused meanwhile, for up to the whole deadline if the engine had ended without a sign.

Cause: of the requests with a suspected part a host sends one at a time. Since a silent run is kept, it also keeps this turn, so the request's own second run was told that another request comes first.

Ruled out: to give the turn to the second run of the same request. Requests without a second run would still block all others.

Change: a run gives its turn up when it becomes silent, as it did when it was dropped.

Before: a_stream_with_a_suspected_part_continues_at_another_engine failed, it took 3.6 s.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -78,7 +78,8 @@
     size: Size,
     /// Load of the stream on the engines.
     reservation: Reservation,
-    /// Set while the run decides about suspected parts of its prompt.
+    /// Set while the run decides about suspected parts of its prompt. A silent run may take seconds to, so that others decide
+    /// instead.
     probe: Option<Probe>,
     /// When the request was sent.
     sent: Duration,
@@ -421,6 +422,7 @@
             Check::Ended => return Some(Step::Ended),
             Check::Silent if !has_continued => {
                 self.is_silent = true;
+                self.probe = None;
                 return Some(Step::Silent);
             }
             Check::Rerouted(path) => {
--- a/crates/gateway/tests/all/silence.rs
+++ b/crates/gateway/tests/all/silence.rs
@@ -6,7 +6,10 @@
 use crate::run_test;
 use crate::system::System;
 use agatemill_fleet::budget::Purpose;
+use agatemill_fleet::prompt::Prompt;
+use agatemill_fleet::tally::Key;
 use agatemill_standin::Engine;
+use agatemill_standin::caller::Call;
 use agatemill_standin::engine::Behaviour;
 
 /// Lets every engine fall silent when it is about to send the third event.
@@ -206,3 +209,37 @@
         assert_eq!(response.body, complete_stream(), "{response:?}");
     });
 }
+
+/// Guards against a stream that waits for a silent engine until its caller leaves, because it decides about a part of its prompt
+/// that was there when another engine crashed.
+#[test]
+fn a_stream_with_a_suspected_part_continues_at_another_engine() {
+    run_test(4, |system| async move {
+        let prompt = Prompt {
+            shared: vec!["5eed0001".parse().unwrap()],
+            own: Some("1".parse().unwrap()),
+        };
+        let crashed = Key::from(&"e9".parse().unwrap());
+        let now = agatemill_runtime::now();
+        let state = system.process.state();
+        state.quarantine().record_crash(&prompt, crashed, now);
+        let pausing = async {
+            system
+                .wait_until("the stream runs", || system.run_count("a1") > 0)
+                .await;
+            let mut engines = system.engines.iter();
+            let first = engines.find(|engine| !engine.arrivals().is_empty());
+            first.unwrap().pause(Duration::from_millis(3_500));
+        };
+        let call = Call {
+            prompt: "5eed0001:40,1:60",
+            ..system.call("draft", "a1")
+        };
+        let start = agatemill_runtime::now();
+        let (response, ()) = futures::join!(system.send_call(call), pausing);
+        assert_eq!(response.body, complete_stream());
+        let taken = agatemill_runtime::now().saturating_sub(start);
+        assert!(taken < Duration::from_secs(2), "{taken:?}");
+        assert_eq!(system.run_count("a1"), 2);
+    });
+}
