--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -37,7 +37,7 @@
 /// A server that may be lost.
 #[derive(Clone, Copy, Debug)]
 struct Suspect {
-    /// First observation since the server responded.
+    /// First observation, or the last response after it.
     since: Duration,
     /// Time of the last refused connection.
     refused_at: Option<Duration>,
@@ -109,6 +109,7 @@
         let Some(suspect) = self.suspects.get_mut(address) else {
             return false;
         };
+        suspect.since = now;
         suspect.refused_until = Duration::ZERO;
         suspect.silent_until = Duration::ZERO;
         let is_cleared = suspect.awaited_until <= now;
@@ -118,6 +119,14 @@
         is_cleared
     }
 
+    /// Records that a run which waited for engines of its path delivers events again: they all respond, to each other as
+    /// well. Returns the engines that are no longer suspected.
+    pub fn record_progress(&mut self, path: &Path) -> Vec<SocketAddrV4> {
+        let addresses = path.parts().iter().map(|part| part.address);
+        let cleared = addresses.filter(|address| self.suspects.remove(address).is_some());
+        cleared.collect()
+    }
+
     /// Avoids a server for `time`, or longer when it was avoided recently. Returns for how long, or `None` when
     /// it is already being avoided.
     pub fn avoid(
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -213,11 +213,8 @@
 
 /// The response to the caller for a complete response of a server.
 fn caller_response(response: Response<Bytes>) -> Response<Body> {
-    let (mut head, body) = response.into_parts();
-    head.headers = header::end_to_end(&head.headers);
-    head.headers.remove(hyper::header::CONTENT_LENGTH);
-    head.version = hyper::Version::HTTP_11;
-    Response::from_parts(head, response::full(body))
+    let (head, body) = response.into_parts();
+    Response::from_parts(response::caller_head(head), response::full(body))
 }
 
 /// Returns a refusal if the deadline of the call has passed.
@@ -356,12 +353,7 @@
 async fn fetch(state: &Arc<State>, job: &Job, server: &Server) -> Attempt {
     let reservation = Reservation::on_server(state, &server.id);
     let left = job.time_left(agatemill_runtime::now());
-    // Calls that run at most once use a new connection: a reused one may break without showing whether the call
-    // arrived.
-    let client = match job.route.kind {
-        route::Kind::Idempotent => &state.pooled,
-        _ => &state.unpooled,
-    };
+    let client = state.client(&job.route);
     let sent = clock::boot_time();
     let to = departure::Sent::new(state, &server.id, server.address);
     let exchange = async {
@@ -377,13 +369,14 @@
         .await
         .unwrap_or(Err(agatemill_http::Error::TimedOut));
     drop(reservation);
+    let attempt = &job.parameters.attempt;
     if let Ok(response) = &result {
         state.record_response(server.address);
         throttle::observe(state, &server.id, response.headers(), sent);
-        to.observe(state, &job.parameters.attempt, response);
+        to.observe(state, attempt, response);
     }
     match result {
-        Ok(response) if header::is_not_run(response.status(), response.headers()) => {
+        Ok(response) if header::is_not_run(attempt, response.status(), response.headers()) => {
             if response.status() == StatusCode::MISDIRECTED_REQUEST {
                 state.avoid(
                     server.address,
@@ -393,7 +386,7 @@
             }
             Attempt::NotRun(Cause::Rejected)
         }
-        Ok(response) if !header::is_answer_to(&job.parameters.attempt, response.headers()) => {
+        Ok(response) if !header::is_answer_to(attempt, response.headers()) => {
             state.metrics.count_dropped_answer("other_attempt");
             Attempt::Unknown(Cause::ConnectionLost)
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -78,7 +78,8 @@
     size: Size,
     /// Load of the stream on the engines.
     reservation: Reservation,
-    /// Set while the run decides about suspected parts of its prompt.
+    /// Set while the run decides about suspected parts of its prompt. A silent run may take seconds to, so that others decide
+    /// instead.
     probe: Option<Probe>,
     /// When the request was sent.
     sent: Duration,
@@ -167,7 +168,7 @@
             last_event,
         };
         let request = call::forward(job, first.address, overrides);
-        let client = state.pooled.clone();
+        let client = state.client(&job.route).clone();
         let (sender, receiver) = (Arc::clone(state), server.clone());
         let response = async move {
             let sending = client.send(request, left);
@@ -202,10 +203,10 @@
     pub fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
         if let Poll::Ready(step) = self.poll_response(cx) {
             let was_silent = core::mem::take(&mut self.is_silent);
-            let responds =
-                matches!(step, Step::Head) || was_silent && matches!(step, Step::Events(_));
-            if responds {
-                self.state.record_response(self.path.first().address);
+            match &step {
+                Step::Head => self.state.record_response(self.path.first().address),
+                Step::Events(_) if was_silent => self.state.record_progress(&self.path),
+                _ => {}
             }
             return Poll::Ready(step);
         }
@@ -326,7 +327,7 @@
         if let Some(server) = &self.server {
             backoff::observe(&self.state, server, response.status(), response.headers());
         }
-        if header::is_not_run(response.status(), response.headers()) {
+        if header::is_not_run(attempt, response.status(), response.headers()) {
             let faulty = header::faulty_server(response.headers()).unwrap_or(first.address);
             if faulty != first.address || !self.is_backing_off() {
                 self.state
@@ -338,7 +339,7 @@
             self.state.metrics.count_dropped_answer("unsealed");
             return Step::Unknown(Cause::ConnectionLost);
         }
-        if !header::is_answer_to(&self.job.parameters.attempt, response.headers()) {
+        if !header::is_answer_to(attempt, response.headers()) {
             self.state.metrics.count_dropped_answer("other_attempt");
             return Step::Unknown(Cause::ConnectionLost);
         }
@@ -421,6 +422,7 @@
             Check::Ended => return Some(Step::Ended),
             Check::Silent if !has_continued => {
                 self.is_silent = true;
+                self.probe = None;
                 return Some(Step::Silent);
             }
             Check::Rerouted(path) => {
