Do not refuse a stream for one engine that asks for no requests

What callers saw: one engine asks for no requests for 30 s, the other one rejects a single request and is avoided for 0.3 s. Every stream that came in these 0.3 s was refused at once with Retry-After of 30 s and more, although it may wait for half of its latency target and the avoided engine serves it within that time.

Cause: Missing::Backoff only says that a path exists if the engines are used that ask for no requests. find_start took it for "all engines ask for none" and compared the shortest time with the waiting time.

Ruled out: engines that lack room (Missing::Room comes first), engines at their limit (Missing::Limit comes first), calls (they use avoided servers when no other is left).

Change: a stream waits for the end of a time, or is refused with it, only if all engines that a path may start at, without those that run it already, ask for no requests. Otherwise it looks for a path every 40 ms for its waiting time, as for other causes.

--- a/crates/gateway/src/backoff.rs
+++ b/crates/gateway/src/backoff.rs
@@ -81,12 +81,22 @@
     state.backoff().shortest_wait(servers, clock::boot_time())
 }
 
+/// Time until the first of the servers of a service for which `is_wanted` returns true may be used, if all of them ask for
+/// no requests.
+pub fn common_wait(
+    state: &State,
+    service: &id::Service,
+    is_wanted: impl Fn(&Server) -> bool,
+) -> Option<Duration> {
+    let mut servers = receivers(state, service);
+    servers.retain(|server| is_wanted(server));
+    let servers = servers.iter().map(Arc::as_ref);
+    state.backoff().common_wait(servers, clock::boot_time())
+}
+
 /// The refusal of a request that did not run, if all servers of its service ask for no requests.
 pub fn common_refusal(state: &State, service: &id::Service) -> Option<Refusal> {
-    let servers = receivers(state, service);
-    let servers = servers.iter().map(Arc::as_ref);
-    let wait = state.backoff().common_wait(servers, clock::boot_time());
-    wait.map(refusal)
+    common_wait(state, service, |_| true).map(refusal)
 }
 
 /// The refusal of a request that did not run, since the servers that could serve it ask for no requests for at least
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -40,6 +40,7 @@
 use agatemill_core::Refusal;
 use agatemill_fleet::Model;
 use agatemill_fleet::Path;
+use agatemill_fleet::Server;
 use agatemill_fleet::budget::Purpose;
 use agatemill_fleet::path::Missing;
 
@@ -198,23 +199,23 @@
         };
         let path = match choice::choose(&state, &job, &model, size, &running) {
             Ok(path) => path,
-            Err(Missing::Backoff) => {
-                drop(probe);
-                wait_for_backoff(&state, &job, end).await?;
-                continue;
-            }
-            Err(missing) if is_last || choice::has_gap(&state, &job, &model) => {
-                log::warn!(
-                    request:% = attempt, missing:?, prompt = size.prompt;
-                    "stream: no path available"
-                );
-                return Err(Obstacle::NoPath(missing));
-            }
             Err(missing) => {
+                drop(probe);
+                let wait = common_wait(&state, &job, missing, &running);
+                if let Some(wait) = wait {
+                    wait_for_backoff(&job, wait, end).await?;
+                    continue;
+                }
+                if is_last || choice::has_gap(&state, &job, &model) {
+                    log::warn!(
+                        request:% = attempt, missing:?, prompt = size.prompt;
+                        "stream: no path available"
+                    );
+                    return Err(Obstacle::NoPath(missing));
+                }
                 if missing == Missing::Limit {
                     state.announce_waiting();
                 }
-                drop(probe);
                 agatemill_runtime::sleep(PATH_RETRY_INTERVAL).await;
                 continue;
             }
@@ -237,13 +238,27 @@
     Obstacle::Budget
 }
 
-/// Waits until one of the engines that ask for no requests may be used, if that is before `end`.
+/// Time until the first engine may be used that a path may start at, if all of them ask for no requests. An engine that is
+/// only avoided may be used again sooner.
+fn common_wait(
+    state: &State,
+    job: &Job,
+    missing: Missing,
+    running: &[SocketAddrV4],
+) -> Option<Duration> {
+    if missing != Missing::Backoff {
+        return None;
+    }
+    let is_wanted = |server: &Server| !running.contains(&server.address);
+    backoff::common_wait(state, &job.service, is_wanted)
+}
+
+/// Waits for `wait`, after which an engine may be used, if that is before `end`.
 ///
 /// # Errors
 ///
 /// [`Obstacle::Backoff`] at once when it is not.
-async fn wait_for_backoff(state: &State, job: &Job, end: Duration) -> Result<(), Obstacle> {
-    let wait = backoff::shortest_wait(state, &job.service, |_| true).unwrap_or_default();
+async fn wait_for_backoff(job: &Job, wait: Duration, end: Duration) -> Result<(), Obstacle> {
     let limit = end.min(job.deadline);
     let limit = limit.saturating_sub(agatemill_runtime::now());
     if wait < limit {
--- a/crates/gateway/tests/all/backoff.rs
+++ b/crates/gateway/tests/all/backoff.rs
@@ -9,6 +9,7 @@
 use agatemill_core::id;
 use agatemill_fleet::Evidence;
 use agatemill_standin::Engine;
+use agatemill_standin::document;
 use agatemill_standin::engine::Behaviour;
 
 /// Time from the answer after which requests that were under way have arrived.
@@ -110,6 +111,21 @@
     assert!(fastest < PROMPTLY, "{fastest:?}");
 }
 
+/// Gives the routes a target latency of 4 s, so that a request may wait for 2 s.
+async fn use_slow_routes(system: &System) {
+    let routes = document::routes(4, r#""k1""#);
+    let routes = routes.replace(r#""target-latency-ms":500"#, r#""target-latency-ms":4000"#);
+    system.store.put("op/config", &routes);
+    let state = system.process.state();
+    system
+        .wait_until("version 4 is in force", || {
+            let view = state.view();
+            let version = view.configuration.as_ref().map(|known| known.version);
+            version == Some(4)
+        })
+        .await;
+}
+
 fn plain() -> id::Service {
     "plain".parse().unwrap()
 }
@@ -387,3 +403,23 @@
         assert_used_again(&system, "read", server).await;
     });
 }
+
+/// Guards against streams that are rejected because one engine wants none for long, while the other one is only avoided for
+/// a moment.
+#[test]
+fn a_stream_waits_for_an_engine_that_asks_for_nothing() {
+    run_test(4, |system| async move {
+        use_slow_routes(&system).await;
+        let firsts = first_engines(&system);
+        turn_away(firsts[0], Behaviour::Reject, "30");
+        reach(&system, "draft", firsts[0]).await;
+        for attempt in ["a1", "a2", "a3"] {
+            let state = system.process.state();
+            let reason = "the test holds it back";
+            state.avoid(firsts[1].address, Duration::from_millis(300), reason);
+            let response = system.send("draft", attempt).await;
+            assert_eq!(response.body, complete_stream(), "{response:?}");
+        }
+        assert_eq!(late_requests(firsts[0], Duration::from_secs(30)), 0);
+    });
+}
