Count the departure of the server that answers in each of its answers

What callers and servers saw: an engine that leaves answered 503 with Server-Leaving and named another engine as the cause (At-Server). The host passed the answer on, and sent the engine the next request as well. An engine that leaves says so in all its answers, so this breaks DRAIN if the request comes later than drain-ms.

Cause: departure::Sent passed over an announcement in an answer that names another engine or another attempt, as if it spoke of that engine or of another server. Retry-After in the same answers counted for the server that answered.

Decision: both count for the server that answered. A connection leads to one process, and the request names its server, so all answers but 421 come from it; which engine is at fault or which attempt is answered does not change that. A report query for each would be paid as a probe.

Also ruled out: an instance from the entry that is listed when the answer arrives. It is the one that was listed when the request was sent, as for Retry-After.

The test only_responses_of_the_server_itself_tell_that_it_leaves demanded the former reading of At-Server and of the attempt.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -363,7 +363,6 @@
         _ => &state.unpooled,
     };
     let sent = clock::boot_time();
-    let to = departure::Sent::new(state, &server.id, server.address);
     let exchange = async {
         let sending = client.send(request(job, server, left), left);
         let response = backoff::send(state, Some(server), sending).await?;
@@ -380,7 +379,7 @@
     if let Ok(response) = &result {
         state.record_response(server.address);
         throttle::observe(state, &server.id, response.headers(), sent);
-        to.observe(state, &job.parameters.attempt, response);
+        departure::observe(state, server, response.status(), response.headers());
     }
     match result {
         Ok(response) if header::is_not_run(response.status(), response.headers()) => {
--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -3,51 +3,24 @@
 use core::net::SocketAddrV4;
 use core::time::Duration;
 
-use hyper::Response;
+use hyper::HeaderMap;
 use hyper::StatusCode;
 
 use crate::State;
 use agatemill_adapter::engine::Report;
 use agatemill_adapter::header;
 use agatemill_core::id;
+use agatemill_fleet::Server;
 use agatemill_fleet::server::Instance;
 
-/// A request that was sent to a server.
-#[derive(Clone, Debug)]
-pub struct Sent {
-    /// The instance that was listed when the request was sent; `None` if there was none.
-    instance: Option<Instance>,
-    address: SocketAddrV4,
-}
-
-impl Sent {
-    /// Describes a request that is sent now.
-    #[must_use]
-    pub fn new(state: &State, server: &id::Server, address: SocketAddrV4) -> Self {
-        let view = state.view();
-        let server = view.server(server);
-        Self {
-            instance: server.map(|server| Instance::from(&**server)),
-            address,
-        }
-    }
-
-    /// Records that the server leaves if its response to this attempt says so.
-    ///
-    /// The request names its server, so only that one gives another status than 421. A response with status 421, with
-    /// another engine at fault, or to another attempt may speak of another server.
-    pub fn observe<T>(&self, state: &State, attempt: &str, response: &Response<T>) {
-        let headers = response.headers();
-        if !header::is_leaving(headers) {
-            return;
-        }
-        let names_other = header::faulty_server(headers).is_some_and(|other| other != self.address);
-        let is_own = response.status() != StatusCode::MISDIRECTED_REQUEST
-            && !names_other
-            && !header::is_answer_to_other(attempt, headers);
-        if let Some(instance) = self.instance.as_ref().filter(|_| is_own) {
-            record(state, instance.clone());
-        }
+/// Records that a server leaves if its response says so. `server` is the instance that was listed when the request was sent.
+///
+/// A response describes the server that sent it, also if it names another one as the cause of a failure or belongs to an
+/// earlier request on the connection. The request names its server, so only a response with status 421 may come from
+/// another one.
+pub fn observe(state: &State, server: &Server, status: StatusCode, headers: &HeaderMap) {
+    if header::is_leaving(headers) && status != StatusCode::MISDIRECTED_REQUEST {
+        record(state, Instance::from(server));
     }
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -84,8 +84,6 @@
     sent: Duration,
     /// When the request was sent, on a clock that also runs while the machine is suspended.
     sent_boot: Duration,
-    /// The instance that the request was sent to.
-    to: departure::Sent,
     phase: Phase,
     /// Bytes after the last complete event.
     partial: BytesMut,
@@ -173,7 +171,6 @@
             let sending = client.send(request, left);
             backoff::send(&sender, receiver.as_deref(), sending).await
         };
-        let to = departure::Sent::new(state, &first.server, first.address);
         Self {
             reservation: Reservation::on_path(state, &path, size.prompt, size.answer),
             path,
@@ -188,7 +185,6 @@
             probe,
             sent: now,
             sent_boot: clock::boot_time(),
-            to,
             phase: Phase::Head(response.boxed()),
             partial: BytesMut::new(),
             has_survived: false,
@@ -321,9 +317,8 @@
             response.headers(),
             self.sent_boot,
         );
-        let attempt = &self.job.parameters.attempt;
-        self.to.observe(&self.state, attempt, &response);
         if let Some(server) = &self.server {
+            departure::observe(&self.state, server, response.status(), response.headers());
             backoff::observe(&self.state, server, response.status(), response.headers());
         }
         if header::is_not_run(response.status(), response.headers()) {
--- a/crates/gateway/tests/all/leaving.rs
+++ b/crates/gateway/tests/all/leaving.rs
@@ -12,7 +12,6 @@
 use agatemill_core::id;
 use agatemill_fleet::Evidence;
 use agatemill_gateway::departure;
-use agatemill_gateway::departure::Sent;
 use agatemill_standin::Engine;
 use agatemill_standin::document;
 use agatemill_standin::engine::Behaviour;
@@ -124,6 +123,30 @@
     });
 }
 
+/// Guards against an engine that is used although it has said that it leaves, in a response that was passed on and names
+/// another engine as the cause.
+#[test]
+fn a_failure_of_another_engine_tells_that_the_engine_that_answers_leaves() {
+    run_test(4, |system| async move {
+        let leaving = first_engines(&system)[0];
+        leaving.set_faulty(Some(last_engine(&system).address));
+        leaving.set_behaviour(Behaviour::Unavailable);
+        leaving.set_leaving(true);
+        let mut is_told = false;
+        for number in 0..100 {
+            let response = system.send("once", &format!("before-{number}")).await;
+            is_told = response.headers.contains_key("server-leaving");
+            if is_told {
+                assert_eq!(response.status, 503, "{response:?}");
+                break;
+            }
+        }
+        assert!(is_told, "the engine was never used");
+        leaving.set_behaviour(Behaviour::Serve);
+        assert_eq!(arrivals_of(&system, leaving, "draft").await, 0);
+    });
+}
+
 /// Guards against a call that falls back to a server that leaves because all others are suspected.
 #[test]
 fn a_call_prefers_suspected_servers_to_leaving_ones() {
@@ -336,27 +359,30 @@
     });
 }
 
-/// Guards against a server that is no longer used because of a response that comes from another one.
+/// Guards against a server that is no longer used because of a response that another one at its address may have sent, and
+/// against one that is used although it has said that it leaves.
 #[test]
-fn only_responses_of_the_server_itself_tell_that_it_leaves() {
+fn all_responses_but_421_tell_that_the_server_leaves() {
     run_test(2, |system| async move {
         let state = system.process.state();
-        let name: id::Server = "s0".parse().unwrap();
-        let server = state.view().server(&name).cloned().unwrap();
-        let own = server.address.to_string();
-        let observe = |status: u16, headers: &[(&str, &str)]| {
+        let observe = |name: &str, status: u16, headers: &[(&str, &str)]| {
+            let name: id::Server = name.parse().unwrap();
+            let server = state.view().server(&name).cloned().unwrap();
             let mut response = Response::builder().status(status);
             for (name, value) in headers {
                 response = response.header(*name, *value);
             }
             let response = response.header("server-leaving", "1").body(()).unwrap();
-            Sent::new(state, &server.id, server.address).observe(state, "a1", &response);
+            departure::observe(state, &server, response.status(), response.headers());
             !state.departures().is_staying(&server)
         };
-        assert!(!observe(421, &[("x-attempt-id", "a1")]));
-        assert!(!observe(503, &[("at-server", "10.0.0.9:80")]));
-        assert!(!observe(200, &[("x-attempt-id", "a2")]));
-        assert!(observe(503, &[("at-server", &own), ("x-attempt-id", "a1")]));
+        let own = system.services[0].address.to_string();
+        assert!(!observe("s0", 421, &[("x-attempt-id", "a1")]));
+        assert!(!observe("s0", 421, &[("at-server", &own)]));
+        assert!(observe("s0", 503, &[("at-server", &own)]));
+        assert!(observe("s1", 503, &[("at-server", "10.0.0.9:80")]));
+        assert!(observe("e0", 200, &[("x-attempt-id", "another")]));
+        assert!(observe("e1", 500, &[]));
     });
 }
 
