Read the departure of a server from the head of its answer to a call

What callers saw: a server that leaves answers calls with a body that does not end, or comes late. Each call waits for it or for its second server, and the next one goes to the same server.

Cause: fetch read Server-Leaving once the body was complete, and not at all if it broke, was too long or too late. Retry-After is read with the head.

Ruled out: a break of DRAIN by this alone. A call's answer is passed on only when it is complete, so the announcement was known before it was passed on. Streams, their errors and rejections are read with the head already.

Change: the announcement is read where Retry-After is.

Before, leaving::a_departure_counts_from_the_head_of_a_response: requests at the server after the announcement, left: 1, right: 0 After: it passes, as do all tests of the gateway (108), fleet and adapter crates.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -367,7 +367,8 @@
         let sending = client.send(request(job, server, left), left);
         let response = backoff::send(state, Some(server), sending).await?;
         let (head, body) = response.into_parts();
-        // The time that a server names begins with its head, and the body may take long.
+        // The body may take long or never end.
+        departure::observe(state, server, head.status, &head.headers);
         backoff::observe(state, server, head.status, &head.headers);
         let body = client.read(body, MAX_RESPONSE_BYTES).await?;
         Ok(Response::from_parts(head, body))
@@ -379,7 +380,6 @@
     if let Ok(response) = &result {
         state.record_response(server.address);
         throttle::observe(state, &server.id, response.headers(), sent);
-        departure::observe(state, server, response.status(), response.headers());
     }
     match result {
         Ok(response) if header::is_not_run(response.status(), response.headers()) => {
--- a/crates/gateway/tests/all/leaving.rs
+++ b/crates/gateway/tests/all/leaving.rs
@@ -147,6 +147,24 @@
     });
 }
 
+/// Guards against calls that each wait in vain for the end of a response of a server that leaves.
+#[test]
+fn a_departure_counts_from_the_head_of_a_response() {
+    run_test(2, |system| async move {
+        let leaving = &system.services[0];
+        leaving.set_behaviour(Behaviour::EndlessBody(200));
+        leaving.set_leaving(true);
+        let mut number = 0;
+        while leaving.arrivals().is_empty() {
+            let response = system.send("read", &format!("before-{number}")).await;
+            assert!(response.is_complete, "{response:?}");
+            number += 1;
+        }
+        leaving.set_behaviour(Behaviour::Serve);
+        assert_eq!(arrivals_of(&system, leaving, "read").await, 0);
+    });
+}
+
 /// Guards against a call that falls back to a server that leaves because all others are suspected.
 #[test]
 fn a_call_prefers_suspected_servers_to_leaving_ones() {
