Ask for credits when the time of a server without requests has ended

What callers saw: all servers of a service have a limit on requests and ask for no requests for a while. A request that may wait for the end of that time is sent nowhere afterwards: without traffic beside it, it waits for the rest of its waiting time and is refused with "have reached their limits on requests", although the servers are idle.

Cause: a request asks for a credit once, when it begins, and then no server is asked for that wants no requests. Credits last 1 s, so none is left from before.

Ruled out: a credit that is taken for a request that is not sent. A server that asks for nothing is no candidate when the credit is taken, and nothing is awaited between that and the sending.

Change: a request that waited asks again: a call after its wait, a stream when what it lacks changes from a time to a credit.

Before, backoff::a_request_that_waited_for_a_time_asks_for_a_credit, left 503, right 200: draft: "overloaded: the engines have reached their limits on requests" read: "overloaded: the servers have reached their limits on requests" After: it passes, as do all tests of the gateway (109), fleet and adapter crates.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -276,6 +276,8 @@
         let untried = untried_servers(state, job, tried);
         if untried.is_empty() {
             if wait_for_backoff(state, job, tried, end).await {
+                // No credits are asked for while a server wants no requests.
+                throttle::want(state, &job.service);
                 continue;
             }
             return Selection::None;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -179,6 +179,7 @@
     throttle::want(&state, &job.service);
     let end = agatemill_runtime::now() + job.route.target_latency.mul_f64(PATH_WAIT_SHARE);
     let attempt = &job.parameters.attempt;
+    let mut previous = None;
     loop {
         let is_last = agatemill_runtime::now() >= end;
         let prompt = &job.parameters.parts;
@@ -201,6 +202,7 @@
             Ok(path) => path,
             Err(missing) => {
                 drop(probe);
+                let before = previous.replace(missing);
                 let wait = common_wait(&state, &job, missing, &running);
                 if let Some(wait) = wait {
                     wait_for_backoff(&job, wait, end).await?;
@@ -214,6 +216,10 @@
                     return Err(Obstacle::NoPath(missing));
                 }
                 if missing == Missing::Limit {
+                    if before == Some(Missing::Backoff) {
+                        // No credits are asked for while a server wants no requests.
+                        throttle::want(&state, &job.service);
+                    }
                     state.announce_waiting();
                 }
                 agatemill_runtime::sleep(PATH_RETRY_INTERVAL).await;
--- a/crates/gateway/tests/all/backoff.rs
+++ b/crates/gateway/tests/all/backoff.rs
@@ -423,3 +423,38 @@
         assert_eq!(late_requests(firsts[0], Duration::from_secs(30)), 0);
     });
 }
+
+/// Guards against a request that has no credit for a server with a limit once the time of the server has ended.
+#[test]
+fn a_request_that_waited_for_a_time_asks_for_a_credit() {
+    for route in ["draft", "read"] {
+        run_test(2, |system| async move {
+            use_slow_routes(&system).await;
+            let servers: Vec<&Engine> = if route == "draft" {
+                first_engines(&system)
+            } else {
+                system.services.iter().collect()
+            };
+            for server in &servers {
+                server.set_request_limit(Some(50.0));
+                reach(&system, route, server).await;
+            }
+            for server in &servers {
+                turn_away(server, Behaviour::Reject, "2.5");
+            }
+            for number in 0.. {
+                let response = system.send(route, &format!("rejected-{number}")).await;
+                if response.body.contains("ask for no requests") {
+                    break;
+                }
+            }
+            for server in &servers {
+                server.set_behaviour(Behaviour::Serve);
+            }
+            // Longer than a credit lasts.
+            agatemill_runtime::sleep(Duration::from_millis(1_400)).await;
+            let response = system.send(route, "a1").await;
+            assert_eq!(response.status, 200, "{route}: {response:?}");
+        });
+    }
+}
