Let a call wait for a server that may be used soon before it tries an avoided one

What callers saw: one server asks for no requests for 0.8 s, the other one does not respond and is avoided. A call that may wait for 2 s goes to the avoided server at once. If it must not be repeated, it is lost there (502 at its deadline).

Cause: calls try avoided servers if no other is usable, and since a server that asks for no requests is not usable. A call waited for its time only after that.

Ruled out: requests that are held longer than before for nothing. The wait is for a time that ends within the call's waiting time; otherwise, and for second calls beside one that runs, avoided servers are tried at once as before.

Change: a call first waits for servers that are not avoided, then tries the avoided ones, then waits for those.

Before, backoff::a_call_waits_for_a_short_time_rather_than_use_an_avoided_server: left: 502 "backend_failed: the server did not answer", right: "done by s0" After: it passes (four of four runs), as do all tests of the gateway (110), fleet and adapter crates. A first form of the test used a suspicion instead; the regular query of silent servers, which only connects, ended it, and the test failed.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -272,14 +272,23 @@
 ) -> Selection {
     throttle::want(state, &job.service);
     let end = agatemill_runtime::now() + wait.min(job.time_left(agatemill_runtime::now()) / 2);
+    let is_untried = |server: &Server| !was_tried(tried, server);
+    let is_trusted = |server: &Server| is_untried(server) && !is_avoided(state, server);
     loop {
-        let untried = untried_servers(state, job, tried);
+        let limit = end.saturating_sub(agatemill_runtime::now());
+        let mut untried = untried_servers(state, job, tried);
+        if untried.is_empty() {
+            // A server that may be used soon is better than one that may be lost.
+            if wait_for_backoff(state, job, limit, is_trusted).await {
+                continue;
+            }
+            untried = suspected_servers(state, job, tried);
+        }
         if untried.is_empty() {
-            if wait_for_backoff(state, job, tried, end).await {
-                // No credits are asked for while a server wants no requests.
-                throttle::want(state, &job.service);
+            if wait_for_backoff(state, job, limit, is_untried).await {
                 continue;
             }
+            log_backoff(state, job, is_untried);
             return Selection::None;
         }
         if let Some(server) = cheapest_server(state, untried)
@@ -287,7 +296,7 @@
         {
             return Selection::Server(server);
         }
-        if agatemill_runtime::now() >= end {
+        if limit.is_zero() {
             return Selection::Limited;
         }
         state.announce_waiting();
@@ -295,42 +304,63 @@
     }
 }
 
-/// Waits until a server that was not tried and asks for no requests may be used, if that is before `end`. Returns whether
-/// it waited.
-async fn wait_for_backoff(state: &State, job: &Job, tried: &[Arc<Server>], end: Duration) -> bool {
-    let is_untried = |server: &Server| !was_tried(tried, server);
-    let Some(wait) = backoff::shortest_wait(state, &job.service, is_untried) else {
+/// Waits until one of the servers that ask for no requests, and for which `is_wanted` returns true, may be used, if that is
+/// within `limit`. Returns whether it waited.
+async fn wait_for_backoff(
+    state: &State,
+    job: &Job,
+    limit: Duration,
+    is_wanted: impl Fn(&Server) -> bool,
+) -> bool {
+    let wait = backoff::shortest_wait(state, &job.service, is_wanted);
+    let Some(wait) = wait.filter(|wait| *wait < limit) else {
         return false;
     };
-    let limit = end.saturating_sub(agatemill_runtime::now());
-    let is_in_time = wait < limit;
-    if is_in_time {
-        backoff::sleep(wait, limit).await;
-    } else {
+    backoff::sleep(wait, limit).await;
+    // No credits are asked for while a server wants no requests.
+    throttle::want(state, &job.service);
+    true
+}
+
+fn log_backoff(state: &State, job: &Job, is_wanted: impl Fn(&Server) -> bool) {
+    if let Some(wait) = backoff::shortest_wait(state, &job.service, is_wanted) {
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         log::info!(request:% = job.parameters.attempt, wait_ms; "request: the servers ask for no requests");
     }
-    is_in_time
 }
 
 fn was_tried(tried: &[Arc<Server>], server: &Server) -> bool {
     tried.iter().any(|other| other.is_same_start(server))
 }
 
+fn is_avoided(state: &State, server: &Server) -> bool {
+    let now = agatemill_runtime::now();
+    state.suspicion().is_avoided(&server.address, now)
+}
+
 /// Usable servers that were not tried, in random order.
 fn untried_servers(state: &State, job: &Job, tried: &[Arc<Server>]) -> Vec<Arc<Server>> {
-    let mut usable = state.usable_servers(&job.service);
-    if usable.is_empty() {
-        // Suspicions can be wrong: without other servers, a suspected one is tried.
-        usable = state.view().servers(&job.service).to_vec();
-        let departures = state.departures();
-        usable.retain(|server| {
-            departures.is_staying(server) && backoff::left(state, server).is_none()
-        });
+    let mut servers = state.usable_servers(&job.service);
+    servers.retain(|server| !was_tried(tried, server));
+    fastrand::shuffle(&mut servers);
+    servers
+}
+
+/// Servers that were not tried if all that may be used are avoided, in random order. Suspicions can be wrong.
+fn suspected_servers(state: &State, job: &Job, tried: &[Arc<Server>]) -> Vec<Arc<Server>> {
+    if !state.usable_servers(&job.service).is_empty() {
+        return Vec::new();
     }
-    usable.retain(|server| !was_tried(tried, server));
-    fastrand::shuffle(&mut usable);
-    usable
+    let mut servers = state.view().servers(&job.service).to_vec();
+    let departures = state.departures();
+    servers.retain(|server| {
+        departures.is_staying(server)
+            && backoff::left(state, server).is_none()
+            && !was_tried(tried, server)
+    });
+    drop(departures);
+    fastrand::shuffle(&mut servers);
+    servers
 }
 
 /// The server with the fewest outstanding calls of this host, of those that have not reached their limits; servers of
--- a/crates/gateway/tests/all/backoff.rs
+++ b/crates/gateway/tests/all/backoff.rs
@@ -458,3 +458,23 @@
         });
     }
 }
+
+/// Guards against a call that is lost at a server that does not respond, although another one may be used soon.
+#[test]
+fn a_call_waits_for_a_short_time_rather_than_use_an_avoided_server() {
+    run_test(2, |system| async move {
+        use_slow_routes(&system).await;
+        let [busy, silent] = system.services.as_slice() else {
+            panic!("two servers");
+        };
+        turn_away(busy, Behaviour::Reject, "0.8");
+        reach(&system, "pay", busy).await;
+        busy.set_behaviour(Behaviour::Serve);
+        silent.set_behaviour(Behaviour::Silent);
+        // A suspicion would end with the next regular query, which a silent server accepts.
+        let (state, reason) = (system.process.state(), "the test makes it silent");
+        state.avoid(silent.address, Duration::from_secs(4), reason);
+        let response = system.send("pay", "a1").await;
+        assert_eq!(response.body, "done by s0", "{response:?}");
+    });
+}
