--- a/crates/gateway/tests/all/backoff.rs
+++ b/crates/gateway/tests/all/backoff.rs
@@ -9,6 +9,7 @@
 use agatemill_core::id;
 use agatemill_fleet::Evidence;
 use agatemill_standin::Engine;
+use agatemill_standin::document;
 use agatemill_standin::engine::Behaviour;
 
 /// Time from the answer after which requests that were under way have arrived.
@@ -110,6 +111,21 @@
     assert!(fastest < PROMPTLY, "{fastest:?}");
 }
 
+/// Gives the routes a target latency of 4 s, so that a request may wait for 2 s.
+async fn use_slow_routes(system: &System) {
+    let routes = document::routes(4, r#""k1""#);
+    let routes = routes.replace(r#""target-latency-ms":500"#, r#""target-latency-ms":4000"#);
+    system.store.put("op/config", &routes);
+    let state = system.process.state();
+    system
+        .wait_until("version 4 is in force", || {
+            let view = state.view();
+            let version = view.configuration.as_ref().map(|known| known.version);
+            version == Some(4)
+        })
+        .await;
+}
+
 fn plain() -> id::Service {
     "plain".parse().unwrap()
 }
@@ -387,3 +403,78 @@
         assert_used_again(&system, "read", server).await;
     });
 }
+
+/// Guards against streams that are rejected because one engine wants none for long, while the other one is only avoided for
+/// a moment.
+#[test]
+fn a_stream_waits_for_an_engine_that_asks_for_nothing() {
+    run_test(4, |system| async move {
+        use_slow_routes(&system).await;
+        let firsts = first_engines(&system);
+        turn_away(firsts[0], Behaviour::Reject, "30");
+        reach(&system, "draft", firsts[0]).await;
+        for attempt in ["a1", "a2", "a3"] {
+            let state = system.process.state();
+            let reason = "the test holds it back";
+            state.avoid(firsts[1].address, Duration::from_millis(300), reason);
+            let response = system.send("draft", attempt).await;
+            assert_eq!(response.body, complete_stream(), "{response:?}");
+        }
+        assert_eq!(late_requests(firsts[0], Duration::from_secs(30)), 0);
+    });
+}
+
+/// Guards against a request that has no credit for a server with a limit once the time of the server has ended.
+#[test]
+fn a_request_that_waited_for_a_time_asks_for_a_credit() {
+    for route in ["draft", "read"] {
+        run_test(2, |system| async move {
+            use_slow_routes(&system).await;
+            let servers: Vec<&Engine> = if route == "draft" {
+                first_engines(&system)
+            } else {
+                system.services.iter().collect()
+            };
+            for server in &servers {
+                server.set_request_limit(Some(50.0));
+                reach(&system, route, server).await;
+            }
+            for server in &servers {
+                turn_away(server, Behaviour::Reject, "2.5");
+            }
+            for number in 0.. {
+                let response = system.send(route, &format!("rejected-{number}")).await;
+                if response.body.contains("ask for no requests") {
+                    break;
+                }
+            }
+            for server in &servers {
+                server.set_behaviour(Behaviour::Serve);
+            }
+            // Longer than a credit lasts.
+            agatemill_runtime::sleep(Duration::from_millis(1_400)).await;
+            let response = system.send(route, "a1").await;
+            assert_eq!(response.status, 200, "{route}: {response:?}");
+        });
+    }
+}
+
+/// Guards against a call that is lost at a server that does not respond, although another one may be used soon.
+#[test]
+fn a_call_waits_for_a_short_time_rather_than_use_an_avoided_server() {
+    run_test(2, |system| async move {
+        use_slow_routes(&system).await;
+        let [busy, silent] = system.services.as_slice() else {
+            panic!("two servers");
+        };
+        turn_away(busy, Behaviour::Reject, "0.8");
+        reach(&system, "pay", busy).await;
+        busy.set_behaviour(Behaviour::Serve);
+        silent.set_behaviour(Behaviour::Silent);
+        // A suspicion would end with the next regular query, which a silent server accepts.
+        let (state, reason) = (system.process.state(), "the test makes it silent");
+        state.avoid(silent.address, Duration::from_secs(4), reason);
+        let response = system.send("pay", "a1").await;
+        assert_eq!(response.body, "done by s0", "{response:?}");
+    });
+}
