--- a/crates/soak/tests/verdict.rs
+++ b/crates/soak/tests/verdict.rs
@@ -44,6 +44,7 @@
     Arrival {
         prompt: String::new(),
         server: "s1".to_owned(),
+        born_ms: 7,
         attempt: "a1".to_owned(),
         path: (route == "draft").then(|| "x=0-4,y=4-8".to_owned()),
         last_event: None,
