Heed a time for which a server wants no requests that a dropped request is told

A stream whose engine is silent gets a second run at another engine. When both engines continue at the same moment, the first delivers its next event and the second run is dropped, while the second engine turns the request away with 503 and Retry-After. The host closed the connection, did not read the time, and sent that engine requests throughout it.

Ruled out: a fault of the host or of the links to that engine, which the check excuses. The host's log shows the two runs, the first one continuing the stream, and none of a rejection of the second.

Change: a request that is dropped before the head of its response is still answered for 0.1 s, and a time in that head is recorded. This holds for second runs, second attempts of calls, and requests whose callers leave. Engines may work on such a request for 0.1 s longer; the platform allows half a second.

Evidence: a_time_that_a_dropped_run_is_told_holds fails in three of three runs without the change.

--- a/crates/gateway/src/backoff.rs
+++ b/crates/gateway/src/backoff.rs
@@ -5,10 +5,13 @@
 use std::sync::Arc;
 
 use hyper::HeaderMap;
+use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Incoming;
 
 use crate::State;
 use crate::clock;
+use crate::sending::Sending;
 use agatemill_adapter::header;
 use agatemill_core::Reason;
 use agatemill_core::Refusal;
@@ -37,21 +40,25 @@
     }
 }
 
-/// Sends a request with `sending`, unless its server asks for no requests: it may have begun to after it was chosen.
+/// Sends a request with `sending`, unless its server asks for no requests: it may have begun to after it was chosen. What
+/// the server asks for in its response is recorded also if the result is dropped shortly before the head arrives.
 ///
 /// # Errors
 ///
 /// The errors of `sending`; [`agatemill_http::Error::Connect`] when the request was not sent.
-pub async fn send<T>(
-    state: &State,
-    server: Option<&Server>,
-    sending: impl Future<Output = Result<T, agatemill_http::Error>>,
-) -> Result<T, agatemill_http::Error> {
-    if server.is_some_and(|server| left(state, server).is_some()) {
+pub async fn send(
+    state: &Arc<State>,
+    server: Option<&Arc<Server>>,
+    sending: impl Future<Output = Result<Response<Incoming>, agatemill_http::Error>> + Send + 'static,
+) -> Result<Response<Incoming>, agatemill_http::Error> {
+    let Some(server) = server else {
+        return sending.await;
+    };
+    if left(state, server).is_some() {
         let busy = io::ErrorKind::ResourceBusy;
         return Err(agatemill_http::Error::Connect(busy.into()));
     }
-    sending.await
+    Sending::new(state, server, sending).await
 }
 
 /// Time until this host may send requests to a server again; `None` if it may do so now.
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -353,7 +353,7 @@
     (server, attempt)
 }
 
-async fn fetch(state: &Arc<State>, job: &Job, server: &Server) -> Attempt {
+async fn fetch(state: &Arc<State>, job: &Job, server: &Arc<Server>) -> Attempt {
     let reservation = Reservation::on_server(state, &server.id);
     let left = job.time_left(agatemill_runtime::now());
     // Calls that run at most once use a new connection: a reused one may break without showing whether the call
@@ -365,7 +365,8 @@
     let sent = clock::boot_time();
     let to = departure::Sent::new(state, &server.id, server.address);
     let exchange = async {
-        let sending = client.send(request(job, server, left), left);
+        let (sender, request) = (client.clone(), request(job, server, left));
+        let sending = async move { sender.send(request, left).await };
         let response = backoff::send(state, Some(server), sending).await?;
         let (head, body) = response.into_parts();
         // The time that a server names begins with its head, and the body may take long.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod response;
 pub mod run;
 pub mod runs;
+pub mod sending;
 pub mod server;
 pub mod settings;
 pub mod shutdown;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -170,8 +170,8 @@
         let client = state.pooled.clone();
         let (sender, receiver) = (Arc::clone(state), server.clone());
         let response = async move {
-            let sending = client.send(request, left);
-            backoff::send(&sender, receiver.as_deref(), sending).await
+            let sending = async move { client.send(request, left).await };
+            backoff::send(&sender, receiver.as_ref(), sending).await
         };
         let to = departure::Sent::new(state, &first.server, first.address);
         Self {
--- a/crates/gateway/tests/all/backoff.rs
+++ b/crates/gateway/tests/all/backoff.rs
@@ -279,6 +279,33 @@
     });
 }
 
+/// Guards against a time that is lost because its response arrives just after another run has continued the stream.
+#[test]
+fn a_time_that_a_dropped_run_is_told_holds() {
+    run_test(4, |system| async move {
+        let mut engines = first_engines(&system);
+        let has_run = |engine: &&Engine| !engine.arrivals().is_empty();
+        let silence = async {
+            system
+                .wait_until("the stream runs", || engines.iter().any(has_run))
+                .await;
+            engines.sort_by_key(|engine| !has_run(engine));
+            let pause = Duration::from_millis(1_200);
+            engines[0].pause(pause);
+            engines[1].turn_away(Duration::from_secs(2), "8");
+            engines[1].pause(pause + Duration::from_millis(15));
+        };
+        let (response, ()) = futures::join!(system.send("draft", "a1"), silence);
+        assert_eq!(response.body, complete_stream());
+        let busy = engines[1];
+        assert_eq!(busy.arrivals().len(), 1, "no second run began");
+        let state = system.process.state();
+        let server = busy.id.parse().unwrap();
+        let server = state.view().server(&server).cloned().unwrap();
+        assert!(agatemill_gateway::backoff::left(state, &server).is_some());
+    });
+}
+
 /// Guards against a broken stream that is resumed at an engine that wants no requests.
 #[test]
 fn a_resumed_stream_leaves_an_engine_alone() {
