--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -382,13 +382,14 @@
     (server, attempt)
 }
 
-async fn fetch(state: &Arc<State>, job: &Job, server: &Server) -> Attempt {
+async fn fetch(state: &Arc<State>, job: &Job, server: &Arc<Server>) -> Attempt {
     let reservation = Reservation::on_server(state, &server.id);
     let left = job.time_left(agatemill_runtime::now());
     let client = state.client(&job.route);
     let sent = clock::boot_time();
     let exchange = async {
-        let sending = client.send(request(job, server, left), left);
+        let (sender, request) = (client.clone(), request(job, server, left));
+        let sending = async move { sender.send(request, left).await };
         let response = backoff::send(state, Some(server), sending).await?;
         let (head, body) = response.into_parts();
         // The body may take long or never end.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -169,8 +169,8 @@
         let client = state.client(&job.route).clone();
         let (sender, receiver) = (Arc::clone(state), server.clone());
         let response = async move {
-            let sending = client.send(request, left);
-            backoff::send(&sender, receiver.as_deref(), sending).await
+            let sending = async move { client.send(request, left).await };
+            backoff::send(&sender, receiver.as_ref(), sending).await
         };
         Self {
             reservation: Reservation::on_path(state, &path, size.prompt, size.answer),
