End runs of an engine that was started again under its name

What callers saw: a stream that waited until its deadline for an engine that had ended, if the engine was started again under the same name and address, and the end of its connection was lost.

Cause: only another name at the address showed that an engine had ended. The new process answers the report query, so the run seemed slow, and no second run began.

Change: a run remembers the instance that it was sent to, and a later start of the same name ends it as well. An entry that does not say when its server started shows nothing.

Open: while the store is away, the start that an engine states in its report would show the same.

--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -44,6 +44,15 @@
     pub born_ms: u64,
 }
 
+impl Instance {
+    /// Whether `server`, which is listed at the address of this instance, is another one that was started there since.
+    #[must_use]
+    pub fn is_followed_by(&self, server: &Server) -> bool {
+        let is_later = self.born_ms != 0 && server.born_ms > self.born_ms;
+        server.id != self.server || is_later
+    }
+}
+
 impl From<&Server> for Instance {
     fn from(server: &Server) -> Self {
         Self {
--- a/crates/fleet/tests/departure.rs
+++ b/crates/fleet/tests/departure.rs
@@ -53,6 +53,20 @@
     move |server| listed.get(server.as_str()).copied()
 }
 
+/// Guards against runs that wait for a server that was started again, and against sound ones whose server counts as replaced.
+#[test]
+fn a_later_start_at_its_address_follows_an_instance() {
+    let instance = Instance::from(&server("s1", 5));
+    assert!(instance.is_followed_by(&server("s1", 6)));
+    assert!(instance.is_followed_by(&server("s2", 5)));
+    assert!(!instance.is_followed_by(&server("s1", 5)));
+    // An older entry that is listed late, and entries that do not say when their servers started.
+    assert!(!instance.is_followed_by(&server("s1", 4)));
+    assert!(!instance.is_followed_by(&server("s1", 0)));
+    let unknown = Instance::from(&server("s1", 0));
+    assert!(!unknown.is_followed_by(&server("s1", 6)));
+}
+
 /// Guards against a departure that also excludes other servers, or a restarted one under the same name.
 #[test]
 fn a_departure_concerns_one_instance() {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -36,6 +36,7 @@
 use agatemill_fleet::Evidence;
 use agatemill_fleet::Path;
 use agatemill_fleet::Server;
+use agatemill_fleet::server::Instance;
 use agatemill_fleet::suspicion::Standing;
 
 /// Time without a response head after which the first engine is queried for the engine that it waits for: well
@@ -75,6 +76,8 @@
     job: Arc<Job>,
     /// The first engine as it was listed when the run began; `None` if it was not.
     server: Option<Arc<Server>>,
+    /// The instance of the first engine that runs the request.
+    instance: Instance,
     size: Size,
     /// Load of the stream on the engines.
     reservation: Reservation,
@@ -175,7 +178,13 @@
             backoff::send(&sender, receiver.as_deref(), sending).await
         };
         let to = departure::Sent::new(state, &first.server, first.address);
+        let unknown = || Instance {
+            server: first.server.clone(),
+            born_ms: 0,
+        };
+        let instance = server.as_deref().map_or_else(unknown, Instance::from);
         Self {
+            instance,
             reservation: Reservation::on_path(state, &path, size.prompt, size.answer),
             path,
             head: None,
@@ -249,7 +258,8 @@
     /// Finds out whether the first engine of a run that ended has ended too, and records a crash.
     pub async fn has_lost_engine(&mut self) -> bool {
         let first = self.path.first();
-        if self.state.view().is_replaced(&first.server, first.address) {
+        let is_replaced = { self.state.view().is_replaced(&self.instance, first.address) };
+        if is_replaced {
             return true;
         }
         if !stall::has_ended(&self.state, first.address).await {
@@ -393,11 +403,12 @@
         let state = Arc::clone(&self.state);
         let job = Arc::clone(&self.job);
         let path = self.path.clone();
+        let instance = self.instance.clone();
         let sent = self.sent;
         let is_first = !self.is_silent;
         let check = async move {
             let attempt = &job.parameters.attempt;
-            match stall::investigate(&state, &path, sent, attempt).await {
+            match stall::investigate(&state, &path, &instance, sent, attempt).await {
                 Standing::Sound => Check::Slow,
                 Standing::FirstSilent => Check::Silent,
                 Standing::Ended => Check::Ended,
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -18,6 +18,7 @@
 use agatemill_fleet::Evidence;
 use agatemill_fleet::Path;
 use agatemill_fleet::Server;
+use agatemill_fleet::server::Instance;
 use agatemill_fleet::suspicion::Standing;
 
 /// Maximum age of a cached report: streams that stall together share one call, since calls are priced.
@@ -66,10 +67,17 @@
     }
 }
 
-/// Queries the first engine of a run that stalled for the engines that it waits for. The run was sent at `sent`.
-pub async fn investigate(state: &State, path: &Path, sent: Duration, attempt: &str) -> Standing {
+/// Queries the first engine of a run that stalled for the engines that it waits for. The run was sent to `instance`, at
+/// `sent`.
+pub async fn investigate(
+    state: &State,
+    path: &Path,
+    instance: &Instance,
+    sent: Duration,
+    attempt: &str,
+) -> Standing {
     let first = path.first();
-    if state.view().is_replaced(&first.server, first.address) {
+    if state.view().is_replaced(instance, first.address) {
         return Standing::Ended;
     }
     let standing = || {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -19,6 +19,7 @@
 use agatemill_fleet::Member;
 use agatemill_fleet::Server;
 use agatemill_fleet::prompt::Segment;
+use agatemill_fleet::server::Instance;
 
 /// Time for which entries deleted during an outage are kept after it: live engines write theirs again within
 /// about two seconds.
@@ -121,14 +122,14 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Whether another server is listed at the address of a server and it is not, which shows that it has ended.
+    /// Whether another instance is listed at the address of an instance and it is not, which shows that it has ended.
     #[must_use]
-    pub fn is_replaced(&self, id: &id::Server, address: SocketAddrV4) -> bool {
+    pub fn is_replaced(&self, instance: &Instance, address: SocketAddrV4) -> bool {
         let servers = self.services.values().flatten();
         let mut at_address = servers
             .filter(|server| server.address == address)
             .peekable();
-        at_address.peek().is_some() && at_address.all(|server| &server.id != id)
+        at_address.peek().is_some() && at_address.all(|server| instance.is_followed_by(server))
     }
 
     /// The server with a name.
--- a/crates/gateway/tests/all/runs.rs
+++ b/crates/gateway/tests/all/runs.rs
@@ -189,3 +189,31 @@
         assert!(response.is_complete);
     });
 }
+
+/// Guards against a stream that waits until its deadline for an engine that has ended, because it was started again under its
+/// name and responds.
+#[test]
+fn a_stream_whose_engine_was_started_again_goes_on_elsewhere() {
+    run_test(4, |system| async move {
+        for engine in &system.engines {
+            engine.set_behaviour(Behaviour::StallAfter(2));
+        }
+        let restarting = async {
+            system
+                .wait_until("the stream runs", || system.run_count("a1") > 0)
+                .await;
+            let has_run = |engine: &&Engine| !engine.arrivals().is_empty();
+            let first = system.engines.iter().find(has_run).unwrap();
+            for engine in &system.engines {
+                if engine.id != first.id {
+                    engine.set_behaviour(Behaviour::Serve);
+                }
+            }
+            first.restart_empty();
+        };
+        let (response, ()) = futures::join!(system.send("draft", "a1"), restarting);
+        assert_eq!(response.body, complete_stream());
+        assert!(response.is_complete);
+        assert_eq!(system.run_count("a1"), 2);
+    });
+}
