Test that a caller who leaves ends both runs of its stream

Since a silent run is kept beside a second one, two runs have to end when the caller leaves. The test passed at once; the stand-in counts its open streams for it.

--- a/crates/gateway/tests/all/answers.rs
+++ b/crates/gateway/tests/all/answers.rs
@@ -10,6 +10,7 @@
 
 use crate::run_test;
 use crate::system::System;
+use agatemill_fleet::Evidence;
 use agatemill_standin::Engine;
 use agatemill_standin::document;
 use agatemill_standin::engine::Behaviour;
@@ -270,3 +271,32 @@
         }
     });
 }
+
+/// Guards against engines that go on working for a caller that has left, on one of two runs of its stream.
+#[test]
+fn a_caller_that_leaves_ends_both_runs_of_its_stream() {
+    run_test(4, |system| async move {
+        let mut connection = Connection::open(host(&system)).await;
+        for engine in &system.engines {
+            engine.set_behaviour(Behaviour::StallAfter(2));
+        }
+        connection.send(&head("draft", "a1", 0)).await;
+        system
+            .wait_until("the stream runs", || system.run_count("a1") > 0)
+            .await;
+        let state = system.process.state();
+        let mut engines = system.engines.iter();
+        let first = engines.find(|engine| !engine.arrivals().is_empty());
+        state.suspect(first.unwrap().address, Evidence::Silent);
+        system
+            .wait_until("both runs are open", || open_streams(&system) == 2)
+            .await;
+        drop(connection);
+        agatemill_runtime::sleep(Duration::from_millis(400)).await;
+        assert_eq!(open_streams(&system), 0);
+    });
+}
+
+fn open_streams(system: &System) -> usize {
+    system.engines.iter().map(Engine::open_streams).sum()
+}
