Count only servers that still owe a response as silent

What callers saw: new calls avoided a server for a second or more although it had responded, because another one was silent.

Cause: when a call had waited for half of its time, every server that it had been sent to was avoided with "no response", also those that had rejected it or failed.

Change: only the servers of the attempts that are in flight are.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -79,6 +79,7 @@
     let max_attempts = usize::try_from(job.route.max_attempts).unwrap_or(usize::MAX);
     let mut tried: Vec<Arc<Server>> = Vec::new();
     let mut in_flight = FuturesUnordered::new();
+    let mut awaited: Vec<Arc<Server>> = Vec::new();
     let mut runs = 0;
     let mut rejections = 0;
     let mut is_due = true;
@@ -97,16 +98,15 @@
             match next_server(state, &job, &tried, purpose).await {
                 Selection::Server(server) => {
                     tried.push(Arc::clone(&server));
+                    awaited.push(Arc::clone(&server));
                     in_flight.push(send(state, &job, server));
                 }
                 Selection::Limited if runs == 0 && in_flight.is_empty() => last = limit_refusal(),
                 Selection::Limited | Selection::None => may_back_up = false,
             }
         }
-        let patience = (may_back_up && runs + in_flight.len() < max_attempts).then(|| {
-            job.time_left(agatemill_runtime::now())
-                .mul_f64(PATIENCE_SHARE)
-        });
+        let has_attempt = runs + in_flight.len() < max_attempts;
+        let patience = (may_back_up && has_attempt).then(|| patience(&job));
         let attempt = match patience {
             Some(patience) => agatemill_runtime::timeout(patience, in_flight.next()).await,
             None => Some(in_flight.next().await),
@@ -116,13 +116,12 @@
             // No attempt is in flight, and no server is left.
             Some(None) => break,
             None => {
-                for server in &tried {
-                    state.avoid(server.address, AVOID_DURATION, "no response");
-                }
+                avoid_silent(state, &awaited);
                 (is_due, purpose) = (true, Some(Purpose::Backup));
                 continue;
             }
         };
+        awaited.retain(|other| !Arc::ptr_eq(other, &server));
         let (cause, phase) = match attempt {
             Attempt::Responded(response) => {
                 runs += 1;
@@ -176,6 +175,18 @@
     })
 }
 
+/// Time after which a call is sent to another server as well.
+fn patience(job: &Job) -> Duration {
+    job.time_left(agatemill_runtime::now())
+        .mul_f64(PATIENCE_SHARE)
+}
+
+fn avoid_silent(state: &State, servers: &[Arc<Server>]) {
+    for server in servers {
+        state.avoid(server.address, AVOID_DURATION, "no response");
+    }
+}
+
 /// Selects the next server. `purpose` says why the call is sent again, if it is.
 async fn next_server(
     state: &State,
--- a/crates/gateway/tests/all/silence.rs
+++ b/crates/gateway/tests/all/silence.rs
@@ -243,3 +243,28 @@
         assert_eq!(system.run_count("a1"), 2);
     });
 }
+
+/// Guards against a server that new calls avoid as silent although it has responded, because another one is silent.
+#[test]
+fn a_server_that_responds_does_not_count_as_silent() {
+    run_test(2, |system| async move {
+        let [responding, silent] = system.services.as_slice() else {
+            panic!("there are two servers");
+        };
+        responding.set_behaviour(Behaviour::Reject);
+        silent.pause(Duration::from_secs(5));
+        let call = Call {
+            deadline: Duration::from_millis(1_500),
+            ..system.call("read", "r1")
+        };
+        let state = system.process.state();
+        let is_avoided = |server: &Engine| {
+            let now = agatemill_runtime::now();
+            state.suspicion().is_avoided(&server.address, now)
+        };
+        let avoidance = system.wait_until("the silent server is avoided", || is_avoided(silent));
+        let (response, ()) = futures::join!(system.send_call(call), avoidance);
+        assert!(response.status.is_server_error(), "{response:?}");
+        assert!(!is_avoided(responding));
+    });
+}
