--- a/crates/gateway/tests/all/answers.rs
+++ b/crates/gateway/tests/all/answers.rs
@@ -270,3 +270,64 @@
         }
     });
 }
+
+/// Guards against engines that go on working for a caller that has left, on one of two runs of its stream.
+#[test]
+fn a_caller_that_leaves_ends_both_runs_of_its_stream() {
+    run_test(4, |system| async move {
+        let mut connection = Connection::open(host(&system)).await;
+        for engine in &system.engines {
+            engine.set_behaviour(Behaviour::StallAfter(2));
+        }
+        connection.send(&head("draft", "a1", 0)).await;
+        system
+            .wait_until("the stream runs", || system.run_count("a1") > 0)
+            .await;
+        let mut engines = system.engines.iter();
+        let first = engines.find(|engine| !engine.arrivals().is_empty());
+        first.unwrap().pause(Duration::from_secs(10));
+        system
+            .wait_until("both runs are open", || open_streams(&system) == 2)
+            .await;
+        drop(connection);
+        agatemill_runtime::sleep(Duration::from_millis(400)).await;
+        assert_eq!(open_streams(&system), 0);
+    });
+}
+
+fn open_streams(system: &System) -> usize {
+    system.engines.iter().map(Engine::open_streams).sum()
+}
+
+/// The configuration with another limit on the heads of requests.
+fn with_head_limit(version: u64, bytes: usize) -> String {
+    let document = document::routes(version, r#""k1","k2""#);
+    document.replace(
+        r#""max-header-bytes":16384"#,
+        &format!(r#""max-header-bytes":{bytes}"#),
+    )
+}
+
+/// Guards against a request that is refused, or loses its answer, on an open connection because of the limit on heads of an
+/// older configuration.
+#[test]
+fn an_open_connection_follows_the_limit_on_heads() {
+    const HEAD_BYTES: usize = 24_000;
+    run_test(2, |system| async move {
+        configure(&system, 4, &with_head_limit(4, 9_000)).await;
+        let mut connection = Connection::open(host(&system)).await;
+        let mut request = async |attempt| {
+            let filler = format!("\r\nx-filler: {}\r\n\r\n", "x".repeat(HEAD_BYTES));
+            let head = head("read", attempt, 0).replace("\r\n\r\n", &filler);
+            connection.send(&head).await;
+            connection.answer().await
+        };
+        configure(&system, 5, &with_head_limit(5, 32_000)).await;
+        let answer = request("r1").await;
+        assert!(answer.contains("200 OK"), "{answer:?}");
+        configure(&system, 6, &with_head_limit(6, 9_000)).await;
+        let answer = request("r2").await;
+        assert!(answer.contains("431 "), "{answer:?}");
+        assert_eq!(system.run_count("r2"), 0);
+    });
+}
