Bound the log lines of unusable announcements of a departure

What operators saw: a server that sends Server-Leaving with another value than 1, such as 0, in all its answers wrote one warning for each request. The log queue holds 2,048 lines and drops the others, so other lines are lost beside such a server. The line did not name the server, could be as long as the header, and nothing counted the answers.

Cause: header::is_leaving logged each such value itself, without a bound.

Ruled out: a server that is no longer used because of such a value; the values " 1" and "1" count, all others change nothing. Retry-After has the bound already.

Change: is_leaving returns an error with the start of the text. Of all such answers, one a second is logged, with the server, and each is counted (leaving_invalid). Reports, of which there are few, log theirs as they are read. The bound is that of Retry-After, now a type of its own (LogLimit).

--- a/crates/fleet/src/backoff.rs
+++ b/crates/fleet/src/backoff.rs
@@ -6,6 +6,7 @@
 use core::time::Duration;
 use std::collections::HashMap;
 
+use crate::LogLimit;
 use crate::Server;
 use agatemill_core::id;
 
@@ -26,9 +27,6 @@
 /// Extension of a running time from which it is reported again; each of several answers in a row extends it a little.
 const REPORTED_EXTENSION: Duration = Duration::from_secs(1);
 
-/// Minimum interval between reports of texts that are not a wait.
-const INVALID_REPORT_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Backend servers that asked this host for no requests for a while.
 ///
 /// A time holds for one incarnation of a server and until its end, also if the server answers other requests meanwhile.
@@ -37,8 +35,7 @@
 pub struct Backoff {
     /// Invariant: at most [`MAX_SERVERS`] entries.
     servers: HashMap<id::Server, Entry>,
-    /// When a text that is not a wait was last reported.
-    invalid_reported_at: Option<Duration>,
+    invalid_reports: LogLimit,
 }
 
 /// A server and its time.
@@ -89,12 +86,7 @@
 
     /// Whether to report a text that is not a wait, which bounds the number of such reports.
     pub fn reports_invalid(&mut self, now: Duration) -> bool {
-        let reported_at = self.invalid_reported_at;
-        let is_due = reported_at.is_none_or(|at| now >= at + INVALID_REPORT_INTERVAL);
-        if is_due {
-            self.invalid_reported_at = Some(now);
-        }
-        is_due
+        self.invalid_reports.admits(now)
     }
 
     /// Time until requests may be sent to a server again; `None` if they may be sent now.
--- a/crates/fleet/src/departure.rs
+++ b/crates/fleet/src/departure.rs
@@ -4,6 +4,11 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use compact_str::CompactString;
+use derive_more::Display;
+use derive_more::Error;
+
+use crate::LogLimit;
 use crate::Server;
 use crate::server::Instance;
 use crate::server::State;
@@ -13,6 +18,27 @@
 /// back within seconds of its return.
 const RETENTION: Duration = Duration::from_mins(5);
 
+/// Maximum number of characters of a rejected text that are kept.
+const MAX_FOUND_CHARS: usize = 40;
+
+/// Error for a text that is no announcement of a departure.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("a departure is announced with 1, found {found:?}")]
+pub struct Invalid {
+    /// The start of the rejected text.
+    pub found: CompactString,
+}
+
+impl Invalid {
+    /// Creates the error for a text.
+    #[must_use]
+    pub fn new(text: &str) -> Self {
+        Self {
+            found: text.chars().take(MAX_FOUND_CHARS).collect(),
+        }
+    }
+}
+
 /// Instances of backend servers that have announced that they leave. They get no new requests as long as they live.
 ///
 /// The platform may list an instance as ready for some time after the announcement, and its entry may expire and come
@@ -21,6 +47,7 @@
 pub struct Departures {
     /// The latest instance of each server that has announced its departure.
     instances: HashMap<id::Server, Departure>,
+    invalid_reports: LogLimit,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -90,6 +117,11 @@
         });
     }
 
+    /// Whether to report a text that is no announcement, which bounds the number of such reports.
+    pub fn reports_invalid(&mut self, now: Duration) -> bool {
+        self.invalid_reports.admits(now)
+    }
+
     /// Number of instances that are remembered.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/fleet/tests/departure.rs
+++ b/crates/fleet/tests/departure.rs
@@ -135,3 +135,12 @@
         "no engine leaves, and layers may be loaded soon"
     );
 }
+
+/// Guards against a log that is flooded by unusable announcements.
+#[test]
+fn unusable_announcements_are_reported_once_a_second() {
+    let mut departures = Departures::default();
+    let times = (0..10_000).map(Duration::from_millis);
+    let reported = times.filter(|now| departures.reports_invalid(*now));
+    assert_eq!(reported.count(), 10);
+}
--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -19,8 +19,17 @@
 /// earlier request on the connection. The request names its server, so only a response with status 421 may come from
 /// another one.
 pub fn observe(state: &State, server: &Server, status: StatusCode, headers: &HeaderMap) {
-    if header::is_leaving(headers) && status != StatusCode::MISDIRECTED_REQUEST {
-        record(state, Instance::from(server));
+    match header::is_leaving(headers) {
+        Ok(true) if status != StatusCode::MISDIRECTED_REQUEST => {
+            record(state, Instance::from(server));
+        }
+        Ok(_) => {}
+        Err(error) => {
+            state.metrics.count_event("servers", "leaving_invalid");
+            if state.departures().reports_invalid(agatemill_runtime::now()) {
+                log::warn!(server:% = server.id, error:%; "servers: ignored an announcement of a departure");
+            }
+        }
     }
 }
 
--- a/crates/gateway/tests/all/leaving.rs
+++ b/crates/gateway/tests/all/leaving.rs
@@ -404,6 +404,26 @@
     });
 }
 
+/// Guards against a log that a server floods with an unusable text in each response, and against such texts that nobody
+/// sees.
+#[test]
+fn unusable_announcements_change_nothing_and_are_counted() {
+    run_test(2, |system| async move {
+        for server in &system.services {
+            server.set_leaving_text(Some("0"));
+        }
+        for number in 0..2 * REQUESTS {
+            let response = system.send("open", &format!("a{number}")).await;
+            assert_eq!(response.status, 200, "{response:?}");
+        }
+        let state = system.process.state();
+        assert!(state.departures().is_empty());
+        let metrics = String::from_utf8(state.metrics.export().unwrap()).unwrap();
+        let line = r#"agatemill_events_total{event="leaving_invalid",part="servers"} 24"#;
+        assert!(metrics.contains(line), "{metrics}");
+    });
+}
+
 /// Guards against a report of a restarted engine that counts for the instance before it, or the other way round.
 #[test]
 fn a_report_tells_only_that_the_instance_leaves_that_it_names() {
