Look for a server while a request waits for the end of a time

What callers saw: all servers ask for no requests for 2 s, and a request waits for the end of that. One server restarts or is added after 0.2 s: the request stays asleep, and so does each other one, until the 2 s are over. Or the servers meanwhile ask for 30 s, as the answers to requests under way may: the request is refused only after the 2 s, though it is known before that it cannot be served.

Cause: the request slept for the whole time that was known when it began to wait.

Ruled out: requests that begin together when the time ends. A request whose wait is not cut short keeps its random part of 0.2 s; the check is made before the end of the time only.

Change: a request that waits checks every 40 ms whether another server may be used, or all ask for longer than it may wait.

--- a/crates/gateway/src/backoff.rs
+++ b/crates/gateway/src/backoff.rs
@@ -16,6 +16,9 @@
 use agatemill_fleet::Server;
 use agatemill_fleet::backoff;
 
+/// Interval at which a request that waits for a server checks whether the wait still holds.
+const CHECK_INTERVAL: Duration = Duration::from_millis(40);
+
 /// Records how long a server wants no requests, if its response says so.
 pub fn observe(state: &State, server: &Server, status: StatusCode, headers: &HeaderMap) {
     let now = clock::boot_time();
@@ -108,8 +111,20 @@
     refusal.retry_after(backoff::retry_after(wait, fastrand::f64()))
 }
 
-/// Waits until a request that waits for a server may begin, at most for `limit`.
-pub async fn sleep(wait: Duration, limit: Duration) {
+/// Waits until a request that waits for a server may begin, at most for `limit`. Ends before `wait` is over if `has_changed`
+/// returns true.
+pub async fn sleep(wait: Duration, limit: Duration, has_changed: impl Fn() -> bool) {
+    let start = agatemill_runtime::now();
     let delay = backoff::resume_delay(wait, limit, fastrand::f64());
-    agatemill_runtime::sleep(delay).await;
+    loop {
+        let passed = agatemill_runtime::now().saturating_sub(start);
+        if passed >= wait {
+            agatemill_runtime::sleep(delay.saturating_sub(passed)).await;
+            return;
+        }
+        if has_changed() {
+            return;
+        }
+        agatemill_runtime::sleep(CHECK_INTERVAL.min(wait.saturating_sub(passed))).await;
+    }
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -275,17 +275,16 @@
     let is_untried = |server: &Server| !was_tried(tried, server);
     let is_trusted = |server: &Server| is_untried(server) && !is_avoided(state, server);
     loop {
-        let limit = end.saturating_sub(agatemill_runtime::now());
         let mut untried = untried_servers(state, job, tried);
         if untried.is_empty() {
             // A server that may be used soon is better than one that may be lost.
-            if wait_for_backoff(state, job, limit, is_trusted).await {
+            if wait_for_backoff(state, job, tried, end, is_trusted).await {
                 continue;
             }
             untried = suspected_servers(state, job, tried);
         }
         if untried.is_empty() {
-            if wait_for_backoff(state, job, limit, is_untried).await {
+            if wait_for_backoff(state, job, tried, end, is_untried).await {
                 continue;
             }
             log_backoff(state, job, is_untried);
@@ -296,7 +295,7 @@
         {
             return Selection::Server(server);
         }
-        if limit.is_zero() {
+        if agatemill_runtime::now() >= end {
             return Selection::Limited;
         }
         state.announce_waiting();
@@ -305,18 +304,24 @@
 }
 
 /// Waits until one of the servers that ask for no requests, and for which `is_wanted` returns true, may be used, if that is
-/// within `limit`. Returns whether it waited.
+/// before `end`, or until that changes. Returns whether it waited.
 async fn wait_for_backoff(
     state: &State,
     job: &Job,
-    limit: Duration,
+    tried: &[Arc<Server>],
+    end: Duration,
     is_wanted: impl Fn(&Server) -> bool,
 ) -> bool {
-    let wait = backoff::shortest_wait(state, &job.service, is_wanted);
-    let Some(wait) = wait.filter(|wait| *wait < limit) else {
+    let left = || end.saturating_sub(agatemill_runtime::now());
+    let shortest_wait = || backoff::shortest_wait(state, &job.service, &is_wanted);
+    let Some(wait) = shortest_wait().filter(|wait| *wait < left()) else {
         return false;
     };
-    backoff::sleep(wait, limit).await;
+    let has_changed = || {
+        !untried_servers(state, job, tried).is_empty()
+            || shortest_wait().is_none_or(|wait| wait >= left())
+    };
+    backoff::sleep(wait, left(), has_changed).await;
     // No credits are asked for while a server wants no requests.
     throttle::want(state, &job.service);
     true
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -203,9 +203,10 @@
             Err(missing) => {
                 drop(probe);
                 let before = previous.replace(missing);
-                let wait = common_wait(&state, &job, missing, &running);
-                if let Some(wait) = wait {
-                    wait_for_backoff(&job, wait, end).await?;
+                if missing == Missing::Backoff
+                    && let Some(wait) = common_wait(&state, &job, &running)
+                {
+                    wait_for_backoff(&state, &job, wait, end, &running).await?;
                     continue;
                 }
                 if is_last || choice::has_gap(&state, &job, &model) {
@@ -246,29 +247,28 @@
 
 /// Time until the first engine may be used that a path may start at, if all of them ask for no requests. An engine that is
 /// only avoided may be used again sooner.
-fn common_wait(
-    state: &State,
-    job: &Job,
-    missing: Missing,
-    running: &[SocketAddrV4],
-) -> Option<Duration> {
-    if missing != Missing::Backoff {
-        return None;
-    }
+fn common_wait(state: &State, job: &Job, running: &[SocketAddrV4]) -> Option<Duration> {
     let is_wanted = |server: &Server| !running.contains(&server.address);
     backoff::common_wait(state, &job.service, is_wanted)
 }
 
-/// Waits for `wait`, after which an engine may be used, if that is before `end`.
+/// Waits for `wait`, after which an engine may be used, if that is before `end`, or until that changes.
 ///
 /// # Errors
 ///
 /// [`Obstacle::Backoff`] at once when it is not.
-async fn wait_for_backoff(job: &Job, wait: Duration, end: Duration) -> Result<(), Obstacle> {
-    let limit = end.min(job.deadline);
-    let limit = limit.saturating_sub(agatemill_runtime::now());
-    if wait < limit {
-        backoff::sleep(wait, limit).await;
+async fn wait_for_backoff(
+    state: &State,
+    job: &Job,
+    wait: Duration,
+    end: Duration,
+    running: &[SocketAddrV4],
+) -> Result<(), Obstacle> {
+    let end = end.min(job.deadline);
+    let left = || end.saturating_sub(agatemill_runtime::now());
+    if wait < left() {
+        let has_changed = || common_wait(state, job, running).is_none_or(|wait| wait >= left());
+        backoff::sleep(wait, left(), has_changed).await;
         return Ok(());
     }
     let missing = Missing::Backoff;
--- a/crates/gateway/tests/all/backoff.rs
+++ b/crates/gateway/tests/all/backoff.rs
@@ -126,6 +126,28 @@
         .await;
 }
 
+/// Makes all servers to which requests of a route are sent ask for no requests, and serve again.
+async fn turn_all_away<'a>(system: &'a System, route: &str, text: &str) -> Vec<&'a Engine> {
+    let servers: Vec<&Engine> = if route == "draft" {
+        first_engines(system)
+    } else {
+        system.services.iter().collect()
+    };
+    for server in &servers {
+        turn_away(server, Behaviour::Reject, text);
+    }
+    for number in 0.. {
+        let response = system.send(route, &format!("rejected-{number}")).await;
+        if response.body.contains("ask for no requests") {
+            break;
+        }
+    }
+    for server in &servers {
+        server.set_behaviour(Behaviour::Serve);
+    }
+    servers
+}
+
 fn plain() -> id::Service {
     "plain".parse().unwrap()
 }
@@ -439,18 +461,7 @@
                 server.set_request_limit(Some(50.0));
                 reach(&system, route, server).await;
             }
-            for server in &servers {
-                turn_away(server, Behaviour::Reject, "2.5");
-            }
-            for number in 0.. {
-                let response = system.send(route, &format!("rejected-{number}")).await;
-                if response.body.contains("ask for no requests") {
-                    break;
-                }
-            }
-            for server in &servers {
-                server.set_behaviour(Behaviour::Serve);
-            }
+            turn_all_away(&system, route, "2.5").await;
             // Longer than a credit lasts.
             agatemill_runtime::sleep(Duration::from_millis(1_400)).await;
             let response = system.send(route, "a1").await;
@@ -478,3 +489,52 @@
         assert_eq!(response.body, "done by s0", "{response:?}");
     });
 }
+
+/// Guards against requests that wait for the end of a time although another server may be used.
+#[test]
+fn a_request_stops_waiting_once_a_server_may_be_used() {
+    for route in ["draft", "read", "pay"] {
+        run_test(2, |system| async move {
+            use_slow_routes(&system).await;
+            let servers = turn_all_away(&system, route, "2.2").await;
+            agatemill_runtime::sleep(Duration::from_millis(500)).await;
+            let start = agatemill_runtime::now();
+            let restart = async {
+                agatemill_runtime::sleep(Duration::from_millis(200)).await;
+                servers[0].set_entry("born", 1_700_000_060_000_u64.into());
+            };
+            let (response, ()) = futures::join!(system.send(route, "a1"), restart);
+            let taken = agatemill_runtime::now().saturating_sub(start);
+            assert_eq!(response.status, 200, "{route}: {response:?}");
+            assert!(taken < Duration::from_millis(1_200), "{route}: {taken:?}");
+        });
+    }
+}
+
+/// Guards against requests that are held until the end of a time although the servers meanwhile ask for a longer one.
+#[test]
+fn a_request_that_waits_is_rejected_once_the_time_is_too_long() {
+    for route in ["draft", "read", "pay"] {
+        run_test(2, |system| async move {
+            use_slow_routes(&system).await;
+            let servers = turn_all_away(&system, route, "2.2").await;
+            agatemill_runtime::sleep(Duration::from_millis(500)).await;
+            let start = agatemill_runtime::now();
+            let state = system.process.state();
+            let extend = async {
+                agatemill_runtime::sleep(Duration::from_millis(200)).await;
+                for server in &servers {
+                    let name: id::Server = server.id.parse().unwrap();
+                    let listed = state.view().server(&name).cloned().unwrap();
+                    let now = agatemill_gateway::clock::boot_time();
+                    let wait = "30".parse().unwrap();
+                    state.backoff().record(&listed, wait, now);
+                }
+            };
+            let (response, ()) = futures::join!(system.send(route, "a1"), extend);
+            let taken = agatemill_runtime::now().saturating_sub(start);
+            assert!(retry_after(&response) > 25.0, "{route}: {response:?}");
+            assert!(taken < Duration::from_millis(1_200), "{route}: {taken:?}");
+        });
+    }
+}
