Do not order the instances of a server by their starts

What servers see: a server restarts under its id on a machine whose clock was set back, and then leaves, or asks for no requests. Its host goes on sending it requests: for five minutes in the first case, and until the end of the former instance's time in the second.

Cause: Departures and Backoff kept one instance of each id and took the one with the later start (born, Unix milliseconds of its machine) for the newer one. An answer of an instance with an earlier start was passed over as a late one.

Ruled out: the clock of the host. Times of Backoff are on a clock that runs in suspend, those of Departures are monotonic.

Change: each instance is kept by id and start, without an order between them. An instance is forgotten as before: when a later one is listed, or after five minutes unlisted.

The test repeated_and_outdated_announcements_change_nothing demanded that an earlier instance's announcement is not recorded, so that it cannot hide the later one's. It now demands that it is recorded once, hides nothing, and is gone with the next listing.

--- a/crates/fleet/src/backoff.rs
+++ b/crates/fleet/src/backoff.rs
@@ -8,7 +8,7 @@
 
 use crate::LogLimit;
 use crate::Server;
-use agatemill_core::id;
+use crate::tally::Key;
 
 pub use wait::Wait;
 
@@ -33,28 +33,23 @@
 /// Times are on a clock that runs while the machine is suspended, since the server's time passes then too.
 #[derive(Clone, Debug, Default)]
 pub struct Backoff {
+    /// The incarnations of servers by their keys and starts. The starts do not tell which one is the latest, since the clock
+    /// of a machine may be set back.
+    ///
     /// Invariant: at most [`MAX_SERVERS`] entries.
-    servers: HashMap<id::Server, Entry>,
+    servers: HashMap<(Key, u64), Entry>,
     invalid_reports: LogLimit,
 }
 
-/// A server and its time.
+/// An incarnation and its time.
 #[derive(Clone, Copy, Debug)]
 struct Entry {
-    /// Address of the incarnation.
+    /// Its address.
     address: SocketAddrV4,
-    /// Milliseconds since the Unix epoch at which it started.
-    born_ms: u64,
     /// When requests may be sent again.
     end: Duration,
 }
 
-impl Entry {
-    fn is_of(&self, server: &Server) -> bool {
-        self.address == server.address && self.born_ms == server.born_ms
-    }
-}
-
 impl Backoff {
     /// Records that a server asked for no requests for `wait`. A shorter time does not end a running one sooner.
     /// Returns whether this is worth a report: a time begins, or becomes much longer.
@@ -64,23 +59,18 @@
             return false;
         }
         self.servers.retain(|_, entry| entry.end > now);
-        let known = self.servers.get(&server.id);
-        if known.is_some_and(|entry| entry.born_ms > server.born_ms) {
-            // The answer comes from an incarnation that has been replaced.
-            return false;
-        }
-        if self.servers.len() >= MAX_SERVERS && !self.servers.contains_key(&server.id) {
+        let incarnation = (server.key, server.born_ms);
+        if self.servers.len() >= MAX_SERVERS && !self.servers.contains_key(&incarnation) {
             let first = self.servers.iter().min_by_key(|(_, entry)| entry.end);
-            if let Some(id) = first.map(|(id, _)| id.clone()) {
-                self.servers.remove(&id);
+            if let Some(first) = first.map(|(first, _)| *first) {
+                self.servers.remove(&first);
             }
         }
         let entry = Entry {
             address: server.address,
-            born_ms: server.born_ms,
             end: now + wait.time(),
         };
-        self.servers.insert(server.id.clone(), entry);
+        self.servers.insert(incarnation, entry);
         left.is_none_or(|left| wait.time() >= left + REPORTED_EXTENSION)
     }
 
@@ -92,9 +82,9 @@
     /// Time until requests may be sent to a server again; `None` if they may be sent now.
     #[must_use]
     pub fn left(&self, server: &Server, now: Duration) -> Option<Duration> {
-        let entry = self.servers.get(&server.id)?;
+        let entry = self.servers.get(&(server.key, server.born_ms))?;
         let left = entry.end.checked_sub(now)?;
-        (entry.is_of(server) && !left.is_zero()).then_some(left)
+        (entry.address == server.address && !left.is_zero()).then_some(left)
     }
 
     /// Time until the first of the servers may be used again, if there are any and none of them may be used now.
--- a/crates/fleet/src/departure.rs
+++ b/crates/fleet/src/departure.rs
@@ -45,8 +45,9 @@
 /// back. A restarted server is another instance, also under the same name.
 #[derive(Clone, Debug, Default)]
 pub struct Departures {
-    /// The latest instance of each server that has announced its departure.
-    instances: HashMap<id::Server, Departure>,
+    /// The instances of each server; not empty. Their starts do not tell which one is the latest, since the clock of a
+    /// machine may be set back.
+    instances: HashMap<id::Server, Vec<Departure>>,
     invalid_reports: LogLimit,
 }
 
@@ -61,23 +62,26 @@
 impl Departures {
     /// Records the announcement of an instance; returns whether it is new.
     pub fn record(&mut self, instance: Instance) -> bool {
-        let known = self.instances.get(&instance.server);
-        if known.is_some_and(|known| known.born_ms >= instance.born_ms) {
-            return false;
+        let known = self.instances.entry(instance.server).or_default();
+        let is_new = known.iter().all(|known| known.born_ms != instance.born_ms);
+        if is_new {
+            known.push(Departure {
+                born_ms: instance.born_ms,
+                unlisted_since: None,
+            });
         }
-        let departure = Departure {
-            born_ms: instance.born_ms,
-            unlisted_since: None,
-        };
-        self.instances.insert(instance.server, departure);
-        true
+        is_new
     }
 
     /// Whether new requests may be sent to a server: it is listed as ready and has not announced its departure.
     #[must_use]
     pub fn is_staying(&self, server: &Server) -> bool {
-        let departure = self.instances.get(&server.id);
-        let has_announced = departure.is_some_and(|known| known.born_ms == server.born_ms);
+        let known = self.instances.get(&server.id);
+        let has_announced = known.is_some_and(|known| {
+            known
+                .iter()
+                .any(|departure| departure.born_ms == server.born_ms)
+        });
         server.state == State::Ready && !has_announced
     }
 
@@ -106,14 +110,17 @@
     /// Forgets the instances that have been replaced by a later one, and those that have not been listed for some
     /// minutes. `listed` returns the start of the instance that is listed for a server.
     pub fn retain(&mut self, listed: impl Fn(&id::Server) -> Option<u64>, now: Duration) {
-        self.instances.retain(|server, departure| {
+        self.instances.retain(|server, known| {
             let listed = listed(server);
-            if listed == Some(departure.born_ms) {
-                departure.unlisted_since = None;
-                return true;
-            }
-            let since = *departure.unlisted_since.get_or_insert(now);
-            listed.is_none_or(|born_ms| born_ms < departure.born_ms) && now < since + RETENTION
+            known.retain_mut(|departure| {
+                if listed == Some(departure.born_ms) {
+                    departure.unlisted_since = None;
+                    return true;
+                }
+                let since = *departure.unlisted_since.get_or_insert(now);
+                listed.is_none_or(|born_ms| born_ms < departure.born_ms) && now < since + RETENTION
+            });
+            !known.is_empty()
         });
     }
 
@@ -125,7 +132,7 @@
     /// Number of instances that are remembered.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.instances.len()
+        self.instances.values().map(Vec::len).sum()
     }
 
     /// Whether no instance is remembered.
--- a/crates/fleet/tests/backoff.rs
+++ b/crates/fleet/tests/backoff.rs
@@ -178,3 +178,13 @@
     let delays = [0.0, 1.0].map(|random| backoff::resume_delay(ms(100), ms(5_000), random));
     assert_eq!(delays, [ms(100), ms(300)]);
 }
+
+/// Guards against a server that is used although it asks for no requests, because the clock of its machine was set back
+/// before it started.
+#[test]
+fn an_incarnation_may_have_an_earlier_start_than_the_one_before_it() {
+    let mut backoff = Backoff::default();
+    backoff.record(&server("a", 5), wait("60"), ms(0));
+    assert!(backoff.record(&server("a", 3), wait("5"), ms(1)));
+    assert_eq!(backoff.left(&server("a", 3), ms(1)), Some(ms(5_000)));
+}
--- a/crates/fleet/tests/departure.rs
+++ b/crates/fleet/tests/departure.rs
@@ -75,8 +75,13 @@
 fn repeated_and_outdated_announcements_change_nothing() {
     let mut departures = with_departure(&server("s1", 5));
     assert!(!departures.record(Instance::from(&server("s1", 5))));
+    departures.record(Instance::from(&server("s1", 4)));
     assert!(!departures.record(Instance::from(&server("s1", 4))));
     assert!(!departures.is_staying(&server("s1", 5)));
+    assert!(departures.is_staying(&server("s1", 6)));
+    departures.retain(list(&[("s1", 5)]), Duration::ZERO);
+    assert_eq!(departures.len(), 1, "the earlier instance is gone");
+    assert!(!departures.is_staying(&server("s1", 5)));
 }
 
 /// Guards against an instance that is used again after its entry expired in an outage and came back.
@@ -144,3 +149,16 @@
     let reported = times.filter(|now| departures.reports_invalid(*now));
     assert_eq!(reported.count(), 10);
 }
+
+/// Guards against an instance that is used although it leaves, because the clock of its machine was set back before it
+/// started.
+#[test]
+fn an_instance_may_have_an_earlier_start_than_the_one_before_it() {
+    let mut departures = with_departure(&server("s1", 5));
+    departures.retain(list(&[("s1", 3)]), Duration::ZERO);
+    assert!(departures.is_staying(&server("s1", 3)));
+    assert!(departures.record(Instance::from(&server("s1", 3))));
+    assert!(!departures.is_staying(&server("s1", 3)));
+    departures.retain(list(&[("s1", 3)]), FORGOTTEN);
+    assert!(!departures.is_staying(&server("s1", 3)));
+}
