--- a/crates/fleet/tests/departure.rs
+++ b/crates/fleet/tests/departure.rs
@@ -89,8 +89,13 @@
 fn repeated_and_outdated_announcements_change_nothing() {
     let mut departures = with_departure(&server("s1", 5));
     assert!(!departures.record(Instance::from(&server("s1", 5))));
+    departures.record(Instance::from(&server("s1", 4)));
     assert!(!departures.record(Instance::from(&server("s1", 4))));
     assert!(!departures.is_staying(&server("s1", 5)));
+    assert!(departures.is_staying(&server("s1", 6)));
+    departures.retain(list(&[("s1", 5)]), Duration::ZERO);
+    assert_eq!(departures.len(), 1, "the earlier instance is gone");
+    assert!(!departures.is_staying(&server("s1", 5)));
 }
 
 /// Guards against an instance that is used again after its entry expired in an outage and came back.
@@ -149,3 +154,25 @@
         "no engine leaves, and layers may be loaded soon"
     );
 }
+
+/// Guards against a log that is flooded by unusable announcements.
+#[test]
+fn unusable_announcements_are_reported_once_a_second() {
+    let mut departures = Departures::default();
+    let times = (0..10_000).map(Duration::from_millis);
+    let reported = times.filter(|now| departures.reports_invalid(*now));
+    assert_eq!(reported.count(), 10);
+}
+
+/// Guards against an instance that is used although it leaves, because the clock of its machine was set back before it
+/// started.
+#[test]
+fn an_instance_may_have_an_earlier_start_than_the_one_before_it() {
+    let mut departures = with_departure(&server("s1", 5));
+    departures.retain(list(&[("s1", 3)]), Duration::ZERO);
+    assert!(departures.is_staying(&server("s1", 3)));
+    assert!(departures.record(Instance::from(&server("s1", 3))));
+    assert!(!departures.is_staying(&server("s1", 3)));
+    departures.retain(list(&[("s1", 3)]), FORGOTTEN);
+    assert!(!departures.is_staying(&server("s1", 3)));
+}
