State in the log that only the links between zones are full

`missing=Room` had two meanings: engines without memory, and no whole zone while this host's share of the links between zones was used up.

Change: `missing=Links` for the second meaning, also when a stalled stream cannot be rerouted for it. Callers get the same refusal. The test of full links expects the new reason instead of `Room`, and now tells full links, full engines and missing layers apart while no path may cross zones.

--- a/crates/fleet/src/path.rs
+++ b/crates/fleet/src/path.rs
@@ -105,8 +105,10 @@
 pub enum Missing {
     /// No usable engine holds some layer.
     Layers,
-    /// All engines of some layer lack memory, or are in other zones while the links between zones are full.
+    /// All engines of some layer lack memory.
     Room,
+    /// Only paths between zones have memory, and the links between zones are full.
+    Links,
     /// Reading the prompts that are queued at the engines takes too long.
     Time,
     /// The engines that a path may start at have reached their limits on requests.
@@ -280,10 +282,14 @@
     if let Some(parts) = search(model, candidates, &with_capacity, request, span) {
         return Ok(parts);
     }
+    let is_closed = !request.may_cross;
     let request = Request {
         may_cross: true,
         ..request
     };
+    if is_closed && search(model, candidates, &with_capacity, request, span).is_some() {
+        return Err(Missing::Links);
+    }
     let free = cheapest_per_group(model, candidates, &free, request);
     if search(model, candidates, &free, request, span).is_some() {
         return Err(Missing::Room);
--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -183,9 +183,10 @@
     assert_eq!(gap, Err(Missing::Layers));
 }
 
-/// Guards against a log that reports layers without an engine while only the links between zones are full.
+/// Guards against a log that reports full engines, or layers without an engine, while only the links between zones are
+/// full.
 #[test]
-fn full_links_and_missing_layers_are_distinguished() {
+fn full_links_full_engines_and_missing_layers_are_distinguished() {
     let model = fleet::model();
     let mut engines = engines(&model);
     let (local, remote) = (fleet::zone("a"), fleet::zone("b"));
@@ -203,8 +204,19 @@
         start: Start::Allowed,
         ..request
     };
+    let links = Path::choose(&model, &engines, request);
+    assert_eq!(links, Err(Missing::Links));
+    for engine in &mut engines {
+        engine.usage = Usage {
+            tokens: engine.token_capacity,
+            ..Usage::default()
+        };
+    }
     let full = Path::choose(&model, &engines, request);
     assert_eq!(full, Err(Missing::Room));
+    engines.retain(|engine| engine.layers.start() > 0);
+    let gap = Path::choose(&model, &engines, request);
+    assert_eq!(gap, Err(Missing::Layers));
 }
 
 /// Guards against requests that wait for room or layers, or are sent to a first engine that asks for no requests.
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -193,7 +193,7 @@
     let before = path.crossings(&candidates);
     let added = repaired.crossings(&candidates).saturating_sub(before);
     if added > 0 && !request.may_cross {
-        return Err(Missing::Room);
+        return Err(Missing::Links);
     }
     let tokens = size.prompt + size.answer;
     state.link().charge(model, tokens, added);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -290,7 +290,7 @@
             Reason::Overloaded,
             "the engines have reached their limits on requests",
         ),
-        Obstacle::NoPath(Missing::Room | Missing::Backoff)
+        Obstacle::NoPath(Missing::Room | Missing::Links | Missing::Backoff)
         | Obstacle::Budget
         | Obstacle::Attempts => {
             return overloaded();
