Let empty engines load what a moving card does not hold yet

Trace: with the reason told apart, nearly all of these refusals are `missing=Links`: two zones lack layers and the third is full.

Cause: a card that was ordered to move counted as a holder of its target at once.

Change: a card that gives up layers holds none when empty engines are filled. When other cards are moved, its target counts as before.

Failed before: `an_empty_engine_loads_missing_layers_before_the_card_that_moves_to_them`.

--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -51,6 +51,8 @@
 #[derive(Clone, Debug)]
 struct Pending {
     target: layer::Range,
+    /// Whether the engine gives up other layers first, which it does only when their streams have ended.
+    gives_up_layers: bool,
     born_ms: u64,
     /// Time at which the engine is asked what became of the order.
     expires: Duration,
@@ -142,9 +144,12 @@
     pub fn propose(&mut self, model: &Model, servers: &[Arc<Server>], now: Duration) -> Vec<Move> {
         let mut cards = self.cards(servers);
         let mut moves = placement::fill(model, &cards);
-        for order in &moves {
-            for card in cards.iter_mut().filter(|card| card.server == order.server) {
-                card.layers = Some(order.target);
+        let pending = self.pending.iter().map(|(id, order)| (id, order.target));
+        let ordered = moves.iter().map(|order| (&order.server, order.target));
+        let targets: HashMap<&id::Server, layer::Range> = pending.chain(ordered).collect();
+        for card in &mut cards {
+            if let Some(target) = targets.get(&card.server) {
+                card.layers = Some(*target);
                 card.is_available = false;
             }
         }
@@ -222,6 +227,7 @@
     ) {
         let pending = Pending {
             target,
+            gives_up_layers: server.layers.is_some(),
             born_ms: server.born_ms,
             expires: now + load_time(model, target) + LOAD_TIMEOUT_MARGIN,
         };
@@ -243,13 +249,17 @@
         }
     }
 
+    /// The engines with the layers that they hold or load. One that gives up layers holds none while it waits for its
+    /// streams to end, which takes longer than the load of an empty engine.
     fn cards(&self, servers: &[Arc<Server>]) -> Vec<Card> {
         let cards = servers.iter().filter_map(|server| {
-            let target = self.pending.get(&server.id).map(|order| order.target);
             let unavailable = self.unavailable.get(&server.id);
-            let layers = target
-                .or(unavailable.and_then(|engine| engine.layers))
-                .or(server.layers);
+            let layers = match self.pending.get(&server.id) {
+                Some(order) => (!order.gives_up_layers).then_some(order.target),
+                None => unavailable
+                    .and_then(|engine| engine.layers)
+                    .or(server.layers),
+            };
             card(server, layers, self.can_order(&server.id))
         });
         cards.collect()
--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -296,3 +296,33 @@
     let targets: Vec<_> = moves.iter().map(|order| &order.server).collect();
     assert_eq!(targets, [&empty.id]);
 }
+
+/// Guards against a zone that lacks layers although an engine is free to load them: a card that is to take them gives up
+/// others first, and waits until its streams have ended.
+#[test]
+fn an_empty_engine_loads_missing_layers_before_the_card_that_moves_to_them() {
+    let model = fleet::model();
+    let mut servers = placed_servers(&model);
+    let mut plan = Plan::default();
+    plan.refresh(&servers, NOW);
+    let lost = take(&mut servers, "large-b-0");
+    plan.refresh(&servers, NOW);
+    let moves = plan.propose(&model, &servers, NOW);
+    assert!(!moves.is_empty());
+    for order in &moves {
+        let server = servers.iter().find(|server| server.id == order.server);
+        plan.record_order(&model, server.unwrap(), order.target, NOW);
+        set_layers(&mut servers, order.server.as_str(), None);
+    }
+    let mut returned = Server::clone(&lost);
+    returned.born_ms = 2;
+    returned.layers = None;
+    servers.push(Arc::new(returned));
+    plan.refresh(&servers, LATER);
+    let fills = plan.propose(&model, &servers, LATER);
+    let fills: Vec<_> = fills
+        .iter()
+        .map(|order| (&order.server, order.target))
+        .collect();
+    assert_eq!(fills, [(&lost.id, lost.layers.unwrap())]);
+}
