List a request that is refused although a zone has a path

What callers see: 503 while the links between zones are full, although one zone holds all layers and has room.

Cause: the search keeps the four cheapest partial paths at each layer, over all zones. Those of faster zones that lack a later layer displace the ones of the whole zone.

Ruled out: want of memory; the test fails with `Links` with a tenth of the memory free.

--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -300,3 +300,29 @@
         }
     }
 }
+
+/// Guards against a request that finds no path while the links between zones are full, although a zone that is
+/// slower, or farther away, holds all layers: the partial paths of faster zones that lack a layer were kept instead.
+#[test]
+fn a_whole_zone_is_found_beside_faster_zones_that_lack_layers() {
+    let model = fleet::model();
+    for whole in ["a", "b", "c"] {
+        let whole = fleet::zone(whole);
+        let mut engines = engines(&model);
+        engines.retain(|engine| engine.zone == whole || engine.layers.end() < model.layers);
+        for engine in engines.iter_mut().filter(|engine| engine.zone == whole) {
+            engine.usage.tokens = engine.token_capacity * 0.9;
+        }
+        for host in ["a", "b", "c"] {
+            let host = fleet::zone(host);
+            let request = Request {
+                may_cross: false,
+                ..fleet::request(&host)
+            };
+            let path = Path::choose(&model, &engines, request);
+            let path = path.unwrap_or_else(|missing| panic!("{whole} from {host}: {missing:?}"));
+            assert_whole(&model, &path, &engines);
+            assert_eq!(zones(&path, &engines), [whole.to_string()]);
+        }
+    }
+}
