--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -210,9 +210,10 @@
     models.collect()
 }
 
-/// Returns the engines without the lost ones, and the lost ones that refuse connections. The platform lists an engine for some seconds after its loss,
-/// while its layers are missing at once. An engine counts as lost if requests observed that it has ended, or that it was
-/// silent for longer than sound engines are, and it does not respond to the planner's status query either.
+/// Returns the engines without the lost ones, and the lost ones that refuse connections. The platform lists an engine for
+/// some seconds after its loss, while its layers are missing at once. An engine counts as lost if requests observed that it
+/// has ended, or that it was silent for longer than sound engines are, and it does not respond to the planner's status query
+/// either.
 async fn exclude_lost(
     state: &Arc<State>,
     servers: Vec<Arc<Server>>,
