Log failed calls to sources of changes while all have failed

The log could not tell a call that hangs from an exclusion and from a refusal: nothing was logged while all sources had failed, and a failed call did not say how long it took. Both are logged now, at most once a second in that state. No decision changes.

--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -11,6 +11,7 @@
 use agatemill_adapter::store::Change;
 use agatemill_adapter::store::Changes;
 use agatemill_core::number::Revision;
+use agatemill_fleet::LogLimit;
 use agatemill_fleet::Upstream;
 use agatemill_fleet::quarantine::entry::Entry;
 use agatemill_fleet::upstream::Choice;
@@ -54,12 +55,13 @@
 pub async fn run(state: Arc<State>) {
     let mut replicator = Replicator::default();
     loop {
+        let started = clock::boot_time();
         let result = match replicator.revision {
             None => load_snapshot(&state, &mut replicator).await,
             Some(after) => follow(&state, &mut replicator, after).await,
         };
         if let Err(error) = result {
-            let pause = replicator.record_failure(&state, &error);
+            let pause = replicator.record_failure(&state, &error, started);
             agatemill_runtime::sleep(pause).await;
         }
     }
@@ -80,6 +82,8 @@
     source: Option<Source>,
     /// Connection to the host that was queried last.
     remote: Option<Remote>,
+    /// Bounds the log lines of calls that fail while all sources have failed.
+    failure_log: LogLimit,
 }
 
 impl Replicator {
@@ -105,9 +109,12 @@
     }
 
     /// Records a failure of the store and returns the backoff before the next call.
-    fn record_failure(&mut self, state: &State, error: &Error) -> Duration {
+    fn record_failure(&mut self, state: &State, error: &Error, started: Duration) -> Duration {
+        let ms = elapsed_ms(started);
         if self.failures == 0 {
-            log::warn!(error:%; "store: updates interrupted");
+            log::warn!(error:%, ms; "store: updates interrupted");
+        } else if self.failure_log.admits(agatemill_runtime::now()) {
+            log::info!(error:%, ms, failures = self.failures; "store: still interrupted");
         }
         state.metrics.count_event("store", "call_failed");
         state.feed.invalidate();
@@ -127,6 +134,12 @@
     }
 }
 
+/// Milliseconds since `started`, a time of the clock that keeps running during suspend.
+fn elapsed_ms(started: Duration) -> u64 {
+    let elapsed = clock::boot_time().saturating_sub(started);
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Reads a snapshot of the whole store.
 async fn load_snapshot(state: &State, replicator: &mut Replicator) -> Result<(), Error> {
     let started = clock::boot_time();
@@ -160,9 +173,15 @@
             if choice.is_last_resort {
                 agatemill_runtime::sleep(MAX_BACKOFF.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
             }
+            let started = clock::boot_time();
             if let Err(reason) = follow_host(state, replicator, after, &source).await {
-                if let (Source::Host { host, .. }, false) = (&source, choice.is_last_resort) {
-                    log::warn!(host:%, reason; "store: cannot follow the store through another host");
+                let is_logged = !choice.is_last_resort
+                    || replicator.failure_log.admits(agatemill_runtime::now());
+                if let (Source::Host { host, .. }, true) = (&source, is_logged) {
+                    log::warn!(
+                        host:%, reason, ms = elapsed_ms(started), is_last_resort = choice.is_last_resort;
+                        "store: cannot follow the store through another host"
+                    );
                 }
                 state.metrics.count_event("store", "host_failed");
                 replicator.remote = None;
