--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod endless;
 mod hosts;
 mod leaving;
+mod outage;
 mod quarantine;
 mod reused;
 mod runs;
--- a/crates/gateway/tests/all/system.rs
+++ b/crates/gateway/tests/all/system.rs
@@ -36,6 +36,8 @@
     pub engines: Vec<Engine>,
     pub services: Vec<Engine>,
     pub process: Process,
+    /// Settings of the first process.
+    pub settings: Settings,
     http: agatemill_http::Client,
     callers: SocketAddrV4,
     ready: SocketAddrV4,
@@ -74,13 +76,14 @@
             .collect();
         let settings = settings("h1", address);
         let (callers, ready, directory) = (settings.callers, settings.ready, settings.directory);
-        let process = Process::start(settings).await.unwrap();
+        let process = Process::start(settings.clone()).await.unwrap();
         let system = Self {
             store,
             store_address: address,
             engines,
             services,
             process,
+            settings,
             http: agatemill_http::Client::new(Duration::from_secs(1)),
             callers,
             ready,
--- a/crates/gateway/tests/all/upstream.rs
+++ b/crates/gateway/tests/all/upstream.rs
@@ -13,7 +13,7 @@
 const MAX_PROPAGATION_TIME: Duration = Duration::from_secs(2);
 
 /// Starts a second host in the same zone, with its own endpoint of the store. It follows the first host.
-async fn start_second_host(system: &System) -> (Process, Endpoint) {
+pub async fn start_second_host(system: &System) -> (Process, Endpoint) {
     let (address, endpoint) = system.store.open_endpoint();
     let process = Process::start(settings("h2", address)).await.unwrap();
     let name: agatemill_core::id::Host = "h2".parse().unwrap();
@@ -26,7 +26,7 @@
     (process, endpoint)
 }
 
-fn version(process: &Process) -> u64 {
+pub fn version(process: &Process) -> u64 {
     let view = process.state().view();
     view.configuration
         .as_ref()
