Repeat calls to a store that may be lost beside those without a response

Cause: a call that reached the store while it was silent never gets a response, also after the store's return. A host waited for it 2 s and 1.5 s more, or 0.7 s and 1.5 s if others follow it.

Change: a host that has lost the store begins a call each quarter of the bound on configurations beside those in progress, and the first response counts. A slow store may thus still take 1.5 s. A watch whose response is overdue by a quarter is repeated as soon as another call gets one. All times of following are shares of one bound, bounds.configuration (template: config-ms), in fleet::upstream::timing; its sums are tested for several bounds.

--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -5,6 +5,8 @@
 //! which keeps the traffic within the zone. A host that loses its leader calls the store itself. Stores may
 //! reject single hosts; a host that the store rejects follows the leader of another zone.
 
+pub mod timing;
+
 use core::net::SocketAddrV4;
 use core::time::Duration;
 use std::collections::HashMap;
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -24,10 +24,6 @@
 /// configurations does not fill it.
 const MAX_BYTES: usize = 4 << 20;
 
-/// Maximum time since the last response of the store for which changes are still served: the pause of a watch,
-/// its wait, and 250 ms. A longer silence means that the store was lost without an error.
-pub const MAX_UPDATE_AGE: Duration = Duration::from_millis(1_300);
-
 /// Buffer of recent store changes, for hosts that follow the store through this one.
 #[derive(Debug, Default)]
 pub struct Feed {
--- a/crates/gateway/src/feed/remote.rs
+++ b/crates/gateway/src/feed/remote.rs
@@ -12,20 +12,19 @@
 use agatemill_adapter::store::Change;
 use agatemill_adapter::store::Item;
 use agatemill_core::number::Revision;
+use agatemill_fleet::upstream::timing::Timing;
 use agatemill_wire::feed;
 use agatemill_wire::feed::FeedClient;
 use agatemill_wire::transport;
 use agatemill_wire::transport::Service;
 
-/// Timeout for opening a connection within a region, and for a response after the requested wait.
-const RPC_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Connection to the host that is followed.
 #[derive(Debug)]
 pub struct Remote {
     /// Address of the host.
     pub address: SocketAddrV4,
     client: FeedClient,
+    timing: Timing,
 }
 
 /// Response of the followed host.
@@ -47,9 +46,9 @@
     /// # Errors
     ///
     /// Any error of the connection.
-    pub async fn open(address: SocketAddrV4) -> io::Result<Self> {
+    pub async fn open(address: SocketAddrV4, timing: Timing) -> io::Result<Self> {
         let connecting = transport::connect(address.into(), Service::Feed);
-        let transport = agatemill_runtime::timeout(RPC_TIMEOUT, connecting).await;
+        let transport = agatemill_runtime::timeout(timing.connect_timeout(), connecting).await;
         let transport = transport.ok_or(io::ErrorKind::TimedOut)??;
         let NewClient { client, dispatch } = FeedClient::new(Config::default(), transport);
         let logged = async move {
@@ -58,7 +57,11 @@
             }
         };
         agatemill_runtime::spawn(logged).detach();
-        Ok(Self { address, client })
+        Ok(Self {
+            address,
+            client,
+            timing,
+        })
     }
 
     /// Returns the changes after a revision; `None` if the host no longer has them.
@@ -66,12 +69,14 @@
     /// # Errors
     ///
     /// `TimedOut` or `ConnectionAborted` if the host does not respond.
-    pub async fn changes(&self, after: Revision, wait: Duration) -> io::Result<Option<Batch>> {
+    pub async fn changes(&self, after: Revision) -> io::Result<Option<Batch>> {
+        let wait = self.timing.feed_wait();
+        let limit = wait + self.timing.response_timeout();
         let mut context = tarpc::context::current();
-        context.deadline = Instant::now() + wait + RPC_TIMEOUT;
+        context.deadline = Instant::now() + limit;
         let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
         let call = self.client.changes(context, after.0, wait_ms);
-        let result = agatemill_runtime::timeout(wait + RPC_TIMEOUT, call.compat()).await;
+        let result = agatemill_runtime::timeout(limit, call.compat()).await;
         let result = result.ok_or(io::ErrorKind::TimedOut)?;
         let batch =
             result.map_err(|error| io::Error::new(io::ErrorKind::ConnectionAborted, error))?;
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -12,7 +12,6 @@
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
 
-use super::MAX_UPDATE_AGE;
 use super::Update;
 use crate::State;
 use crate::clock;
@@ -66,10 +65,11 @@
     async fn changes(self, _: Context, after: u64, wait_ms: u32) -> Option<feed::Batch> {
         let after = Revision(after);
         let end = agatemill_runtime::now() + Duration::from_millis(wait_ms.into());
+        let max_update_age = self.state.settings().bounds.timing().max_update_age();
         loop {
             let notice = self.state.feed.listen();
             let update_age = self.state.feed.update_age();
-            if update_age > MAX_UPDATE_AGE {
+            if update_age > max_update_age {
                 return None;
             }
             let left = end.saturating_sub(agatemill_runtime::now());
@@ -79,7 +79,7 @@
                 Update::None if left.is_zero() => return Some(self.batch(Vec::new(), after)),
                 Update::None => {
                     let until_stale =
-                        MAX_UPDATE_AGE.saturating_sub(update_age) + Duration::from_millis(1);
+                        max_update_age.saturating_sub(update_age) + Duration::from_millis(1);
                     let wait = left.min(until_stale);
                     agatemill_runtime::timeout(wait, notice).await;
                 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,6 +10,7 @@
 use agatemill_core::id;
 use agatemill_core::quantity::Time;
 use agatemill_fleet::budget::Allowance;
+use agatemill_fleet::upstream::timing::Timing;
 
 /// Settings of the gateway, read from a TOML file.
 #[derive(Clone, Debug, Deserialize)]
@@ -51,6 +52,9 @@
     pub retry_base: f64,
     /// Length of the retry window.
     pub retry_window: Time,
+    /// Time within which a confirmed configuration must be in force at every host.
+    #[serde(default = "configuration_bound")]
+    pub configuration: Time,
     /// Time for which a revoked key may still be accepted.
     pub revocation: Time,
     /// Time between SIGTERM and SIGKILL.
@@ -63,6 +67,11 @@
     Time::from_millis(2_000)
 }
 
+/// Default of [`Bounds::configuration`].
+fn configuration_bound() -> Time {
+    Time::from_millis(2_000)
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     ///
@@ -89,6 +98,11 @@
                 "bounds.retry_window",
                 positive,
             ),
+            (
+                !bounds.configuration.to_duration().is_zero(),
+                "bounds.configuration",
+                positive,
+            ),
             (
                 !bounds.revocation.to_duration().is_zero(),
                 "bounds.revocation",
@@ -123,6 +137,12 @@
         }
     }
 
+    /// Times of the calls through which a host learns of changes.
+    #[must_use]
+    pub fn timing(&self) -> Timing {
+        Timing::new(self.configuration.to_duration())
+    }
+
     /// Maximum age of the view for requests with keys: less than the revocation time, because a request is in
     /// transit for a moment before its server starts it.
     #[must_use]
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -1,5 +1,7 @@
 //! Replicates the platform's store into the view, directly or through another host.
 
+mod probe;
+
 use core::time::Duration;
 use std::sync::Arc;
 
@@ -7,6 +9,7 @@
 use crate::clock;
 use crate::departure;
 use crate::feed::remote::Remote;
+use crate::sync::probe::Probe;
 use agatemill_adapter::quarantine;
 use agatemill_adapter::store::Change;
 use agatemill_adapter::store::Changes;
@@ -18,29 +21,10 @@
 use agatemill_fleet::upstream::Source;
 use agatemill_platform::Error;
 
-/// Wait of a watch for changes. Each response also confirms that the view is up to date, which requests with
-/// keys need within the revocation time; each call is priced.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
-
 /// Maximum wait of a watch as a share of the age at which the view is too old for keys: shortly before a response, the
 /// view is two waits old.
 const MAX_WATCH_SHARE: f64 = 0.45;
 
-/// Wait of a watch by a host that others follow: followers leave a host that had no response for some time, so
-/// that a change reaches them in time when only that host is cut off.
-const FOLLOWED_WATCH_WAIT: Duration = Duration::from_millis(700);
-
-/// Wait of a query to another host for changes: a response also proves that the host is alive.
-const FEED_WAIT: Duration = Duration::from_millis(500);
-
-/// Minimum pause after a watch that returned changes. Changes come in bursts, and each watch that returns is a
-/// priced call.
-const MIN_BATCH_INTERVAL: Duration = Duration::from_millis(350);
-
-/// Maximum pause after a watch that returned changes: less than half of the two seconds within which a change
-/// must be in force.
-const MAX_BATCH_INTERVAL: Duration = Duration::from_millis(900);
-
 /// Pause per host when all hosts query the store, which limits them to about a hundred calls a second during a
 /// burst of changes, a small part of the store's capacity.
 const BATCH_INTERVAL_PER_HOST: Duration = Duration::from_millis(10);
@@ -48,9 +32,6 @@
 /// Base of the exponential backoff after failed calls.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 
-/// Maximum backoff after failed calls: short against the time within which a change must be in force.
-const MAX_BACKOFF: Duration = Duration::from_millis(400);
-
 /// Replicates the store until the process ends.
 pub async fn run(state: Arc<State>) {
     let mut replicator = Replicator::default();
@@ -82,6 +63,8 @@
     source: Option<Source>,
     /// Connection to the host that was queried last.
     remote: Option<Remote>,
+    /// Calls to the store while it may be lost.
+    probe: Probe,
     /// Bounds the log lines of calls that fail while all sources have failed.
     failure_log: LogLimit,
 }
@@ -122,7 +105,10 @@
             .record_failure(&Source::Store, agatemill_runtime::now());
         self.failures = self.failures.saturating_add(1);
         let pause = MIN_BACKOFF * 2_u32.pow(self.failures.min(6));
-        pause.min(MAX_BACKOFF).mul_f64(0.5 + fastrand::f64() / 2.0)
+        let pause = pause.min(state.settings().bounds.timing().max_backoff());
+        let pause = pause.mul_f64(0.5 + fastrand::f64() / 2.0);
+        // A call that took long needs no further pause.
+        pause.saturating_sub(clock::boot_time().saturating_sub(started))
     }
 
     fn choose(&self, state: &State) -> Choice {
@@ -142,6 +128,10 @@
 
 /// Reads a snapshot of the whole store.
 async fn load_snapshot(state: &State, replicator: &mut Replicator) -> Result<(), Error> {
+    if replicator.failures > 0 {
+        let interval = state.settings().bounds.timing().probe_interval();
+        replicator.probe.run(&state.store, interval).await?;
+    }
     let started = clock::boot_time();
     let snapshot = state.store.list().await?;
     let revision = snapshot.revision;
@@ -171,7 +161,8 @@
         Source::Store => follow_store(state, replicator, after).await,
         source @ Source::Host { .. } => {
             if choice.is_last_resort {
-                agatemill_runtime::sleep(MAX_BACKOFF.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
+                let pause = state.settings().bounds.timing().max_backoff();
+                agatemill_runtime::sleep(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
             }
             let started = clock::boot_time();
             if let Err(reason) = follow_host(state, replicator, after, &source).await {
@@ -200,15 +191,20 @@
     replicator: &mut Replicator,
     after: Revision,
 ) -> Result<(), Error> {
-    let started = clock::boot_time();
-    let wait = if is_followed(state) {
-        FOLLOWED_WATCH_WAIT
+    let timing = state.settings().bounds.timing();
+    let is_connected = replicator.failures == 0 && replicator.source == Some(Source::Store);
+    let wait = if is_connected {
+        let limit = state.settings().bounds.freshness_limit();
+        timing
+            .watch_wait(is_followed(state))
+            .min(limit.mul_f64(MAX_WATCH_SHARE))
     } else {
-        WATCH_WAIT
+        let interval = timing.probe_interval();
+        replicator.probe.run(&state.store, interval).await?;
+        Duration::ZERO
     };
-    let limit = state.settings().bounds.freshness_limit();
-    let wait = wait.min(limit.mul_f64(MAX_WATCH_SHARE));
-    match state.store.watch(after, wait).await? {
+    let started = clock::boot_time();
+    match watch(state, &mut replicator.probe, after, wait).await? {
         Changes::Compacted => {
             log::info!(after:%; "store: history compacted, loading a snapshot");
             // A compacted history says nothing about the current state.
@@ -227,6 +223,33 @@
     Ok(())
 }
 
+/// Watches the store. A watch whose response is overdue is repeated as soon as the store responds to another call: its
+/// connection may carry nothing.
+async fn watch(
+    state: &State,
+    probe: &mut Probe,
+    after: Revision,
+    wait: Duration,
+) -> Result<Changes, Error> {
+    let timing = state.settings().bounds.timing();
+    let response = async { Some(state.store.watch(after, wait).await) };
+    let detection = async {
+        agatemill_runtime::sleep(wait + timing.probe_interval()).await;
+        while probe
+            .run(&state.store, timing.probe_interval())
+            .await
+            .is_err()
+        {
+            agatemill_runtime::sleep(timing.max_backoff()).await;
+        }
+        None
+    };
+    match smol::future::or(response, detection).await {
+        Some(response) => response,
+        None => state.store.watch(after, Duration::ZERO).await,
+    }
+}
+
 /// Waits for changes at another host.
 ///
 /// # Errors
@@ -244,11 +267,11 @@
     let started = clock::boot_time();
     let remote = match replicator.remote.take() {
         Some(remote) if remote.address == *address => remote,
-        _ => Remote::open(*address)
+        _ => Remote::open(*address, state.settings().bounds.timing())
             .await
             .map_err(|error| error.to_string())?,
     };
-    let result = remote.changes(after, FEED_WAIT).await;
+    let result = remote.changes(after).await;
     let batch = result.map_err(|error| error.to_string())?;
     let batch = batch.ok_or("the host does not have the changes")?;
     replicator.remote = Some(remote);
@@ -276,12 +299,13 @@
 
 /// Pause after a watch that returned changes.
 fn batch_interval(state: &State) -> Duration {
-    if is_followed(state) {
-        return MIN_BATCH_INTERVAL;
-    }
     let hosts = u32::try_from(state.host_count()).unwrap_or(u32::MAX);
-    let pause = BATCH_INTERVAL_PER_HOST.saturating_mul(hosts);
-    pause.clamp(MIN_BATCH_INTERVAL, MAX_BATCH_INTERVAL)
+    let wanted = if is_followed(state) {
+        Duration::ZERO
+    } else {
+        BATCH_INTERVAL_PER_HOST.saturating_mul(hosts)
+    };
+    state.settings().bounds.timing().batch_interval(wanted)
 }
 
 fn apply(
