Close the connections of followers when a process is dropped

Dropping a Process stops it at once, as a crash does, but hosts that followed it kept their connections: each was served by a detached task. In tests such a host stayed a leader that responds and has no store. The connections are now served by the task that accepts them.

--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -1,6 +1,7 @@
 //! RPC server for hosts that follow the store through this one.
 
 use core::time::Duration;
+use std::io;
 use std::sync::Arc;
 
 use async_compat::CompatExt;
@@ -28,15 +29,23 @@
 /// Time within which a new connection must name its service.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Accepts connections of followers until the process ends.
+/// Serves followers until the process ends. Their connections end with this future.
 pub async fn run(state: Arc<State>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => agatemill_runtime::spawn(serve(Arc::clone(&state), stream)).detach(),
-            Err(error) => {
-                log::warn!(error:%; "feed: cannot accept a connection");
-                agatemill_runtime::sleep(ACCEPT_BACKOFF).await;
-            }
+    let accepted = listener.incoming().then(pause_after_error);
+    accepted
+        .filter_map(async |stream| stream)
+        .for_each_concurrent(None, |stream| serve(Arc::clone(&state), stream))
+        .await;
+}
+
+/// Delays the next connection after one that could not be accepted.
+async fn pause_after_error(accepted: io::Result<TcpStream>) -> Option<TcpStream> {
+    match accepted {
+        Ok(stream) => Some(stream),
+        Err(error) => {
+            log::warn!(error:%; "feed: cannot accept a connection");
+            agatemill_runtime::sleep(ACCEPT_BACKOFF).await;
+            None
         }
     }
 }
