Derive the exclusion of sources from the bound, and replace a leader that does not respond

Cause: fleet::upstream excluded each failed source for a constant 3 s, and only the listed leader of a zone called the store meanwhile. A leader that was killed in the outage stays listed until the store ends its lease, so nobody of its zone called the store.

Change: the exclusion is a share of the bound (2.5 s at 2 s) and no longer decides when the store's return is found: hosts tell a leader that gives no response from one that has lost the store, and the next host of the zone takes the place of the former and calls the store. The last resort holds the call until it has the store again. The test of few calls plays hosts that respond without the changes, as before its hosts did; its bounds stay.

--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -2,8 +2,9 @@
 //!
 //! Every host that watches the store costs a call for each change, so calls would grow with the number of
 //! hosts. One host of each zone, its leader, watches the store; the others of the zone follow the leader,
-//! which keeps the traffic within the zone. A host that loses its leader calls the store itself. Stores may
-//! reject single hosts; a host that the store rejects follows the leader of another zone.
+//! which keeps the traffic within the zone. A host that loses its leader calls the store itself, and the next host
+//! of the zone takes the place of a leader that gives no response: the platform lists it until the store ends its
+//! lease. Stores may reject single hosts; a host that the store rejects follows the leader of another zone.
 
 pub mod timing;
 
@@ -13,12 +14,9 @@
 
 use crate::Member;
 use crate::member;
+use crate::upstream::timing::Timing;
 use agatemill_core::id;
 
-/// Time for which a failed source is excluded while there is another: about the time after which a host that
-/// died is no longer listed.
-const FAILURE_EXCLUSION: Duration = Duration::from_secs(3);
-
 /// Source of changes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -36,10 +34,19 @@
 /// Selects the source of changes by the recent failures of each.
 #[derive(Clone, Debug, Default)]
 pub struct Upstream {
+    timing: Timing,
     /// Time until which the store is excluded.
     store_excluded_until: Duration,
-    /// Time until which each host is excluded; expired entries are removed when a host fails.
-    hosts_excluded_until: HashMap<id::Host, Duration>,
+    /// Excluded hosts; expired entries are removed when a host fails.
+    hosts: HashMap<id::Host, Exclusion>,
+}
+
+/// Exclusion of a host.
+#[derive(Clone, Copy, Debug)]
+struct Exclusion {
+    until: Duration,
+    /// Whether the host gave no response. Others then take its place as the leader of its zone.
+    is_unreachable: bool,
 }
 
 /// The source to call next.
@@ -47,16 +54,30 @@
 pub struct Choice {
     /// The source.
     pub source: Source,
-    /// Whether all sources have failed recently, so that the caller should wait before it calls this one.
+    /// Whether all sources have failed recently, so that the source should respond only when it has the changes.
     pub is_last_resort: bool,
 }
 
 impl Upstream {
+    /// Creates a selection without failures.
+    #[must_use]
+    pub fn new(timing: Timing) -> Self {
+        Self {
+            timing,
+            ..Self::default()
+        }
+    }
+
+    /// Replaces the times after a change of the settings.
+    pub fn set_timing(&mut self, timing: Timing) {
+        self.timing = timing;
+    }
+
     /// Selects the source that the host `own` of a zone calls next, given the serving hosts.
     ///
-    /// The order is the leader of the zone, the store, then the leaders of other zones. When all have failed,
-    /// the leader of the zone calls the store and the others call hosts, so that few hosts call a store that
-    /// is down.
+    /// The order is the leader of the zone, the store, the host that takes the leader's place, then the leaders of
+    /// other zones. When all have failed, the leader of the zone calls the store and the others call hosts that
+    /// respond, so that few hosts call a store that is down.
     #[must_use]
     pub fn choose(
         &self,
@@ -65,16 +86,18 @@
         members: &HashMap<id::Host, Member>,
         now: Duration,
     ) -> Choice {
-        let own_leader = member::zone_leader(members, zone).filter(|leader| &leader.host != own);
+        let listed = member::zone_leader(members, zone).filter(|leader| &leader.host != own);
+        let listed = listed.map(Source::from);
+        let leader = self.other_leader(own, zone, members, now).map(Source::from);
         let zones = member::other_zones(members, zone);
         let other_leaders = zones
             .into_iter()
             .filter_map(|zone| member::zone_leader(members, zone));
-        let own_leader = own_leader.map(Source::from);
         let other_leaders: Vec<Source> = other_leaders.map(Source::from).collect();
-        let sources = own_leader
+        let sources = listed
             .iter()
             .chain([&Source::Store])
+            .chain(&leader)
             .chain(&other_leaders);
         let usable = sources
             .clone()
@@ -85,33 +108,71 @@
                 is_last_resort: false,
             };
         }
-        let hosts = sources.filter(|source| **source != Source::Store);
+        let hosts = sources.filter(|source| self.is_reachable(source, now));
         let next = hosts.min_by_key(|source| self.excluded_until(source));
-        let next = next.filter(|_| own_leader.is_some());
+        let next = next.filter(|_| leader.is_some());
         Choice {
             source: next.cloned().unwrap_or(Source::Store),
             is_last_resort: true,
         }
     }
 
-    /// Records that a source gave no response, or one that is too old.
+    /// Whether the host `own` is the leader of its zone: all hosts before it give no response.
+    #[must_use]
+    pub fn is_leader(
+        &self,
+        own: &id::Host,
+        zone: &id::Zone,
+        members: &HashMap<id::Host, Member>,
+        now: Duration,
+    ) -> bool {
+        self.other_leader(own, zone, members, now).is_none()
+    }
+
+    /// The leader of the zone among the hosts that respond; `None` if it is the host `own`.
+    fn other_leader<'a>(
+        &self,
+        own: &id::Host,
+        zone: &id::Zone,
+        members: &'a HashMap<id::Host, Member>,
+        now: Duration,
+    ) -> Option<&'a Member> {
+        let in_zone = members.values().filter(|member| &member.zone == zone);
+        let reachable =
+            in_zone.filter(|member| &member.host == own || !self.is_unreachable(&member.host, now));
+        let leader = reachable.min_by(|a, b| a.host.cmp(&b.host));
+        leader.filter(|leader| &leader.host != own)
+    }
+
+    /// Records that a source gave no response.
     pub fn record_failure(&mut self, source: &Source, now: Duration) {
+        let until = now + self.timing.exclusion();
         match source {
-            Source::Store => self.store_excluded_until = now + FAILURE_EXCLUSION,
-            Source::Host { host, .. } => {
-                self.hosts_excluded_until.retain(|_, until| *until > now);
-                self.hosts_excluded_until
-                    .insert(host.clone(), now + FAILURE_EXCLUSION);
-            }
+            Source::Store => self.store_excluded_until = until,
+            Source::Host { host, .. } => self.exclude(host, until, true, now),
         }
     }
 
+    /// Records that a host responded, but has lost the store itself.
+    pub fn record_refusal(&mut self, host: &id::Host, now: Duration) {
+        self.exclude(host, now + self.timing.exclusion(), false, now);
+    }
+
+    fn exclude(&mut self, host: &id::Host, until: Duration, is_unreachable: bool, now: Duration) {
+        self.hosts.retain(|_, exclusion| exclusion.until > now);
+        let exclusion = Exclusion {
+            until,
+            is_unreachable,
+        };
+        self.hosts.insert(host.clone(), exclusion);
+    }
+
     /// Records that a source has responded.
     pub fn record_answer(&mut self, source: &Source) {
         match source {
             Source::Store => self.store_excluded_until = Duration::ZERO,
             Source::Host { host, .. } => {
-                self.hosts_excluded_until.remove(host);
+                self.hosts.remove(host);
             }
         }
     }
@@ -120,13 +181,25 @@
     fn excluded_until(&self, source: &Source) -> Duration {
         match source {
             Source::Store => self.store_excluded_until,
-            Source::Host { host, .. } => self
-                .hosts_excluded_until
-                .get(host)
-                .copied()
-                .unwrap_or_default(),
+            Source::Host { host, .. } => {
+                let exclusion = self.hosts.get(host);
+                exclusion.map_or(Duration::ZERO, |exclusion| exclusion.until)
+            }
         }
     }
+
+    /// Whether a source is a host that responded to the last call.
+    fn is_reachable(&self, source: &Source, now: Duration) -> bool {
+        match source {
+            Source::Store => false,
+            Source::Host { host, .. } => !self.is_unreachable(host, now),
+        }
+    }
+
+    fn is_unreachable(&self, host: &id::Host, now: Duration) -> bool {
+        let exclusion = self.hosts.get(host);
+        exclusion.is_some_and(|exclusion| exclusion.is_unreachable && exclusion.until > now)
+    }
 }
 
 impl From<&Member> for Source {
--- a/crates/fleet/src/upstream/timing.rs
+++ b/crates/fleet/src/upstream/timing.rs
@@ -23,6 +23,9 @@
     pub const RESPONSE: f64 = 0.2;
     /// Maximum time since the last response of the store for which a host supplies others.
     pub const UPDATE_AGE: f64 = 0.65;
+    /// Time for which a source that failed is excluded while there are others. May exceed the bound: the leader of each
+    /// zone calls the store all the while.
+    pub const EXCLUSION: f64 = 1.25;
 }
 
 /// Times of the calls through which a host learns of changes, all derived from one bound: the time within which a
@@ -32,6 +35,15 @@
     bound: Duration,
 }
 
+/// Bound of deployments that name none, in milliseconds.
+pub const DEFAULT_BOUND_MS: u64 = 2_000;
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self::new(Duration::from_millis(DEFAULT_BOUND_MS))
+    }
+}
+
 impl Timing {
     /// Derives the times from the time within which a change must be in force.
     #[must_use]
@@ -95,6 +107,12 @@
         self.bound.mul_f64(share::RESPONSE)
     }
 
+    /// Time for which a source that failed is excluded while there are others.
+    #[must_use]
+    pub fn exclusion(&self) -> Duration {
+        self.bound.mul_f64(share::EXCLUSION)
+    }
+
     /// Maximum time since the last response of the store for which a host supplies others: the pause of a watch, its
     /// wait, and some transit time. A longer silence means that the store was lost without an error.
     #[must_use]
--- a/crates/fleet/tests/upstream.rs
+++ b/crates/fleet/tests/upstream.rs
@@ -89,7 +89,7 @@
     assert_eq!(choose_at(&upstream, "a0", &members, later), "store");
 }
 
-/// Sources that a host calls, one every 100 ms, when none responds.
+/// Sources that a host calls, one every 100 ms, when the store does not respond and no other host has it.
 fn called_sources(host: &str, members: &HashMap<id::Host, Member>, times: usize) -> Vec<String> {
     let zone = host[..1].parse().unwrap();
     let mut upstream = Upstream::default();
@@ -98,7 +98,10 @@
     for _ in 0..times {
         let choice = upstream.choose(&host.parse().unwrap(), &zone, members, now);
         called.push(choose_at(&upstream, host, members, now));
-        upstream.record_failure(&choice.source, now);
+        match &choice.source {
+            Source::Store => upstream.record_failure(&choice.source, now),
+            Source::Host { host, .. } => upstream.record_refusal(host, now),
+        }
         now += Duration::from_millis(100);
     }
     called
@@ -126,6 +129,27 @@
     );
 }
 
+/// Guards against a zone in which no host calls the store while the leader that is listed does not respond.
+#[test]
+fn the_next_host_takes_the_place_of_a_leader_that_does_not_respond() {
+    let members = members(&[("a", 3), ("b", 2)]);
+    let mut next = Upstream::default();
+    let mut last = Upstream::default();
+    for source in [&host("a0", &members), &Source::Store] {
+        next.record_failure(source, START);
+        last.record_failure(source, START);
+    }
+    for upstream in [&mut next, &mut last] {
+        upstream.record_refusal(&"b0".parse().unwrap(), START);
+    }
+    assert_eq!(choose(&next, "a1", &members), "store");
+    assert_eq!(choose(&last, "a2", &members), "a1");
+    let (own, zone) = ("a1".parse().unwrap(), "a".parse().unwrap());
+    assert!(next.is_leader(&own, &zone, &members, START));
+    let later = START + Duration::from_secs(4);
+    assert!(!next.is_leader(&own, &zone, &members, later));
+}
+
 /// Guards against a pause before a call to a source that has not failed.
 #[test]
 fn only_sources_that_have_failed_are_a_last_resort() {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -79,7 +79,8 @@
     /// Appends the changes after the revision `after` up to `end`.
     pub fn extend(&self, after: Revision, changes: &[Change], end: Revision) {
         let mut inner = self.lock();
-        if inner.start.is_none() {
+        let is_regained = inner.start.is_none();
+        if is_regained {
             inner.start = Some(after);
         }
         inner.end = inner.end.max(end);
@@ -98,7 +99,7 @@
             inner.bytes -= oldest.iter().map(size).sum::<usize>();
         }
         drop(inner);
-        if !changes.is_empty() {
+        if is_regained || !changes.is_empty() {
             self.changed.notify(usize::MAX);
         }
     }
--- a/crates/gateway/src/feed/remote.rs
+++ b/crates/gateway/src/feed/remote.rs
@@ -64,18 +64,25 @@
         })
     }
 
-    /// Returns the changes after a revision; `None` if the host no longer has them.
+    /// Returns the changes after a revision; `None` if the host does not have them: at once, or after the wait if it is
+    /// the last resort.
     ///
     /// # Errors
     ///
     /// `TimedOut` or `ConnectionAborted` if the host does not respond.
-    pub async fn changes(&self, after: Revision) -> io::Result<Option<Batch>> {
+    pub async fn changes(
+        &self,
+        after: Revision,
+        is_last_resort: bool,
+    ) -> io::Result<Option<Batch>> {
         let wait = self.timing.feed_wait();
         let limit = wait + self.timing.response_timeout();
         let mut context = tarpc::context::current();
         context.deadline = Instant::now() + limit;
         let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-        let call = self.client.changes(context, after.0, wait_ms);
+        let call = self
+            .client
+            .changes(context, after.0, wait_ms, is_last_resort);
         let result = agatemill_runtime::timeout(limit, call.compat()).await;
         let result = result.ok_or(io::ErrorKind::TimedOut)?;
         let batch =
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -71,28 +71,37 @@
 }
 
 impl feed::Feed for Handler {
-    async fn changes(self, _: Context, after: u64, wait_ms: u32) -> Option<feed::Batch> {
+    async fn changes(
+        self,
+        _: Context,
+        after: u64,
+        wait_ms: u32,
+        is_last_resort: bool,
+    ) -> Option<feed::Batch> {
         let after = Revision(after);
         let end = agatemill_runtime::now() + Duration::from_millis(wait_ms.into());
         let max_update_age = self.state.settings().bounds.timing().max_update_age();
         loop {
             let notice = self.state.feed.listen();
-            let update_age = self.state.feed.update_age();
-            if update_age > max_update_age {
-                return None;
-            }
             let left = end.saturating_sub(agatemill_runtime::now());
-            match self.state.feed.changes_since(after) {
-                Update::Unknown => return None,
+            let update_age = self.state.feed.update_age();
+            let update = if update_age > max_update_age {
+                Update::Unknown
+            } else {
+                self.state.feed.changes_since(after)
+            };
+            let wait = match update {
                 Update::Since(changes, revision) => return Some(self.batch(changes, revision)),
                 Update::None if left.is_zero() => return Some(self.batch(Vec::new(), after)),
                 Update::None => {
                     let until_stale =
                         max_update_age.saturating_sub(update_age) + Duration::from_millis(1);
-                    let wait = left.min(until_stale);
-                    agatemill_runtime::timeout(wait, notice).await;
+                    left.min(until_stale)
                 }
-            }
+                Update::Unknown if is_last_resort && !left.is_zero() => left,
+                Update::Unknown => return None,
+            };
+            agatemill_runtime::timeout(wait, notice).await;
         }
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,6 +10,7 @@
 use agatemill_core::id;
 use agatemill_core::quantity::Time;
 use agatemill_fleet::budget::Allowance;
+use agatemill_fleet::upstream::timing;
 use agatemill_fleet::upstream::timing::Timing;
 
 /// Settings of the gateway, read from a TOML file.
@@ -69,7 +70,7 @@
 
 /// Default of [`Bounds::configuration`].
 fn configuration_bound() -> Time {
-    Time::from_millis(2_000)
+    Time::from_millis(timing::DEFAULT_BOUND_MS)
 }
 
 impl Settings {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -2,9 +2,13 @@
 
 mod probe;
 
+use core::net::SocketAddrV4;
 use core::time::Duration;
+use std::io;
 use std::sync::Arc;
 
+use derive_more::Display;
+
 use crate::State;
 use crate::clock;
 use crate::departure;
@@ -13,6 +17,7 @@
 use agatemill_adapter::quarantine;
 use agatemill_adapter::store::Change;
 use agatemill_adapter::store::Changes;
+use agatemill_core::id;
 use agatemill_core::number::Revision;
 use agatemill_fleet::LogLimit;
 use agatemill_fleet::Upstream;
@@ -111,8 +116,9 @@
         pause.saturating_sub(clock::boot_time().saturating_sub(started))
     }
 
-    fn choose(&self, state: &State) -> Choice {
+    fn choose(&mut self, state: &State) -> Choice {
         let settings = state.settings();
+        self.upstream.set_timing(settings.bounds.timing());
         let view = state.view();
         let now = agatemill_runtime::now();
         self.upstream
@@ -159,32 +165,67 @@
     let choice = replicator.choose(state);
     match choice.source {
         Source::Store => follow_store(state, replicator, after).await,
-        source @ Source::Host { .. } => {
-            if choice.is_last_resort {
-                let pause = state.settings().bounds.timing().max_backoff();
-                agatemill_runtime::sleep(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
-            }
-            let started = clock::boot_time();
-            if let Err(reason) = follow_host(state, replicator, after, &source).await {
-                let is_logged = !choice.is_last_resort
-                    || replicator.failure_log.admits(agatemill_runtime::now());
-                if let (Source::Host { host, .. }, true) = (&source, is_logged) {
-                    log::warn!(
-                        host:%, reason, ms = elapsed_ms(started), is_last_resort = choice.is_last_resort;
-                        "store: cannot follow the store through another host"
-                    );
-                }
-                state.metrics.count_event("store", "host_failed");
-                replicator.remote = None;
-                replicator
-                    .upstream
-                    .record_failure(&source, agatemill_runtime::now());
-            }
+        Source::Host { host, address } => {
+            follow_other(
+                state,
+                replicator,
+                after,
+                host,
+                address,
+                choice.is_last_resort,
+            )
+            .await;
             Ok(())
         }
     }
 }
 
+/// Waits for changes at another host, and records if it has none to give.
+async fn follow_other(
+    state: &State,
+    replicator: &mut Replicator,
+    after: Revision,
+    host: id::Host,
+    address: SocketAddrV4,
+    is_last_resort: bool,
+) {
+    let started = clock::boot_time();
+    let source = Source::Host { host, address };
+    let failure = match follow_host(state, replicator, after, &source, is_last_resort).await {
+        Ok(()) => return,
+        Err(failure) => failure,
+    };
+    let Source::Host { host, .. } = &source else {
+        return;
+    };
+    let now = agatemill_runtime::now();
+    if !is_last_resort || replicator.failure_log.admits(now) {
+        log::warn!(
+            host:%, reason:% = failure, ms = elapsed_ms(started), is_last_resort;
+            "store: cannot follow the store through another host"
+        );
+    }
+    state.metrics.count_event("store", "host_failed");
+    match failure {
+        Failure::Refused => replicator.upstream.record_refusal(host, now),
+        Failure::NoResponse(_) => {
+            replicator.remote = None;
+            replicator.upstream.record_failure(&source, now);
+        }
+    }
+}
+
+/// Why another host cannot be followed.
+#[derive(Debug, Display)]
+enum Failure {
+    /// It has lost the store, too.
+    #[display("the host does not have the changes")]
+    Refused,
+    /// It gave no response.
+    #[display("{_0}")]
+    NoResponse(io::Error),
+}
+
 /// Waits for changes at the store.
 async fn follow_store(
     state: &State,
@@ -193,10 +234,11 @@
 ) -> Result<(), Error> {
     let timing = state.settings().bounds.timing();
     let is_connected = replicator.failures == 0 && replicator.source == Some(Source::Store);
+    let is_followed = is_followed(state, &replicator.upstream);
     let wait = if is_connected {
         let limit = state.settings().bounds.freshness_limit();
         timing
-            .watch_wait(is_followed(state))
+            .watch_wait(is_followed)
             .min(limit.mul_f64(MAX_WATCH_SHARE))
     } else {
         let interval = timing.probe_interval();
@@ -216,7 +258,7 @@
             apply(state, replicator, after, changes, revision);
             state.view().freshness.confirm(started);
             if !is_quiet {
-                agatemill_runtime::sleep(batch_interval(state)).await;
+                agatemill_runtime::sleep(batch_interval(state, is_followed)).await;
             }
         }
     }
@@ -250,17 +292,14 @@
     }
 }
 
-/// Waits for changes at another host.
-///
-/// # Errors
-///
-/// The reason why the host cannot be followed.
+/// Waits for changes at another host. The last resort responds when it has the changes again, or at the end of the wait.
 async fn follow_host(
     state: &State,
     replicator: &mut Replicator,
     after: Revision,
     source: &Source,
-) -> Result<(), String> {
+    is_last_resort: bool,
+) -> Result<(), Failure> {
     let Source::Host { address, .. } = source else {
         return Ok(());
     };
@@ -269,11 +308,14 @@
         Some(remote) if remote.address == *address => remote,
         _ => Remote::open(*address, state.settings().bounds.timing())
             .await
-            .map_err(|error| error.to_string())?,
+            .map_err(Failure::NoResponse)?,
+    };
+    let result = remote.changes(after, is_last_resort).await;
+    let batch = result.map_err(Failure::NoResponse)?;
+    let Some(batch) = batch else {
+        replicator.remote = Some(remote);
+        return Err(Failure::Refused);
     };
-    let result = remote.changes(after).await;
-    let batch = result.map_err(|error| error.to_string())?;
-    let batch = batch.ok_or("the host does not have the changes")?;
     replicator.remote = Some(remote);
     replicator.record_success(state, source.clone());
     state
@@ -288,19 +330,19 @@
 }
 
 /// Whether other hosts of the zone follow this one.
-fn is_followed(state: &State) -> bool {
+fn is_followed(state: &State, upstream: &Upstream) -> bool {
     let settings = state.settings();
     let view = state.view();
-    let first = agatemill_fleet::member::zone_leader(&view.members, &settings.zone);
     let zone = view.members.values();
     let hosts = zone.filter(|member| member.zone == settings.zone).count();
-    hosts > 1 && first.is_some_and(|first| first.host == settings.host)
+    let now = agatemill_runtime::now();
+    hosts > 1 && upstream.is_leader(&settings.host, &settings.zone, &view.members, now)
 }
 
 /// Pause after a watch that returned changes.
-fn batch_interval(state: &State) -> Duration {
+fn batch_interval(state: &State, is_followed: bool) -> Duration {
     let hosts = u32::try_from(state.host_count()).unwrap_or(u32::MAX);
-    let wanted = if is_followed(state) {
+    let wanted = if is_followed {
         Duration::ZERO
     } else {
         BATCH_INTERVAL_PER_HOST.saturating_mul(hosts)
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -10,8 +10,9 @@
     /// Returns the changes after the revision `after` as soon as there are any, or an empty batch after
     /// `wait_ms`.
     ///
-    /// `None` when the host cannot resume from that revision, or has itself lost contact with the store.
-    async fn changes(after: u64, wait_ms: u32) -> Option<Batch>;
+    /// `None` when the host cannot resume from that revision, or has itself lost contact with the store: at once, or
+    /// after `wait_ms` if `is_last_resort`, because the caller has no other source.
+    async fn changes(after: u64, wait_ms: u32, is_last_resort: bool) -> Option<Batch>;
 }
 
 /// Changes since a revision.
