Supply hosts that are behind with all items

The refusal excluded it for 3 s; where the store turns the other host away, it stayed behind for good.

Change: the feed keeps all items beside the recent changes, and a host that is behind these gets all items (up to 3 MB). A feed whose store is lost is suspended instead of cleared. A host that took the place of a leader without a response looks for it again by turns with the store, since it may have been restarted.

--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -76,7 +76,7 @@
     /// Selects the source that the host `own` of a zone calls next, given the serving hosts.
     ///
     /// The order is the leader of the zone, the store, the host that takes the leader's place, then the leaders of
-    /// other zones. When all have failed, the leader of the zone calls the store and the others call hosts that
+    /// other zones. When all have failed, the leader of the zone calls the store, and the others call hosts that
     /// respond, so that few hosts call a store that is down.
     #[must_use]
     pub fn choose(
@@ -108,9 +108,15 @@
                 is_last_resort: false,
             };
         }
-        let hosts = sources.filter(|source| self.is_reachable(source, now));
-        let next = hosts.min_by_key(|source| self.excluded_until(source));
-        let next = next.filter(|_| leader.is_some());
+        let is_leader = leader.is_none();
+        let may_have = |source: &&Source| match source {
+            Source::Store => is_leader,
+            // A leader that gave no response may have been restarted.
+            Source::Host { .. } if is_leader => listed.as_ref() == Some(source),
+            Source::Host { host, .. } => !self.is_unreachable(host, now),
+        };
+        let next = sources.filter(may_have);
+        let next = next.min_by_key(|source| self.excluded_until(source));
         Choice {
             source: next.cloned().unwrap_or(Source::Store),
             is_last_resort: true,
@@ -188,14 +194,6 @@
         }
     }
 
-    /// Whether a source is a host that responded to the last call.
-    fn is_reachable(&self, source: &Source, now: Duration) -> bool {
-        match source {
-            Source::Store => false,
-            Source::Host { host, .. } => !self.is_unreachable(host, now),
-        }
-    }
-
     fn is_unreachable(&self, host: &id::Host, now: Duration) -> bool {
         let exclusion = self.hosts.get(host);
         exclusion.is_some_and(|exclusion| exclusion.is_unreachable && exclusion.until > now)
--- a/crates/fleet/tests/upstream.rs
+++ b/crates/fleet/tests/upstream.rs
@@ -135,15 +135,16 @@
     let members = members(&[("a", 3), ("b", 2)]);
     let mut next = Upstream::default();
     let mut last = Upstream::default();
-    for source in [&host("a0", &members), &Source::Store] {
-        next.record_failure(source, START);
-        last.record_failure(source, START);
-    }
+    let leader = host("a0", &members);
     for upstream in [&mut next, &mut last] {
+        upstream.record_failure(&Source::Store, START);
         upstream.record_refusal(&"b0".parse().unwrap(), START);
+        upstream.record_failure(&leader, START + Duration::from_millis(1));
     }
-    assert_eq!(choose(&next, "a1", &members), "store");
     assert_eq!(choose(&last, "a2", &members), "a1");
+    assert_eq!(choose(&next, "a1", &members), "store");
+    next.record_failure(&Source::Store, START + Duration::from_millis(2));
+    assert_eq!(choose(&next, "a1", &members), "a0", "it may be back");
     let (own, zone) = ("a1".parse().unwrap(), "a".parse().unwrap());
     assert!(next.is_leader(&own, &zone, &members, START));
     let later = START + Duration::from_secs(4);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -4,6 +4,7 @@
 pub mod serve;
 
 use core::time::Duration;
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -14,6 +15,7 @@
 
 use crate::clock;
 use agatemill_adapter::store::Change;
+use agatemill_adapter::store::Item;
 use agatemill_core::number::Revision;
 
 /// Maximum number of buffered changes: a few seconds of changes of a hundred engines. A host that is further
@@ -24,6 +26,9 @@
 /// configurations does not fill it.
 const MAX_BYTES: usize = 4 << 20;
 
+/// Maximum size of all items that are sent to a host at once, in bytes; below the limit of a message between hosts.
+const MAX_WHOLE_BYTES: usize = 3 << 20;
+
 /// Buffer of recent store changes, for hosts that follow the store through this one.
 #[derive(Debug, Default)]
 pub struct Feed {
@@ -33,9 +38,12 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    /// Revision after which all changes are buffered; `None` before the first snapshot and while the store is
-    /// lost.
-    start: Option<Revision>,
+    /// Whether the store was read and is not lost.
+    is_current: bool,
+    /// All items of the store at the revision `end`.
+    items: BTreeMap<String, Item>,
+    /// Revision after which all changes are buffered.
+    start: Revision,
     /// Revision up to which all changes are buffered.
     end: Revision,
     /// Changes of each response of the store, with its revision. `changes` and `bytes` are the totals over all
@@ -54,37 +62,53 @@
     None,
     /// Changes, and the revision up to which they are complete.
     Since(Vec<Change>, Revision),
-    /// The buffer does not reach back to the revision.
+    /// All items, since the buffer does not reach back to the revision, and their revision.
+    Whole(Vec<Item>, Revision),
+    /// The store is lost, or the items are too large for a message.
     Unknown,
 }
 
 impl Feed {
-    /// Restarts the buffer at the revision of a snapshot of the whole store.
-    pub fn reset(&self, revision: Revision) {
-        *self.lock() = Inner {
-            start: Some(revision),
+    /// Restarts the buffer with all items of the store at a revision, and returns the changes from the former ones.
+    #[must_use]
+    pub fn reset(&self, items: Vec<Item>, revision: Revision) -> Vec<Change> {
+        let items = items.into_iter().map(|item| (item.key.clone(), item));
+        let items: BTreeMap<String, Item> = items.collect();
+        let mut inner = self.lock();
+        let former = core::mem::take(&mut inner.items);
+        let changes = difference(&former, &items);
+        *inner = Inner {
+            is_current: true,
+            items,
+            start: revision,
             end: revision,
             updated_at: clock::boot_time(),
             ..Inner::default()
         };
+        drop(inner);
         self.changed.notify(usize::MAX);
+        changes
     }
 
-    /// Clears the buffer when the store is lost, so that followers read the store themselves.
-    pub fn invalidate(&self) {
-        *self.lock() = Inner::default();
+    /// Supplies no changes until the store responds again.
+    pub fn suspend(&self) {
+        self.lock().is_current = false;
         self.changed.notify(usize::MAX);
     }
 
-    /// Appends the changes after the revision `after` up to `end`.
-    pub fn extend(&self, after: Revision, changes: &[Change], end: Revision) {
+    /// Appends the changes after the end of the buffer up to `end`.
+    pub fn extend(&self, changes: &[Change], end: Revision) {
         let mut inner = self.lock();
-        let is_regained = inner.start.is_none();
-        if is_regained {
-            inner.start = Some(after);
-        }
+        let is_regained = !inner.is_current;
+        inner.is_current = true;
         inner.end = inner.end.max(end);
         inner.updated_at = clock::boot_time();
+        for change in changes {
+            match change {
+                Change::Put(item) => inner.items.insert(item.key.clone(), item.clone()),
+                Change::Deleted { key } => inner.items.remove(key),
+            };
+        }
         if !changes.is_empty() {
             inner.changes += changes.len();
             inner.bytes += changes.iter().map(size).sum::<usize>();
@@ -94,7 +118,7 @@
             let Some((end, oldest)) = inner.batches.pop_front() else {
                 break;
             };
-            inner.start = Some(end);
+            inner.start = end;
             inner.changes -= oldest.len();
             inner.bytes -= oldest.iter().map(size).sum::<usize>();
         }
@@ -108,9 +132,12 @@
     #[must_use]
     pub fn changes_since(&self, after: Revision) -> Update {
         let inner = self.lock();
-        if inner.start.is_none_or(|start| after < start) {
+        if !inner.is_current {
             return Update::Unknown;
         }
+        if after < inner.start {
+            return inner.whole();
+        }
         let unknown = inner.batches.iter().filter(|(end, _)| *end > after);
         let changes: Vec<Change> = unknown.flat_map(|(_, changes)| changes.clone()).collect();
         if changes.is_empty() {
@@ -137,9 +164,33 @@
     }
 }
 
+impl Inner {
+    fn whole(&self) -> Update {
+        let bytes: usize = self.items.values().map(item_size).sum();
+        if bytes > MAX_WHOLE_BYTES {
+            return Update::Unknown;
+        }
+        Update::Whole(self.items.values().cloned().collect(), self.end)
+    }
+}
+
+/// Changes that lead from former items to new ones.
+fn difference(former: &BTreeMap<String, Item>, new: &BTreeMap<String, Item>) -> Vec<Change> {
+    let puts = new
+        .values()
+        .filter(|item| former.get(&item.key) != Some(item));
+    let gone = former.keys().filter(|key| !new.contains_key(*key));
+    let deletions = gone.map(|key| Change::Deleted { key: key.clone() });
+    puts.cloned().map(Change::Put).chain(deletions).collect()
+}
+
 fn size(change: &Change) -> usize {
     match change {
-        Change::Put(item) => item.key.len() + item.value.len(),
+        Change::Put(item) => item_size(item),
         Change::Deleted { key } => key.len(),
     }
 }
+
+fn item_size(item: &Item) -> usize {
+    item.key.len() + item.value.len()
+}
--- a/crates/gateway/src/feed/remote.rs
+++ b/crates/gateway/src/feed/remote.rs
@@ -32,6 +32,8 @@
 pub struct Batch {
     /// Changes in order; some may be known already.
     pub changes: Vec<Change>,
+    /// Whether the changes are all items of the store instead.
+    pub is_whole: bool,
     /// Revision up to which the changes are complete.
     pub revision: Revision,
     /// Age of the followed host's view when it responded.
@@ -95,6 +97,7 @@
     fn from(batch: feed::Batch) -> Self {
         Self {
             changes: batch.changes.into_iter().map(from_wire).collect(),
+            is_whole: batch.is_whole,
             revision: Revision(batch.revision),
             age: Duration::from_millis(batch.age_ms.into()),
             deletion_grace: Duration::from_millis(batch.lenient_ms.into()),
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -92,6 +92,13 @@
             };
             let wait = match update {
                 Update::Since(changes, revision) => return Some(self.batch(changes, revision)),
+                Update::Whole(items, revision) => {
+                    let items = items.into_iter().map(Change::Put).collect();
+                    return Some(feed::Batch {
+                        is_whole: true,
+                        ..self.batch(items, revision)
+                    });
+                }
                 Update::None if left.is_zero() => return Some(self.batch(Vec::new(), after)),
                 Update::None => {
                     let until_stale =
@@ -114,6 +121,7 @@
         let deletion_grace = self.state.view().deletion_grace(agatemill_runtime::now());
         feed::Batch {
             changes: changes.into_iter().map(to_wire).collect(),
+            is_whole: false,
             revision: revision.0,
             age_ms: millis_ceil(age),
             lenient_ms: millis_ceil(deletion_grace),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -17,6 +17,7 @@
 use agatemill_adapter::quarantine;
 use agatemill_adapter::store::Change;
 use agatemill_adapter::store::Changes;
+use agatemill_adapter::store::Item;
 use agatemill_core::id;
 use agatemill_core::number::Revision;
 use agatemill_fleet::LogLimit;
@@ -58,8 +59,6 @@
 struct Replicator {
     /// Revision of the view; `None` if a snapshot has to be read.
     revision: Option<Revision>,
-    /// Revision of the view when the store compacted its history.
-    compacted_revision: Option<Revision>,
     /// Failed calls since the last response.
     failures: u32,
     /// Selects the source of changes.
@@ -105,7 +104,7 @@
             log::info!(error:%, ms, failures = self.failures; "store: still interrupted");
         }
         state.metrics.count_event("store", "call_failed");
-        state.feed.invalidate();
+        state.feed.suspend();
         self.upstream
             .record_failure(&Source::Store, agatemill_runtime::now());
         self.failures = self.failures.saturating_add(1);
@@ -143,19 +142,7 @@
     let revision = snapshot.revision;
     log::info!(revision:%, items = snapshot.items.len(); "store: loaded a snapshot");
     replicator.record_success(state, Source::Store);
-    let changes = state.view().diff(snapshot);
-    if let Some(after) = replicator
-        .compacted_revision
-        .take()
-        .filter(|after| *after <= revision)
-    {
-        // Followers get the difference and need not read the snapshot themselves.
-        apply(state, replicator, after, changes, revision);
-    } else {
-        // The first snapshot, or one of a store that has lost its newest revisions.
-        state.feed.reset(revision);
-        apply(state, replicator, revision, changes, revision);
-    }
+    adopt(state, replicator, snapshot.items, revision);
     state.view().freshness.confirm(started);
     Ok(())
 }
@@ -250,12 +237,12 @@
         Changes::Compacted => {
             log::info!(after:%; "store: history compacted, loading a snapshot");
             // A compacted history says nothing about the current state.
-            replicator.compacted_revision = replicator.revision.take();
+            replicator.revision = None;
         }
         Changes::Since { changes, revision } => {
             replicator.record_success(state, Source::Store);
             let is_quiet = changes.is_empty();
-            apply(state, replicator, after, changes, revision);
+            append(state, replicator, changes, revision.max(after));
             state.view().freshness.confirm(started);
             if !is_quiet {
                 agatemill_runtime::sleep(batch_interval(state, is_followed)).await;
@@ -321,7 +308,17 @@
     state
         .view()
         .extend_deletion_grace(batch.deletion_grace, agatemill_runtime::now());
-    apply(state, replicator, after, batch.changes, batch.revision);
+    if batch.is_whole {
+        let items: Vec<Item> = batch
+            .changes
+            .into_iter()
+            .filter_map(Change::into_item)
+            .collect();
+        log::info!(revision:% = batch.revision, items = items.len(); "store: loaded a snapshot of another host");
+        adopt(state, replicator, items, batch.revision);
+    } else {
+        append(state, replicator, batch.changes, batch.revision.max(after));
+    }
     // The other host responded after this call started, with a view of that age.
     if let Some(confirmed) = started.checked_sub(batch.age) {
         state.view().freshness.confirm(confirmed);
@@ -350,16 +347,21 @@
     state.settings().bounds.timing().batch_interval(wanted)
 }
 
-fn apply(
-    state: &State,
-    replicator: &mut Replicator,
-    after: Revision,
-    changes: Vec<Change>,
-    revision: Revision,
-) {
-    let revision = revision.max(after);
-    state.feed.extend(after, &changes, revision);
+/// Replaces the view by all items of the store at a revision.
+fn adopt(state: &State, replicator: &mut Replicator, items: Vec<Item>, revision: Revision) {
+    let changes = state.feed.reset(items, revision);
+    replicator.revision = Some(revision);
+    apply(state, changes);
+}
+
+/// Applies the changes up to a revision.
+fn append(state: &State, replicator: &mut Replicator, changes: Vec<Change>, revision: Revision) {
+    state.feed.extend(&changes, revision);
     replicator.revision = Some(revision);
+    apply(state, changes);
+}
+
+fn apply(state: &State, changes: Vec<Change>) {
     let now = agatemill_runtime::now();
     restore_entries(state, &changes, now);
     let mut view = state.view();
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -11,7 +11,6 @@
 use agatemill_adapter::quarantine;
 use agatemill_adapter::store::Change;
 use agatemill_adapter::store::Item;
-use agatemill_adapter::store::Snapshot;
 use agatemill_core::id;
 use agatemill_core::number::Revision;
 use agatemill_fleet::Configuration;
@@ -65,17 +64,6 @@
 }
 
 impl View {
-    /// Returns the changes from this view to a snapshot of the whole store. Entries that the snapshot lacks are
-    /// deleted.
-    #[must_use]
-    pub fn diff(&self, snapshot: Snapshot) -> Vec<Change> {
-        let mut gone = self.keys();
-        gone.retain(|key| !snapshot.items.iter().any(|item| &item.key == key));
-        let puts = snapshot.items.into_iter().map(Change::Put);
-        let deletions = gone.into_iter().map(|key| Change::Deleted { key });
-        puts.chain(deletions).collect()
-    }
-
     /// Applies a change.
     pub fn apply(&mut self, change: Change, now: Duration) {
         match change {
@@ -141,22 +129,6 @@
         })
     }
 
-    fn keys(&self) -> Vec<String> {
-        let servers = self.services.values().flatten();
-        let servers = servers.map(|server| format!("{}{}", entry::PREFIX, server.id));
-        let members = self.members.keys().map(host::key);
-        let planner = self.planner.iter().map(|_| host::PLANNER.to_owned());
-        let quarantined = self
-            .quarantined
-            .keys()
-            .map(|segment| quarantine::key(*segment));
-        servers
-            .chain(members)
-            .chain(planner)
-            .chain(quarantined)
-            .collect()
-    }
-
     fn put(&mut self, item: &Item) {
         self.pending_removals.remove(&item.key);
         if item.key == document::KEY {
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -10,8 +10,10 @@
     /// Returns the changes after the revision `after` as soon as there are any, or an empty batch after
     /// `wait_ms`.
     ///
-    /// `None` when the host cannot resume from that revision, or has itself lost contact with the store: at once, or
-    /// after `wait_ms` if `is_last_resort`, because the caller has no other source.
+    /// The batch holds all items if the host does not know the changes since that revision.
+    ///
+    /// `None` when the host has itself lost contact with the store, or its items are too large for a message: at once,
+    /// or after `wait_ms` if `is_last_resort`, because the caller has no other source.
     async fn changes(after: u64, wait_ms: u32, is_last_resort: bool) -> Option<Batch>;
 }
 
@@ -20,6 +22,8 @@
 pub struct Batch {
     /// The changes in order; the receiver may know some of them already.
     pub changes: Vec<Change>,
+    /// Whether the changes are all items of the store instead: it has no others.
+    pub is_whole: bool,
     /// Revision up to which the changes are complete.
     pub revision: u64,
     /// Age in milliseconds of the sender's view when it sent the batch.
