Do not place layers on a list that lacks entries after an outage

An engine that takes new layers accepts nothing until its streams have ended.

The filter of accepted connections is a plain function: with an async closure the compiler's incremental builds failed with an internal error.

--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -33,7 +33,7 @@
 pub async fn run(state: Arc<State>, listener: TcpListener) {
     let accepted = listener.incoming().then(pause_after_error);
     accepted
-        .filter_map(async |stream| stream)
+        .filter_map(futures::future::ready)
         .for_each_concurrent(None, |stream| serve(Arc::clone(&state), stream))
         .await;
 }
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -60,11 +60,13 @@
         if !state.is_fresh() {
             continue;
         }
+        // Entries that expired in an outage are back within the grace period.
+        let may_lack_entries = !state.view().deletion_grace(now).is_zero();
         for (service, model, servers) in fleets(&state) {
             let (servers, crashed) = exclude_lost(&state, servers, now).await;
             let plan = plans.entry(service).or_default();
             plan.record_crashes(&crashed, &servers, now);
-            if !is_settled && plan.is_mostly_empty(&servers) {
+            if !is_settled && (may_lack_entries || plan.is_mostly_empty(&servers)) {
                 continue;
             }
             let orders = choose_orders(&state, plan, &model, &servers, now).await;
--- a/crates/gateway/tests/all/outage.rs
+++ b/crates/gateway/tests/all/outage.rs
@@ -6,6 +6,7 @@
 use crate::system::System;
 use crate::upstream::start_second_host;
 use crate::upstream::version;
+use agatemill_adapter::host;
 use agatemill_core::number::Revision;
 use agatemill_gateway::Process;
 use agatemill_gateway::feed::Update;
@@ -114,3 +115,52 @@
             .await;
     });
 }
+
+/// Guards against engines that get layers of others whose entries expired in the outage and are not back yet.
+#[test]
+fn a_leader_that_starts_in_an_outage_waits_for_entries_that_expired() {
+    run_test(4, |mut system| async move {
+        let orders = |system: &System| -> usize {
+            let engines = system.engines.iter();
+            engines.map(|engine| engine.orders().len()).sum()
+        };
+        system.store.set_fault(Fault::Busy);
+        let fresh = Process::start(crate::system::settings("h2", system.store_address));
+        drop(core::mem::replace(
+            &mut system.process,
+            fresh.await.unwrap(),
+        ));
+        let before = system.store.reads();
+        system
+            .wait_until("the new process has lost the store", || {
+                system.store.reads() > before + 1
+            })
+            .await;
+        let first = system.first_engine().orders().last().unwrap()["from"].clone();
+        let others = system.engines.iter();
+        let others = others.filter(|engine| engine.orders().last().unwrap()["from"] != first);
+        let keys: Vec<String> = others
+            .map(|engine| format!("servers/{}", engine.id))
+            .collect();
+        let entries = keys.iter().map(|key| system.store.value(key).unwrap());
+        let entries: Vec<String> = entries.collect();
+        for key in &keys {
+            system.store.remove(key);
+        }
+        system.store.remove(host::PLANNER);
+        let known = orders(&system);
+        system.store.set_fault(Fault::None);
+        system
+            .wait_until("the new process leads", || {
+                system.store.value(host::PLANNER).is_some()
+            })
+            .await;
+        agatemill_runtime::sleep(Duration::from_millis(700)).await;
+        for (key, entry) in keys.iter().zip(&entries) {
+            system.store.put(key, entry);
+        }
+        system.wait_for_layers().await;
+        agatemill_runtime::sleep(Duration::from_secs(2)).await;
+        assert_eq!(orders(&system), known, "engines got other layers");
+    });
+}
