Keep entries for the grace period that a whole view of another host lacks

A host that has lost the store learned of deletions from another host that was started after the outage, whose batch carries no grace period. Servers whose entries had expired in the outage were dropped at once, although live ones are listed again within two seconds. The grace period now begins when a host adopts all items of another one after failures of its own. The test of a restarted host asserts it and failed before.

--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -304,6 +304,10 @@
         return Err(Failure::Refused);
     };
     replicator.remote = Some(remote);
+    if batch.is_whole && replicator.failures > 0 {
+        // The other host may have been started after an outage in which entries expired.
+        state.view().start_deletion_grace(agatemill_runtime::now());
+    }
     replicator.record_success(state, source.clone());
     state
         .view()
--- a/crates/gateway/tests/all/outage.rs
+++ b/crates/gateway/tests/all/outage.rs
@@ -108,6 +108,8 @@
             }
         };
         assert_applied_in_time(&system, &process, 10).await;
+        let grace = process.state().view().deletion_grace(Duration::ZERO);
+        assert!(!grace.is_zero(), "entries may have expired in an outage");
         let name: agatemill_core::id::Service = "plain".parse().unwrap();
         let servers = || process.state().view().servers(&name).len();
         system
