--- a/crates/core/src/number.rs
+++ b/crates/core/src/number.rs
@@ -32,6 +32,8 @@
 numbers! {
     /// Number of an attempt at one generation; incremented each time the chain is rebuilt.
     Attempt(u32);
+    /// Number of a history of the platform's store; rises when the store is restored from an older copy.
+    Era(u64);
     /// Fencing token that a planner sends with its orders; a higher one is newer.
     Fence(u64);
     /// Number of a configuration document in force; 0 means "none yet".
