Compare revisions within one era of the store only

Cause: a revision was a plain number between hosts and towards the store. A follower whose number was higher than that of the host it followed got no changes any more, and a watch of a store that had passed the number again skipped what was lost and given out again, which no status reports.

Change: fleet::history::Cursor, an era with a revision, in the order of time, replaces the number in the feed, its messages, the replicator and the store's client. A watch or a page of another era is no answer; a late response of an earlier era is dropped. Hosts tell each other the latest era that they know with each call, so that the one that is followed reads the store again and supplies all items. A host that has noticed a restore supplies nothing before that. What the copy lacks stays in the view for the grace period.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -16,7 +16,10 @@
 use crate::clock;
 use agatemill_adapter::store::Change;
 use agatemill_adapter::store::Item;
+use agatemill_core::number::Era;
 use agatemill_core::number::Revision;
+use agatemill_fleet::history::Cursor;
+use agatemill_wire::feed;
 
 /// Maximum number of buffered changes: a few seconds of changes of a hundred engines. A host that is further
 /// behind reads the store itself.
@@ -38,50 +41,53 @@
 
 #[derive(Debug, Default)]
 struct Inner {
+    /// Whether the store was read.
+    has_items: bool,
     /// Whether the store was read and is not lost.
     is_current: bool,
-    /// All items of the store at the revision `end`.
+    /// All items of the store at the state `end`.
     items: BTreeMap<String, Item>,
-    /// Revision after which all changes are buffered.
-    start: Revision,
-    /// Revision up to which all changes are buffered.
-    end: Revision,
-    /// Changes of each response of the store, with its revision. `changes` and `bytes` are the totals over all
+    /// State after which all changes are buffered.
+    start: Cursor,
+    /// State up to which all changes are buffered; of the same era as `start`.
+    end: Cursor,
+    /// Changes of each response of the store, with its state. `changes` and `bytes` are the totals over all
     /// batches.
-    batches: VecDeque<(Revision, Vec<Change>)>,
+    batches: VecDeque<(Cursor, Vec<Change>)>,
     changes: usize,
     bytes: usize,
     /// Time of the last response, on the clock that keeps running during suspend.
     updated_at: Duration,
 }
 
-/// Changes after a revision.
+/// Changes after a state.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Update {
     /// No changes yet.
     None,
-    /// Changes, and the revision up to which they are complete.
-    Since(Vec<Change>, Revision),
-    /// All items, since the buffer does not reach back to the revision, and their revision.
-    Whole(Vec<Item>, Revision),
-    /// The store is lost, or the items are too large for a message.
+    /// Changes, and the state up to which they are complete.
+    Since(Vec<Change>, Cursor),
+    /// All items, since the buffer does not reach back to the state, and their state.
+    Whole(Vec<Item>, Cursor),
+    /// The store is lost, the buffer is of an earlier era, or the items are too large for a message.
     Unknown,
 }
 
 impl Feed {
-    /// Restarts the buffer with all items of the store at a revision, and returns the changes from the former ones.
+    /// Restarts the buffer with all items of the store at a state, and returns the changes from the former ones.
     #[must_use]
-    pub fn reset(&self, items: Vec<Item>, revision: Revision) -> Vec<Change> {
+    pub fn reset(&self, items: Vec<Item>, cursor: Cursor) -> Vec<Change> {
         let items = items.into_iter().map(|item| (item.key.clone(), item));
         let items: BTreeMap<String, Item> = items.collect();
         let mut inner = self.lock();
         let former = core::mem::take(&mut inner.items);
         let changes = difference(&former, &items);
         *inner = Inner {
+            has_items: true,
             is_current: true,
             items,
-            start: revision,
-            end: revision,
+            start: cursor,
+            end: cursor,
             updated_at: clock::boot_time(),
             ..Inner::default()
         };
@@ -97,7 +103,7 @@
     }
 
     /// Appends the changes after the end of the buffer up to `end`.
-    pub fn extend(&self, changes: &[Change], end: Revision) {
+    pub fn extend(&self, changes: &[Change], end: Cursor) {
         let mut inner = self.lock();
         let is_regained = !inner.is_current;
         inner.is_current = true;
@@ -128,11 +134,11 @@
         }
     }
 
-    /// Returns the changes after the revision `after`.
+    /// Returns the changes after the state `after`.
     #[must_use]
-    pub fn changes_since(&self, after: Revision) -> Update {
+    pub fn changes_since(&self, after: Cursor) -> Update {
         let inner = self.lock();
-        if !inner.is_current {
+        if !inner.is_current || after.era > inner.end.era {
             return Update::Unknown;
         }
         if after < inner.start {
@@ -147,6 +153,13 @@
         }
     }
 
+    /// Era of the items; `None` before the first snapshot.
+    #[must_use]
+    pub fn era(&self) -> Option<Era> {
+        let inner = self.lock();
+        inner.has_items.then_some(inner.end.era)
+    }
+
     /// Time since the last response of the store.
     #[must_use]
     pub fn update_age(&self) -> Duration {
@@ -194,3 +207,17 @@
 fn item_size(item: &Item) -> usize {
     item.key.len() + item.value.len()
 }
+
+fn to_wire(cursor: Cursor) -> feed::Cursor {
+    feed::Cursor {
+        era: cursor.era.0,
+        revision: cursor.revision.0,
+    }
+}
+
+fn from_wire(cursor: feed::Cursor) -> Cursor {
+    Cursor {
+        era: Era(cursor.era),
+        revision: Revision(cursor.revision),
+    }
+}
--- a/crates/gateway/src/feed/remote.rs
+++ b/crates/gateway/src/feed/remote.rs
@@ -11,7 +11,9 @@
 
 use agatemill_adapter::store::Change;
 use agatemill_adapter::store::Item;
+use agatemill_core::number::Era;
 use agatemill_core::number::Revision;
+use agatemill_fleet::history::Cursor;
 use agatemill_fleet::upstream::timing::Timing;
 use agatemill_wire::feed;
 use agatemill_wire::feed::FeedClient;
@@ -34,8 +36,8 @@
     pub changes: Vec<Change>,
     /// Whether the changes are all items of the store instead.
     pub is_whole: bool,
-    /// Revision up to which the changes are complete.
-    pub revision: Revision,
+    /// State up to which the changes are complete.
+    pub cursor: Cursor,
     /// Age of the followed host's view when it responded.
     pub age: Duration,
     /// Remaining time for which deleted entries are kept.
@@ -66,7 +68,7 @@
         })
     }
 
-    /// Returns the changes after a revision; `None` if the host does not have them: at once, or after the wait if it is
+    /// Returns the changes after a state, given the latest era that is known; `None` if the host does not have them: at once, or after the wait if it is
     /// the last resort.
     ///
     /// # Errors
@@ -74,7 +76,8 @@
     /// `TimedOut` or `ConnectionAborted` if the host does not respond.
     pub async fn changes(
         &self,
-        after: Revision,
+        after: Cursor,
+        era: Era,
         is_last_resort: bool,
     ) -> io::Result<Option<Batch>> {
         let wait = self.timing.feed_wait();
@@ -82,9 +85,13 @@
         let mut context = tarpc::context::current();
         context.deadline = Instant::now() + limit;
         let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-        let call = self
-            .client
-            .changes(context, after.0, wait_ms, is_last_resort);
+        let call = self.client.changes(
+            context,
+            super::to_wire(after),
+            era.0,
+            wait_ms,
+            is_last_resort,
+        );
         let result = agatemill_runtime::timeout(limit, call.compat()).await;
         let result = result.ok_or(io::ErrorKind::TimedOut)?;
         let batch =
@@ -98,7 +105,7 @@
         Self {
             changes: batch.changes.into_iter().map(from_wire).collect(),
             is_whole: batch.is_whole,
-            revision: Revision(batch.revision),
+            cursor: super::from_wire(batch.cursor),
             age: Duration::from_millis(batch.age_ms.into()),
             deletion_grace: Duration::from_millis(batch.lenient_ms.into()),
         }
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -17,7 +17,8 @@
 use crate::State;
 use crate::clock;
 use agatemill_adapter::store::Change;
-use agatemill_core::number::Revision;
+use agatemill_core::number::Era;
+use agatemill_fleet::history::Cursor;
 use agatemill_wire::feed;
 use agatemill_wire::feed::Feed as _;
 use agatemill_wire::transport;
@@ -74,29 +75,33 @@
     async fn changes(
         self,
         _: Context,
-        after: u64,
+        after: feed::Cursor,
+        era: u64,
         wait_ms: u32,
         is_last_resort: bool,
     ) -> Option<feed::Batch> {
-        let after = Revision(after);
+        let after = super::from_wire(after);
+        self.state.learn_era(Era(era));
         let end = agatemill_runtime::now() + Duration::from_millis(wait_ms.into());
         let max_update_age = self.state.settings().bounds.timing().max_update_age();
         loop {
             let notice = self.state.feed.listen();
             let left = end.saturating_sub(agatemill_runtime::now());
             let update_age = self.state.feed.update_age();
-            let update = if update_age > max_update_age {
+            let era = self.state.feed.era();
+            let is_restored = era.is_none_or(|era| era < self.state.store.era());
+            let update = if update_age > max_update_age || is_restored {
                 Update::Unknown
             } else {
                 self.state.feed.changes_since(after)
             };
             let wait = match update {
-                Update::Since(changes, revision) => return Some(self.batch(changes, revision)),
-                Update::Whole(items, revision) => {
+                Update::Since(changes, cursor) => return Some(self.batch(changes, cursor)),
+                Update::Whole(items, cursor) => {
                     let items = items.into_iter().map(Change::Put).collect();
                     return Some(feed::Batch {
                         is_whole: true,
-                        ..self.batch(items, revision)
+                        ..self.batch(items, cursor)
                     });
                 }
                 Update::None if left.is_zero() => return Some(self.batch(Vec::new(), after)),
@@ -105,7 +110,8 @@
                         max_update_age.saturating_sub(update_age) + Duration::from_millis(1);
                     left.min(until_stale)
                 }
-                Update::Unknown if is_last_resort && !left.is_zero() => left,
+                // A restored store is read again at once.
+                Update::Unknown if (is_last_resort || is_restored) && !left.is_zero() => left,
                 Update::Unknown => return None,
             };
             agatemill_runtime::timeout(wait, notice).await;
@@ -114,7 +120,7 @@
 }
 
 impl Handler {
-    fn batch(&self, changes: Vec<Change>, revision: Revision) -> feed::Batch {
+    fn batch(&self, changes: Vec<Change>, cursor: Cursor) -> feed::Batch {
         // Read after the changes: the follower must not consider the view more recent than it is.
         let age = self.state.view().freshness.age(clock::boot_time());
         let age = age.unwrap_or(Duration::MAX);
@@ -122,7 +128,7 @@
         feed::Batch {
             changes: changes.into_iter().map(to_wire).collect(),
             is_whole: false,
-            revision: revision.0,
+            cursor: super::to_wire(cursor),
             age_ms: millis_ceil(age),
             lenient_ms: millis_ceil(deletion_grace),
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use crate::stall;
 use agatemill_adapter::Store;
 use agatemill_core::id;
+use agatemill_core::number::Era;
 use agatemill_fleet::Backoff;
 use agatemill_fleet::Budget;
 use agatemill_fleet::Census;
@@ -75,6 +76,8 @@
     pub reports: stall::Reports,
     /// Recent store changes for hosts that follow this one.
     pub feed: Feed,
+    /// Notified when the store was restored.
+    restored: Arc<Event>,
     /// Notified when other hosts should be told something at once.
     news: Event,
     /// Notified when a request waits for a credit.
@@ -120,10 +123,12 @@
         let buffers = Buffers::new(MAX_BUFFERED_BYTES);
         let pooled = agatemill_http::Client::new(CONNECT_TIMEOUT);
         let unpooled = agatemill_http::Client::without_reuse(CONNECT_TIMEOUT);
+        let restored = Arc::new(Event::new());
         Self {
             census: Mutex::new(Census::new(settings.host.clone(), settings.zone.clone())),
             store: Store::new(settings.store, STORE_TIMEOUT)
-                .with_observer(store_observer(&metrics)),
+                .with_observer(store_observer(&metrics, &restored)),
+            restored,
             settings: Mutex::new(Arc::new(settings)),
             metrics,
             pooled: pooled.with_buffers(buffers.clone()),
@@ -245,6 +250,18 @@
         self.waiting.listen()
     }
 
+    /// Records an era of the store that another host knows.
+    pub fn learn_era(&self, era: Era) {
+        if era > self.store.era() {
+            self.store.observe(Some(era));
+        }
+    }
+
+    /// Listens for the next restore of the store.
+    pub fn listen_for_restore(&self) -> EventListener {
+        self.restored.listen()
+    }
+
     /// Lets the next exchange with other hosts begin at once.
     pub fn announce(&self) {
         self.news.notify(usize::MAX);
@@ -464,8 +481,12 @@
 }
 
 /// Logs and counts what the eras of the store's responses show.
-fn store_observer(metrics: &Registry) -> impl Fn(Observation) + Send + Sync + 'static {
+fn store_observer(
+    metrics: &Registry,
+    restored: &Arc<Event>,
+) -> impl Fn(Observation) + Send + Sync + 'static {
     let metrics = metrics.clone();
+    let restored = Arc::clone(restored);
     let unnamed_log = Mutex::new(LogLimit::default());
     move |observation| match observation {
         Observation::Current => {}
@@ -478,6 +499,7 @@
         Observation::Restored { from, to } => {
             metrics.count_event("store", "restored");
             log::warn!(from:%, to:%; "store: restored from an older copy");
+            restored.notify(usize::MAX);
         }
         Observation::Late { named, known } => {
             metrics.count_event("store", "era_late");
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -19,9 +19,9 @@
 use agatemill_adapter::store::Changes;
 use agatemill_adapter::store::Item;
 use agatemill_core::id;
-use agatemill_core::number::Revision;
 use agatemill_fleet::LogLimit;
 use agatemill_fleet::Upstream;
+use agatemill_fleet::history::Cursor;
 use agatemill_fleet::quarantine::entry::Entry;
 use agatemill_fleet::upstream::Choice;
 use agatemill_fleet::upstream::Source;
@@ -43,7 +43,7 @@
     let mut replicator = Replicator::default();
     loop {
         let started = clock::boot_time();
-        let result = match replicator.revision {
+        let result = match replicator.cursor {
             None => load_snapshot(&state, &mut replicator).await,
             Some(after) => follow(&state, &mut replicator, after).await,
         };
@@ -57,8 +57,8 @@
 /// Replication state.
 #[derive(Debug, Default)]
 struct Replicator {
-    /// Revision of the view; `None` if a snapshot has to be read.
-    revision: Option<Revision>,
+    /// State of the store that the view shows; `None` if a snapshot has to be read.
+    cursor: Option<Cursor>,
     /// Failed calls since the last response.
     failures: u32,
     /// Selects the source of changes.
@@ -139,16 +139,16 @@
     }
     let started = clock::boot_time();
     let snapshot = state.store.list().await?;
-    let revision = snapshot.revision;
-    log::info!(revision:%, items = snapshot.items.len(); "store: loaded a snapshot");
+    let cursor = snapshot.cursor;
+    log::info!(era:% = cursor.era, revision:% = cursor.revision, items = snapshot.items.len(); "store: loaded a snapshot");
     replicator.record_success(state, Source::Store);
-    adopt(state, replicator, snapshot.items, revision);
+    adopt(state, replicator, snapshot.items, cursor);
     state.view().freshness.confirm(started);
     Ok(())
 }
 
 /// Waits for changes at the selected source.
-async fn follow(state: &State, replicator: &mut Replicator, after: Revision) -> Result<(), Error> {
+async fn follow(state: &State, replicator: &mut Replicator, after: Cursor) -> Result<(), Error> {
     let choice = replicator.choose(state);
     match choice.source {
         Source::Store => follow_store(state, replicator, after).await,
@@ -171,7 +171,7 @@
 async fn follow_other(
     state: &State,
     replicator: &mut Replicator,
-    after: Revision,
+    after: Cursor,
     host: id::Host,
     address: SocketAddrV4,
     is_last_resort: bool,
@@ -217,7 +217,7 @@
 async fn follow_store(
     state: &State,
     replicator: &mut Replicator,
-    after: Revision,
+    after: Cursor,
 ) -> Result<(), Error> {
     let timing = state.settings().bounds.timing();
     let is_connected = replicator.failures == 0 && replicator.source == Some(Source::Store);
@@ -237,12 +237,16 @@
         Changes::Compacted => {
             log::info!(after:%; "store: history compacted, loading a snapshot");
             // A compacted history says nothing about the current state.
-            replicator.revision = None;
+            replicator.cursor = None;
         }
-        Changes::Since { changes, revision } => {
+        Changes::Restored => {
+            log::info!(after:%; "store: restored, loading a snapshot");
+            replicator.cursor = None;
+        }
+        Changes::Since { changes, cursor } => {
             replicator.record_success(state, Source::Store);
             let is_quiet = changes.is_empty();
-            append(state, replicator, changes, revision.max(after));
+            append(state, replicator, changes, cursor.max(after));
             state.view().freshness.confirm(started);
             if !is_quiet {
                 agatemill_runtime::sleep(batch_interval(state, is_followed)).await;
@@ -257,11 +261,20 @@
 async fn watch(
     state: &State,
     probe: &mut Probe,
-    after: Revision,
+    after: Cursor,
     wait: Duration,
 ) -> Result<Changes, Error> {
     let timing = state.settings().bounds.timing();
+    let restore = state.listen_for_restore();
+    if after.era < state.store.era() {
+        return Ok(Changes::Restored);
+    }
+    let restore = async {
+        restore.await;
+        Some(Ok(Changes::Restored))
+    };
     let response = async { Some(state.store.watch(after, wait).await) };
+    let response = smol::future::or(response, restore);
     let detection = async {
         agatemill_runtime::sleep(wait + timing.probe_interval()).await;
         while probe
@@ -283,7 +296,7 @@
 async fn follow_host(
     state: &State,
     replicator: &mut Replicator,
-    after: Revision,
+    after: Cursor,
     source: &Source,
     is_last_resort: bool,
 ) -> Result<(), Failure> {
@@ -297,12 +310,20 @@
             .await
             .map_err(Failure::NoResponse)?,
     };
-    let result = remote.changes(after, is_last_resort).await;
+    let result = remote
+        .changes(after, state.store.era(), is_last_resort)
+        .await;
     let batch = result.map_err(Failure::NoResponse)?;
     let Some(batch) = batch else {
         replicator.remote = Some(remote);
         return Err(Failure::Refused);
     };
+    state.learn_era(batch.cursor.era);
+    if batch.cursor.era < state.store.era() {
+        // The store was restored while the host responded; the next call tells it.
+        replicator.remote = Some(remote);
+        return Ok(());
+    }
     replicator.remote = Some(remote);
     if batch.is_whole && replicator.failures > 0 {
         // The other host may have been started after an outage in which entries expired.
@@ -318,10 +339,10 @@
             .into_iter()
             .filter_map(Change::into_item)
             .collect();
-        log::info!(revision:% = batch.revision, items = items.len(); "store: loaded a snapshot of another host");
-        adopt(state, replicator, items, batch.revision);
+        log::info!(era:% = batch.cursor.era, revision:% = batch.cursor.revision, items = items.len(); "store: loaded a snapshot of another host");
+        adopt(state, replicator, items, batch.cursor);
     } else {
-        append(state, replicator, batch.changes, batch.revision.max(after));
+        append(state, replicator, batch.changes, batch.cursor.max(after));
     }
     // The other host responded after this call started, with a view of that age.
     if let Some(confirmed) = started.checked_sub(batch.age) {
@@ -351,17 +372,22 @@
     state.settings().bounds.timing().batch_interval(wanted)
 }
 
-/// Replaces the view by all items of the store at a revision.
-fn adopt(state: &State, replicator: &mut Replicator, items: Vec<Item>, revision: Revision) {
-    let changes = state.feed.reset(items, revision);
-    replicator.revision = Some(revision);
+/// Replaces the view by all items of the store at a state.
+fn adopt(state: &State, replicator: &mut Replicator, items: Vec<Item>, cursor: Cursor) {
+    let is_restored = state.feed.era().is_some_and(|era| era < cursor.era);
+    if is_restored {
+        // What the copy lacks may be written again.
+        state.view().start_deletion_grace(agatemill_runtime::now());
+    }
+    let changes = state.feed.reset(items, cursor);
+    replicator.cursor = Some(cursor);
     apply(state, changes);
 }
 
-/// Applies the changes up to a revision.
-fn append(state: &State, replicator: &mut Replicator, changes: Vec<Change>, revision: Revision) {
-    state.feed.extend(&changes, revision);
-    replicator.revision = Some(revision);
+/// Applies the changes up to a state of the same era.
+fn append(state: &State, replicator: &mut Replicator, changes: Vec<Change>, cursor: Cursor) {
+    state.feed.extend(&changes, cursor);
+    replicator.cursor = Some(cursor);
     apply(state, changes);
 }
 
--- a/crates/gateway/tests/all/outage.rs
+++ b/crates/gateway/tests/all/outage.rs
@@ -8,6 +8,7 @@
 use crate::upstream::version;
 use agatemill_adapter::host;
 use agatemill_core::number::Revision;
+use agatemill_fleet::history::Cursor;
 use agatemill_gateway::Process;
 use agatemill_gateway::feed::Update;
 use agatemill_standin::document;
@@ -36,8 +37,12 @@
 
 /// Waits until a host has lost the store.
 async fn wait_until_lost(system: &System, process: &Process) {
-    let feed = &process.state().feed;
-    let is_lost = || feed.changes_since(Revision(u64::MAX)) == Update::Unknown;
+    let state = process.state();
+    let last = Cursor {
+        era: state.store.era(),
+        revision: Revision(u64::MAX),
+    };
+    let is_lost = || state.feed.changes_since(last) == Update::Unknown;
     system
         .wait_until("the host has lost the store", is_lost)
         .await;
--- a/crates/gateway/tests/all/store.rs
+++ b/crates/gateway/tests/all/store.rs
@@ -10,6 +10,7 @@
 use agatemill_adapter::store::Change;
 use agatemill_adapter::store::Item;
 use agatemill_core::number::Revision;
+use agatemill_fleet::history::Cursor;
 use agatemill_gateway::View;
 use agatemill_gateway::feed::Update;
 use agatemill_standin::document;
@@ -170,10 +171,14 @@
 fn entries_that_expire_in_an_outage_are_kept_for_a_grace_period() {
     run_test(2, |system| async move {
         let state = system.process.state();
+        let last = Cursor {
+            era: state.store.era(),
+            revision: Revision(u64::MAX),
+        };
         system.store.set_fault(Fault::Busy);
         system
             .wait_until("the host has lost the store", || {
-                state.feed.changes_since(Revision(u64::MAX)) == Update::Unknown
+                state.feed.changes_since(last) == Update::Unknown
             })
             .await;
         let key = "servers/s0";
