Tie leases to the era of the store

Cause: a host renewed its lease by the id alone. If another host had been given the id since, the renewal succeeded, the other host's keys were kept alive, and the host itself stayed unlisted, since its entry was lost.

Change: store::Lease holds the id with its era. A leadership counts only with the lease that its entry is attached to, and not while the view shows an earlier era; a host ends its own former leadership and campaigns again. At a planned stop the lease is renewed before it is revoked; between the two calls a restore could still end another host's lease, which that host repairs at its next renewal.

--- a/crates/gateway/src/feed/remote.rs
+++ b/crates/gateway/src/feed/remote.rs
@@ -15,6 +15,7 @@
 use agatemill_core::number::Revision;
 use agatemill_fleet::history::Cursor;
 use agatemill_fleet::upstream::timing::Timing;
+use agatemill_platform::Lease;
 use agatemill_wire::feed;
 use agatemill_wire::feed::FeedClient;
 use agatemill_wire::transport;
@@ -120,6 +121,7 @@
             value: item.value.into_vec(),
             revision: Revision(item.revision),
             created: Revision(item.created),
+            lease: Lease(item.lease),
         }),
         None => Change::Deleted { key },
     }
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -148,6 +148,7 @@
                 value: ByteBuf::from(item.value),
                 revision: item.revision.0,
                 created: item.created.0,
+                lease: item.lease.0,
             }),
         },
         Change::Deleted { key } => feed::Change { key, item: None },
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -50,7 +50,7 @@
     loop {
         agatemill_runtime::sleep(POLL_INTERVAL).await;
         let now = agatemill_runtime::now();
-        let Some(fence) = registration.fence() else {
+        let Some(fence) = registration.fence(&state) else {
             debounce = None;
             plans.clear();
             continue;
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -10,10 +10,10 @@
 use crate::state::Stage;
 use agatemill_adapter::host;
 use agatemill_adapter::store::Creation;
+use agatemill_adapter::store::Lease;
 use agatemill_core::number::Fence;
 use agatemill_fleet::Member;
 use agatemill_platform::Error;
-use agatemill_platform::Lease;
 
 /// TTL of the registration lease; callers are sent to a dead host for up to this time.
 const LEASE_TTL: Duration = Duration::from_secs(3);
@@ -47,12 +47,14 @@
 }
 
 impl Registration {
-    /// Returns the fencing number if this host leads the planning.
+    /// Returns the fencing number if this host leads the planning, also in the latest known era of the store.
     #[must_use]
-    pub fn fence(&self) -> Option<Fence> {
+    pub fn fence(&self, state: &State) -> Option<Fence> {
         let status = self.status();
         let is_valid = clock::boot_time() + LEASE_MARGIN < status.renewed_at + LEASE_TTL;
-        status.fence.filter(|_| is_valid && status.lease.is_some())
+        let era = state.store.era();
+        let has_lease = status.lease.is_some_and(|lease| lease.era == era);
+        status.fence.filter(|_| is_valid && has_lease)
     }
 
     /// Gives up leadership because an engine has seen a higher fencing number.
@@ -91,10 +93,15 @@
 
     /// Revokes the lease, which removes this host's registration.
     pub async fn close(&self, state: &State) {
-        let lease = core::mem::take(&mut *self.lock()).lease;
-        if let Some(lease) = lease
-            && let Err(error) = state.store.revoke(lease).await
-        {
+        let Some(lease) = core::mem::take(&mut *self.lock()).lease else {
+            return;
+        };
+        let revoke = async {
+            // After a restore the id may be that of another host's lease, which the renewal shows.
+            state.store.renew(lease).await?;
+            state.store.revoke(lease).await
+        };
+        if let Err(error) = revoke.await {
             // The lease expires by itself.
             log::warn!(error:%; "registration: cannot revoke the lease");
         }
@@ -142,19 +149,27 @@
 
     /// Campaigns for leadership if there is no planner.
     async fn campaign(&self, state: &State, name: &str) -> Result<(), Error> {
-        let known = state.view().planner.clone();
+        let (known, era) = {
+            let view = state.view();
+            (view.planner.clone(), view.era)
+        };
+        if era != state.store.era() {
+            // The view shows the store before it was restored.
+            self.lock().fence = None;
+            return Ok(());
+        }
         if let Some(planner) = known {
             // Another host leads, or an earlier campaign succeeded and its response was lost.
-            let is_own = planner.name == name;
-            self.lock().fence = is_own.then_some(Fence(planner.fence.0));
+            let is_own = planner.name == name && Some(planner.lease) == self.status().lease;
+            self.lock().fence = is_own.then_some(Fence(planner.elected.revision.0));
             if is_own || planner.host().as_ref() != Some(&state.settings().host) {
                 return Ok(());
             }
-            // A former process of this host led. It has ended, but its lease may last for seconds.
-            if !state.store.remove(host::PLANNER, planner.fence).await? {
+            // A former process of this host led, or this one with a lease that it lost. The entry may last for seconds.
+            if !state.store.remove(host::PLANNER, planner.elected).await? {
                 return Ok(());
             }
-            log::info!(fence:% = planner.fence; "planner: ended the leadership of this host's former process");
+            log::info!(elected:% = planner.elected; "planner: ended a former leadership of this host");
         } else {
             self.lock().fence = None;
             agatemill_runtime::sleep(LEADERSHIP_STAGGER * rank(state)).await;
@@ -165,13 +180,13 @@
         let Some(lease) = self.status().lease else {
             return Ok(());
         };
-        if let Creation::Created(revision) = state
+        if let Creation::Created(elected) = state
             .store
             .create(host::PLANNER, name.as_bytes(), lease)
             .await?
         {
-            self.lock().fence = Some(Fence(revision.0));
-            log::info!(fence:% = revision; "planner: elected as leader");
+            self.lock().fence = Some(Fence(elected.revision.0));
+            log::info!(elected:%; "planner: elected as leader");
         }
         Ok(())
     }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -379,6 +379,7 @@
         // What the copy lacks may be written again.
         state.view().start_deletion_grace(agatemill_runtime::now());
     }
+    state.view().era = cursor.era;
     let changes = state.feed.reset(items, cursor);
     replicator.cursor = Some(cursor);
     apply(state, changes);
--- a/crates/gateway/src/throttle.rs
+++ b/crates/gateway/src/throttle.rs
@@ -88,7 +88,7 @@
         let Some(ask) = next_ask(&state) else {
             continue;
         };
-        if registration.fence().is_some() {
+        if registration.fence(&state).is_some() {
             if let Some(grant) = grant(&state, &registration, ask) {
                 accept(&state, grant);
             }
@@ -123,7 +123,7 @@
 /// Answers an ask if this host leads.
 #[must_use]
 pub fn grant(state: &State, registration: &Registration, ask: Ask) -> Option<Grant> {
-    let term = registration.fence()?;
+    let term = registration.fence(state)?;
     let throttle = state.throttle();
     let limit = |server| throttle.limit(server);
     let grant = state
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -11,12 +11,14 @@
 use agatemill_adapter::quarantine;
 use agatemill_adapter::store::Change;
 use agatemill_adapter::store::Item;
+use agatemill_adapter::store::Lease;
 use agatemill_core::id;
-use agatemill_core::number::Revision;
+use agatemill_core::number::Era;
 use agatemill_fleet::Configuration;
 use agatemill_fleet::Freshness;
 use agatemill_fleet::Member;
 use agatemill_fleet::Server;
+use agatemill_fleet::history::Cursor;
 use agatemill_fleet::prompt::Segment;
 use agatemill_fleet::server::Instance;
 
@@ -27,6 +29,8 @@
 /// This host's view of the platform.
 #[derive(Debug, Default)]
 pub struct View {
+    /// Era of the store that the view shows.
+    pub era: Era,
     /// Current configuration; `None` until the first arrives. Its version never decreases.
     pub configuration: Option<Arc<Configuration>>,
     /// Backend servers of each service, in the order of their ids.
@@ -50,8 +54,10 @@
 pub struct Planner {
     /// Name of the planner: its host and a random suffix for the process.
     pub name: String,
-    /// Fencing number of the planner.
-    pub fence: Revision,
+    /// State of the store at which its leadership began.
+    pub elected: Cursor,
+    /// Lease that the leadership is attached to.
+    pub lease: Lease,
 }
 
 impl Planner {
@@ -136,10 +142,17 @@
         } else if item.key == host::PLANNER {
             self.planner = Some(Planner {
                 name: String::from_utf8_lossy(&item.value).into_owned(),
-                fence: item.created,
+                elected: Cursor {
+                    era: self.era,
+                    revision: item.created,
+                },
+                lease: Lease {
+                    id: item.lease,
+                    era: self.era,
+                },
             });
             log::info!(
-                planner:% = String::from_utf8_lossy(&item.value), fence:% = item.created;
+                planner:% = String::from_utf8_lossy(&item.value), era:% = self.era, revision:% = item.created;
                 "planner: current leader"
             );
         } else if item.key.starts_with(host::PREFIX) {
--- a/crates/gateway/tests/all/restore.rs
+++ b/crates/gateway/tests/all/restore.rs
@@ -6,7 +6,11 @@
 use crate::system::System;
 use crate::upstream::start_second_host;
 use crate::upstream::version;
+use agatemill_adapter::host;
+use agatemill_adapter::store::Store as Client;
+use agatemill_core::id;
 use agatemill_gateway::Process;
+use agatemill_standin::Engine;
 use agatemill_standin::document;
 use agatemill_standin::store::Fault;
 use agatemill_standin::store::Leases;
@@ -66,3 +70,99 @@
         wait_for_version(&system, &system.process, 11).await;
     });
 }
+
+/// Time after which a host that is not listed has missed several renewals.
+const SETTLE_TIME: Duration = Duration::from_millis(4_500);
+
+fn fence(engine: &Engine) -> u64 {
+    engine.orders().last().unwrap()["fence"].as_u64().unwrap()
+}
+
+/// Guards against a host that stays unlisted because it renews a lease that the restored store has granted to another.
+#[test]
+fn a_host_does_not_renew_the_lease_of_another_after_a_restore() {
+    run_test(2, |system| async move {
+        agatemill_runtime::sleep(Duration::from_secs(1)).await;
+        let (process, _) = start_second_host(&system).await;
+        system.store.restore(Duration::from_mins(1), Leases::Kept);
+        let client = Client::new(system.store_address, Duration::from_secs(1));
+        for _ in 0..4 {
+            client.grant(Duration::from_mins(1)).await.unwrap();
+        }
+        for host in ["h1", "h2"] {
+            let key = format!("{}{host}", host::PREFIX);
+            system
+                .wait_until("the host is listed again", || {
+                    system.store.value(&key).is_some()
+                })
+                .await;
+        }
+        agatemill_runtime::sleep(SETTLE_TIME).await;
+        let members = process.state().view().members.len();
+        assert_eq!(members, 2, "the hosts do not stay listed");
+    });
+}
+
+/// Guards against hosts that no longer are listed, or lead, because their leases are lost or their keys have none.
+#[test]
+fn hosts_register_and_lead_again_after_a_restore() {
+    for leases in [Leases::Kept, Leases::Lost, Leases::Orphaned] {
+        run_test(2, |system| async move {
+            let (process, _) = start_second_host(&system).await;
+            system.store.restore(Duration::from_millis(300), leases);
+            agatemill_runtime::sleep(SETTLE_TIME).await;
+            assert_eq!(process.state().view().members.len(), 2, "{leases:?}");
+            let planner = system.store.value(host::PLANNER);
+            assert!(planner.is_some(), "no host leads, {leases:?}");
+            let late = Engine::start(&system.store, "e9", "model", Some("card"));
+            system
+                .wait_until("the new engine holds layers", || !late.orders().is_empty())
+                .await;
+        });
+    }
+}
+
+/// Guards against orders that engines refuse after a restore, because they have seen a higher fencing number.
+#[test]
+fn orders_after_a_restore_carry_a_higher_fence() {
+    run_test(2, |mut system| async move {
+        let former = fence(&system.engines[0]);
+        // The next leadership begins at a lower revision than the former one.
+        system.store.restore(Duration::from_mins(1), Leases::Lost);
+        system.replace_host().await;
+        let late = Engine::start(&system.store, "e9", "model", Some("card"));
+        system
+            .wait_until("the new engine holds layers", || !late.orders().is_empty())
+            .await;
+        assert!(fence(&late) > former, "{} after {former}", fence(&late));
+    });
+}
+
+/// Guards against a fleet without a leader, and callers that are sent to a host that has ended, because the copy lists it
+/// and its keys have no lease.
+#[test]
+fn entries_of_a_host_that_has_ended_do_not_outlive_a_restore() {
+    run_test(2, |mut system| async move {
+        let (process, _) = start_second_host(&system).await;
+        let third = Process::start(crate::system::settings("h3", system.store_address));
+        drop(core::mem::replace(
+            &mut system.process,
+            third.await.unwrap(),
+        ));
+        system
+            .store
+            .restore(Duration::from_millis(100), Leases::Orphaned);
+        let first: id::Host = "h1".parse().unwrap();
+        system
+            .wait_until("the host is no longer listed", || {
+                !process.state().view().members.contains_key(&first)
+            })
+            .await;
+        let leader = || system.store.value(host::PLANNER).unwrap_or_default();
+        system
+            .wait_until("another host leads", || {
+                leader().starts_with("h2-") || leader().starts_with("h3-")
+            })
+            .await;
+    });
+}
--- a/crates/gateway/tests/all/store.rs
+++ b/crates/gateway/tests/all/store.rs
@@ -13,6 +13,7 @@
 use agatemill_fleet::history::Cursor;
 use agatemill_gateway::View;
 use agatemill_gateway::feed::Update;
+use agatemill_platform::Lease;
 use agatemill_standin::document;
 use agatemill_standin::store::Fault;
 
@@ -229,6 +230,7 @@
         value: entry.to_string().into_bytes(),
         revision: Revision(1),
         created: Revision(1),
+        lease: Lease(0),
     };
     let deleted = |key: &str| Change::Deleted {
         key: key.to_owned(),
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -61,4 +61,6 @@
     pub revision: u64,
     /// Revision at which the key was created.
     pub created: u64,
+    /// Lease that the key is attached to, 0 for none.
+    pub lease: i64,
 }
