Let fencing numbers rise across a restore

By the protocol a restored store gives revisions out again, and engines refuse an order whose fencing number is lower than one that they have seen. The number was the revision at which the leadership began, so after a restore a new leader could be refused by every engine until it restarts, and leaders of two eras could hold equal numbers.

A leader that an engine refuses does not repeat its number, but ends its leadership and campaigns again, which gives it a higher one.

--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -44,6 +44,8 @@
     renewed_at: Duration,
     is_listed: bool,
     fence: Option<Fence>,
+    /// Fencing number that an engine has refused.
+    refused: Option<Fence>,
 }
 
 impl Registration {
@@ -57,11 +59,13 @@
         status.fence.filter(|_| is_valid && has_lease)
     }
 
-    /// Gives up leadership because an engine has seen a higher fencing number.
+    /// Gives up leadership because an engine has seen a higher fencing number. Another leadership of this host begins with
+    /// a higher one.
     pub fn step_down(&self, fence: Fence) {
         let mut status = self.lock();
         if status.fence == Some(fence) {
             status.fence = None;
+            status.refused = Some(fence);
             log::warn!(fence:%; "planner: fenced, stepping down");
         }
     }
@@ -160,12 +164,17 @@
         }
         if let Some(planner) = known {
             // Another host leads, or an earlier campaign succeeded and its response was lost.
-            let is_own = planner.name == name && Some(planner.lease) == self.status().lease;
-            self.lock().fence = is_own.then_some(Fence(planner.elected.revision.0));
+            let fence = planner.elected.fence();
+            let status = self.status();
+            let is_own = planner.name == name
+                && Some(planner.lease) == status.lease
+                && status.refused != Some(fence);
+            self.lock().fence = is_own.then_some(fence);
             if is_own || planner.host().as_ref() != Some(&state.settings().host) {
                 return Ok(());
             }
-            // A former process of this host led, or this one with a lease that it lost. The entry may last for seconds.
+            // A former process of this host led, or this one with a lease that it lost or a refused fencing number. The
+            // entry may last for seconds.
             if !state.store.remove(host::PLANNER, planner.elected).await? {
                 return Ok(());
             }
@@ -185,7 +194,7 @@
             .create(host::PLANNER, name.as_bytes(), lease)
             .await?
         {
-            self.lock().fence = Some(Fence(elected.revision.0));
+            self.lock().fence = Some(elected.fence());
             log::info!(elected:%; "planner: elected as leader");
         }
         Ok(())
--- a/crates/gateway/tests/all/restore.rs
+++ b/crates/gateway/tests/all/restore.rs
@@ -138,6 +138,23 @@
     });
 }
 
+/// Guards against a leader that repeats an order with a fencing number which an engine has refused.
+#[test]
+fn a_refused_fencing_number_is_not_used_again() {
+    run_test(2, |system| async move {
+        let known = fence(&system.engines[0]);
+        let late = Engine::start(&system.store, "e9", "model", Some("card"));
+        late.see_fence(known + 1);
+        system
+            .wait_until("the new engine holds layers", || !late.orders().is_empty())
+            .await;
+        let mut refused = late.fenced();
+        assert!(!refused.is_empty());
+        refused.dedup();
+        assert_eq!(refused, late.fenced());
+    });
+}
+
 /// Guards against a fleet without a leader, and callers that are sent to a host that has ended, because the copy lists it
 /// and its keys have no lease.
 #[test]
