Do not let entries of ended hosts outlive a restore

By the protocol a restored store has lost leases; what becomes of keys that were attached to them is not said. If they stay, a host that has ended is listed, and leads, for good: callers are sent to it and nobody places layers.

Change: the entry of a host names the era in which it was written. One of an earlier era counts until the time of a lease has passed, in which hosts that are up write theirs again.

--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -8,15 +8,17 @@
 use crate::State;
 use crate::clock;
 use crate::state::Stage;
+use crate::view::Planner;
 use agatemill_adapter::host;
 use agatemill_adapter::store::Creation;
 use agatemill_adapter::store::Lease;
 use agatemill_core::number::Fence;
 use agatemill_fleet::Member;
+use agatemill_fleet::history::Cursor;
 use agatemill_platform::Error;
 
 /// TTL of the registration lease; callers are sent to a dead host for up to this time.
-const LEASE_TTL: Duration = Duration::from_secs(3);
+pub const LEASE_TTL: Duration = Duration::from_secs(3);
 
 /// Interval between lease renewals: two may be lost before the lease expires.
 const RENEW_INTERVAL: Duration = Duration::from_millis(900);
@@ -44,6 +46,8 @@
     renewed_at: Duration,
     is_listed: bool,
     fence: Option<Fence>,
+    /// Leadership of a host that is not listed, and since when.
+    orphan: Option<(Cursor, Duration)>,
     /// Fencing number that an engine has refused.
     refused: Option<Fence>,
 }
@@ -141,7 +145,7 @@
             address: settings.callers,
             exchange: settings.exchange,
         };
-        let entry = host::encode(&member);
+        let entry = host::encode(&member, lease.era);
         state
             .store
             .put(&host::key(&member.host), &entry, lease)
@@ -163,6 +167,12 @@
             return Ok(());
         }
         if let Some(planner) = known {
+            if self.is_orphaned(state, &planner)
+                && state.store.remove(host::PLANNER, planner.elected).await?
+            {
+                log::info!(elected:% = planner.elected; "planner: ended the leadership of a host that has ended");
+                return Ok(());
+            }
             // Another host leads, or an earlier campaign succeeded and its response was lost.
             let fence = planner.elected.fence();
             let status = self.status();
@@ -200,6 +210,30 @@
         Ok(())
     }
 
+    /// Whether the leader's host has not been listed for longer than its lease can last. An entry that a restored store
+    /// has from its copy may have lost its lease. Hosts remove it one after the other.
+    fn is_orphaned(&self, state: &State, planner: &Planner) -> bool {
+        let is_listed = {
+            let view = state.view();
+            let host = planner.host();
+            host.is_some_and(|host| view.members.contains_key(&host))
+        };
+        let mut status = self.lock();
+        if is_listed {
+            status.orphan = None;
+            return false;
+        }
+        let now = agatemill_runtime::now();
+        let known = status
+            .orphan
+            .filter(|(elected, _)| *elected == planner.elected);
+        let (_, since) = *status
+            .orphan
+            .insert(known.unwrap_or((planner.elected, now)));
+        drop(status);
+        now >= since + LEASE_TTL + LEADERSHIP_STAGGER * rank(state)
+    }
+
     fn status(&self) -> Status {
         self.lock().clone()
     }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -374,10 +374,8 @@
 
 /// Replaces the view by all items of the store at a state.
 fn adopt(state: &State, replicator: &mut Replicator, items: Vec<Item>, cursor: Cursor) {
-    let is_restored = state.feed.era().is_some_and(|era| era < cursor.era);
-    if is_restored {
-        // What the copy lacks may be written again.
-        state.view().start_deletion_grace(agatemill_runtime::now());
+    if state.feed.era().is_some_and(|era| era < cursor.era) {
+        state.view().begin_era(cursor.era, agatemill_runtime::now());
     }
     state.view().era = cursor.era;
     let changes = state.feed.reset(items, cursor);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::registration;
 use agatemill_adapter::document;
 use agatemill_adapter::entry;
 use agatemill_adapter::host;
@@ -73,7 +74,7 @@
     /// Applies a change.
     pub fn apply(&mut self, change: Change, now: Duration) {
         match change {
-            Change::Put(item) => self.put(&item),
+            Change::Put(item) => self.put(&item, now),
             Change::Deleted { key } => self.schedule_removal(key, now),
         }
     }
@@ -83,6 +84,23 @@
         self.deletion_grace_until = now + DELETION_GRACE;
     }
 
+    /// Begins an era of a store that was restored. What the copy lacks is kept for the grace period, and each host has to
+    /// register again.
+    pub fn begin_era(&mut self, era: Era, now: Duration) {
+        self.era = era;
+        self.start_deletion_grace(now);
+        let members: Vec<String> = self.members.keys().map(host::key).collect();
+        for key in members {
+            self.expect_again(key, now);
+        }
+    }
+
+    /// Removes the entry of a host unless it is written again within the time of its lease, which may be lost.
+    fn expect_again(&mut self, key: String, now: Duration) {
+        let until = now + registration::LEASE_TTL;
+        self.pending_removals.insert(key, until);
+    }
+
     /// Remaining grace period, in which deleted entries are kept.
     #[must_use]
     pub fn deletion_grace(&self, now: Duration) -> Duration {
@@ -135,7 +153,7 @@
         })
     }
 
-    fn put(&mut self, item: &Item) {
+    fn put(&mut self, item: &Item, now: Duration) {
         self.pending_removals.remove(&item.key);
         if item.key == document::KEY {
             self.put_configuration(item);
@@ -157,7 +175,10 @@
             );
         } else if item.key.starts_with(host::PREFIX) {
             match host::decode(&item.key, &item.value) {
-                Ok(member) => {
+                Ok((member, era)) => {
+                    if era < self.era {
+                        self.expect_again(item.key.clone(), now);
+                    }
                     let (host, revision) = (member.host.clone(), item.revision);
                     let known = self.members.insert(host.clone(), member.clone());
                     if known.as_ref() != Some(&member) {
