Do not let a copy of the store replace what hosts know better

By the protocol a restored store lists what its copy says: servers that have left or drain as ready, layers that they no longer hold, addresses that another service has since, hosts that have left, quarantined parts whose entries had ended. Hosts applied all of it.

Change: an entry of the copy whose server has not come further than this host knows (start, then accepted orders), or which is no longer listed, is ignored until the server writes it again, or for 5 s, after which the store has removed entries of servers that ended. A server that was listed as draining leaves for good, as one that announces it. Hosts that are not listed any more are not listed because of the copy.

--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -35,6 +35,25 @@
     pub orders: u64,
 }
 
+/// How far a backend server has come by what it writes of itself. Of two descriptions of a server, the one with the later
+/// progress is newer; the order is that of the fields.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Progress {
+    /// Milliseconds since the Unix epoch at which it started.
+    pub born_ms: u64,
+    /// Placement orders that it had accepted since.
+    pub orders: u64,
+}
+
+impl From<&Server> for Progress {
+    fn from(server: &Server) -> Self {
+        Self {
+            born_ms: server.born_ms,
+            orders: server.orders,
+        }
+    }
+}
+
 /// One life of a backend server, from its start to its end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Instance {
--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -11,6 +11,7 @@
 use agatemill_adapter::header;
 use agatemill_core::id;
 use agatemill_fleet::Server;
+use agatemill_fleet::server;
 use agatemill_fleet::server::Instance;
 
 /// Records that a server leaves if its response says so. `server` is the instance that was listed when the request was sent.
@@ -58,6 +59,19 @@
     }
 }
 
+/// Records the instances that the view lists as draining. They leave for good, also if a store that is restored from an
+/// older copy lists them as ready again.
+pub fn record_listed(state: &State) {
+    let view = state.view();
+    let servers = view.services.values().flatten();
+    let draining = servers.filter(|server| server.state == server::State::Draining);
+    let mut departures = state.departures();
+    // Without its start, another instance of the server could not be told from this one.
+    for server in draining.filter(|server| server.born_ms != 0) {
+        departures.record(Instance::from(&**server));
+    }
+}
+
 /// Forgets the instances that the view no longer lists.
 pub fn retain_listed(state: &State, now: Duration) {
     let view = state.view();
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,6 +1,7 @@
 //! Keeps requests on which engines crash away from the engines.
 
 use core::time::Duration;
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 
@@ -98,10 +99,11 @@
 /// Logs which parts are quarantined, and stores them for processes that start later, until the process ends.
 pub async fn run(state: Arc<State>) {
     let mut known = HashSet::new();
+    let mut missing = HashMap::new();
     loop {
         agatemill_runtime::sleep(POLL_INTERVAL).await;
         log_changes(&state, &mut known);
-        let Some((segment, entry)) = next_to_store(&state) else {
+        let Some((segment, entry)) = next_to_store(&state, &mut missing) else {
             continue;
         };
         if let Err(error) = store(&state, segment, &entry).await {
@@ -135,7 +137,11 @@
 }
 
 /// A quarantined part that this host has to write: the store lacks it, or has more parts that may be the cause instead.
-fn next_to_store(state: &State) -> Option<(Segment, Entry)> {
+/// `missing` has the times since when this host knows that; a store that was restored lacks parts that all hosts know.
+fn next_to_store(
+    state: &State,
+    missing: &mut HashMap<Segment, Duration>,
+) -> Option<(Segment, Entry)> {
     let now = agatemill_runtime::now();
     let rank = registration::rank(state);
     if rank >= MAX_WRITERS {
@@ -144,13 +150,18 @@
     let delay = STORE_STAGGER * (rank + 1);
     let stored = state.view().quarantined.clone();
     let quarantine = state.quarantine();
-    let mut missing = quarantine.quarantined().filter(|(segment, entry)| {
+    let unstored = quarantine.quarantined().filter(|(segment, entry)| {
         let is_stored = stored
             .get(segment)
             .is_some_and(|partners| partners.len() <= entry.partners.len());
-        !is_stored && now >= entry.since + delay && now + STORE_MARGIN < entry.end()
+        !is_stored && now + STORE_MARGIN < entry.end()
     });
-    let (segment, entry) = missing.next()?;
+    let unstored: Vec<(Segment, &Entry)> = unstored.collect();
+    missing.retain(|segment, _| unstored.iter().any(|(unstored, _)| unstored == segment));
+    let mut due = unstored
+        .into_iter()
+        .filter(|(segment, _)| now >= *missing.entry(*segment).or_insert(now) + delay);
+    let (segment, entry) = due.next()?;
     Some((segment, entry.clone()))
 }
 
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -374,13 +374,22 @@
 
 /// Replaces the view by all items of the store at a state.
 fn adopt(state: &State, replicator: &mut Replicator, items: Vec<Item>, cursor: Cursor) {
-    if state.feed.era().is_some_and(|era| era < cursor.era) {
-        state.view().begin_era(cursor.era, agatemill_runtime::now());
-    }
-    state.view().era = cursor.era;
+    let now = agatemill_runtime::now();
+    let is_restored = state.feed.era().is_some_and(|era| era < cursor.era);
     let changes = state.feed.reset(items, cursor);
     replicator.cursor = Some(cursor);
-    apply(state, changes);
+    if !is_restored {
+        state.view().era = cursor.era;
+        apply(state, changes);
+        return;
+    }
+    let mut view = state.view();
+    view.begin_era(cursor.era, now);
+    for change in changes {
+        view.apply_restored(change, now);
+    }
+    drop(view);
+    finish(state, now);
 }
 
 /// Applies the changes up to a state of the same era.
@@ -398,6 +407,12 @@
         view.apply(change, now);
     }
     drop(view);
+    finish(state, now);
+}
+
+/// Updates what depends on the servers and hosts of the view.
+fn finish(state: &State, now: Duration) {
+    departure::record_listed(state);
     departure::retain_listed(state, now);
     state.count_hosts();
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -22,11 +22,19 @@
 use agatemill_fleet::history::Cursor;
 use agatemill_fleet::prompt::Segment;
 use agatemill_fleet::server::Instance;
+use agatemill_fleet::server::Progress;
 
 /// Time for which entries deleted during an outage are kept after it: live engines write theirs again within
 /// about two seconds.
 const DELETION_GRACE: Duration = Duration::from_secs(2);
 
+/// Time for which an entry that a restored store has from its copy is ignored while the host knows better: engines that are
+/// up write theirs again within about two seconds, and the entries of others expire.
+const COPY_DISTRUST: Duration = Duration::from_secs(5);
+
+/// Time for which servers that are no longer listed are remembered, longer than a copy of the store is old.
+const GONE_MEMORY: Duration = Duration::from_mins(1);
+
 /// This host's view of the platform.
 #[derive(Debug, Default)]
 pub struct View {
@@ -48,6 +56,10 @@
     deletion_grace_until: Duration,
     /// Keys of entries deleted during the grace period, with the time of their removal.
     pending_removals: HashMap<String, Duration>,
+    /// Entries of a restored store that are ignored until a time or until they are written again.
+    distrusted: HashMap<String, (Item, Duration)>,
+    /// Servers that are no longer listed: how far they had come, and until when they are remembered.
+    gone: HashMap<id::Server, (Progress, Duration)>,
 }
 
 /// The host that leads the planning.
@@ -74,11 +86,46 @@
     /// Applies a change.
     pub fn apply(&mut self, change: Change, now: Duration) {
         match change {
-            Change::Put(item) => self.put(&item, now),
-            Change::Deleted { key } => self.schedule_removal(key, now),
+            Change::Put(item) => {
+                self.distrusted.remove(&item.key);
+                self.put(&item, now);
+            }
+            Change::Deleted { key } => {
+                self.distrusted.remove(&key);
+                self.schedule_removal(key, now);
+            }
+        }
+    }
+
+    /// Applies a difference to the copy from which the store was restored. Entries that may be older than what this host
+    /// knows are ignored for some time.
+    pub fn apply_restored(&mut self, change: Change, now: Duration) {
+        match change {
+            Change::Put(item) if self.may_be_older(&item) => {
+                log::info!(key = item.key, revision:% = item.revision; "store: ignored an older entry of the copy");
+                self.pending_removals.remove(&item.key);
+                let until = now + COPY_DISTRUST;
+                self.distrusted.insert(item.key.clone(), (item, until));
+            }
+            change => self.apply(change, now),
         }
     }
 
+    /// Whether an entry of a copy may be older than what this host knows of its server or host.
+    fn may_be_older(&self, item: &Item) -> bool {
+        if let Ok((member, era)) = host::decode(&item.key, &item.value) {
+            return era < self.era && !self.members.contains_key(&member.host);
+        }
+        let Ok(server) = entry::decode(&item.key, &item.value) else {
+            return false;
+        };
+        let listed = self.server(&server.id);
+        let listed = listed.map(|known| Progress::from(&**known));
+        let gone = self.gone.get(&server.id).map(|(progress, _)| *progress);
+        let known = listed.max(gone);
+        known.is_some_and(|known| Progress::from(&server) <= known)
+    }
+
     /// Starts the grace period after an outage of the store, in which entries of live engines may have expired.
     pub fn start_deletion_grace(&mut self, now: Duration) {
         self.deletion_grace_until = now + DELETION_GRACE;
@@ -114,7 +161,7 @@
         }
     }
 
-    /// Removes the deleted entries that were not written again in time.
+    /// Removes the deleted entries that were not written again in time, and uses the older entries of a copy that were not.
     pub fn remove_expired(&mut self, now: Duration) {
         let due: Vec<String> = self
             .pending_removals
@@ -124,8 +171,14 @@
             .collect();
         for key in due {
             self.pending_removals.remove(&key);
-            self.remove(&key);
+            self.remove(&key, now);
+        }
+        let trusted = self.distrusted.extract_if(|_, (_, until)| *until <= now);
+        let trusted: Vec<Item> = trusted.map(|(_, (item, _))| item).collect();
+        for item in trusted {
+            self.put(&item, now);
         }
+        self.gone.retain(|_, (_, until)| *until > now);
     }
 
     /// Servers of a service.
@@ -190,7 +243,7 @@
                 }
             }
         } else if item.key.starts_with(entry::PREFIX) {
-            self.put_server(item);
+            self.put_server(item, now);
         } else if item.key.starts_with(quarantine::PREFIX) {
             match quarantine::decode(&item.key, &item.value) {
                 Ok((segment, partners)) => {
@@ -223,7 +276,7 @@
         }
     }
 
-    fn put_server(&mut self, item: &Item) {
+    fn put_server(&mut self, item: &Item, now: Duration) {
         match entry::decode(&item.key, &item.value) {
             Ok(server) => {
                 log::info!(
@@ -255,7 +308,7 @@
             }
             Err(error) => {
                 log::warn!(key = item.key, error; "servers: ignored an invalid entry");
-                self.remove(&item.key);
+                self.remove(&item.key, now);
             }
         }
     }
@@ -276,11 +329,11 @@
             let until = self.deletion_grace_until;
             self.pending_removals.entry(key).or_insert(until);
         } else {
-            self.remove(&key);
+            self.remove(&key, now);
         }
     }
 
-    fn remove(&mut self, key: &str) {
+    fn remove(&mut self, key: &str, now: Duration) {
         if key == host::PLANNER {
             self.planner = None;
         } else if let Some(name) = key.strip_prefix(host::PREFIX) {
@@ -292,6 +345,10 @@
         } else if let Some(name) = key.strip_prefix(entry::PREFIX) {
             log::info!(server = name; "servers: server removed");
             if let Ok(id) = name.parse() {
+                if let Some(server) = self.server(&id) {
+                    let progress = Progress::from(&**server);
+                    self.gone.insert(id.clone(), (progress, now + GONE_MEMORY));
+                }
                 self.remove_server(&id);
             }
         }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod throttle;
 mod unframed;
 mod upstream;
+mod view;
 
 use crate::system::System;
 use agatemill_standin::engine::EVENTS;
--- a/crates/gateway/tests/all/restore.rs
+++ b/crates/gateway/tests/all/restore.rs
@@ -2,13 +2,18 @@
 
 use core::time::Duration;
 
+use serde_json::json;
+
 use crate::run_test;
 use crate::system::System;
 use crate::upstream::start_second_host;
 use crate::upstream::version;
 use agatemill_adapter::host;
+use agatemill_adapter::quarantine;
 use agatemill_adapter::store::Store as Client;
 use agatemill_core::id;
+use agatemill_fleet::prompt::Segment;
+use agatemill_fleet::quarantine::entry::Entry;
 use agatemill_gateway::Process;
 use agatemill_standin::Engine;
 use agatemill_standin::document;
@@ -183,3 +188,59 @@
             .await;
     });
 }
+
+/// Guards against new requests to a server that drains, because the copy lists it as ready.
+#[test]
+fn a_draining_server_gets_no_requests_after_a_restore() {
+    run_test(2, |system| async move {
+        agatemill_runtime::sleep(Duration::from_secs(1)).await;
+        let state = system.process.state();
+        let name: id::Service = "plain".parse().unwrap();
+        system.services[0].set_entry("state", json!("draining"));
+        system
+            .wait_until("the host sees the draining server", || {
+                state.usable_servers(&name).len() == 1
+            })
+            .await;
+        let ready = system.store.era();
+        system
+            .store
+            .restore(Duration::from_millis(700), Leases::Kept);
+        system
+            .wait_until("the host follows the restored store", || {
+                state.view().era.0 > ready
+            })
+            .await;
+        for _ in 0..20 {
+            assert_eq!(state.usable_servers(&name).len(), 1);
+            agatemill_runtime::sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
+
+/// Guards against quarantined parts that processes which start later do not learn of, and against writes of all hosts.
+#[test]
+fn quarantined_parts_are_written_again_once_after_a_restore() {
+    run_test(2, |system| async move {
+        let (process, _) = start_second_host(&system).await;
+        let segment = Segment(0xdead);
+        for state in [system.process.state(), process.state()] {
+            let entry = Entry {
+                since: agatemill_runtime::now(),
+                partners: Vec::new(),
+            };
+            let now = agatemill_runtime::now();
+            state.quarantine().insert(segment, entry, now);
+        }
+        let key = quarantine::key(segment);
+        let is_stored = || system.store.value(&key).is_some();
+        system.wait_until("the part is stored", is_stored).await;
+        system.store.restore(Duration::from_mins(1), Leases::Lost);
+        assert_eq!(system.store.value(&key), None);
+        system
+            .wait_until("the part is stored again", is_stored)
+            .await;
+        agatemill_runtime::sleep(SETTLE_TIME).await;
+        assert_eq!(system.store.writes(&key), 1);
+    });
+}
