Take a configuration that other hosts know from them

By the protocol a restored store has an older configuration until the operator writes the newer one again. Hosts that run keep theirs, but one that started meanwhile knew only the copy's, and accepted keys that had been revoked; so did a host that had missed the newest version before the restore.

The store is not written: its key is the operator's.

--- a/crates/gateway/src/feed/remote.rs
+++ b/crates/gateway/src/feed/remote.rs
@@ -101,6 +101,25 @@
     }
 }
 
+impl Remote {
+    /// The configuration of the host, if its version is later than `version`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Remote::changes`].
+    pub async fn configuration(&self, version: u64) -> io::Result<Option<Item>> {
+        let limit = self.timing.response_timeout();
+        let mut context = tarpc::context::current();
+        context.deadline = Instant::now() + limit;
+        let call = self.client.configuration(context, version);
+        let result = agatemill_runtime::timeout(limit, call.compat()).await;
+        let result = result.ok_or(io::ErrorKind::TimedOut)?;
+        let change =
+            result.map_err(|error| io::Error::new(io::ErrorKind::ConnectionAborted, error))?;
+        Ok(change.map(from_wire).and_then(Change::into_item))
+    }
+}
+
 impl From<feed::Batch> for Batch {
     fn from(batch: feed::Batch) -> Self {
         Self {
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -117,6 +117,13 @@
             agatemill_runtime::timeout(wait, notice).await;
         }
     }
+
+    async fn configuration(self, _: Context, version: u64) -> Option<feed::Change> {
+        let view = self.state.view();
+        let is_newer = view.configuration.as_ref()?.version > version;
+        let item = view.configuration_item.clone().filter(|_| is_newer)?;
+        Some(to_wire(Change::Put(item)))
+    }
 }
 
 impl Handler {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,5 +1,6 @@
 //! Exchanges load reports and evidence with other hosts.
 
+use core::net::SocketAddr;
 use core::net::SocketAddrV4;
 use core::time::Duration;
 use std::sync::Arc;
@@ -11,6 +12,7 @@
 use crate::Error;
 use crate::State;
 use crate::clock;
+use crate::consult;
 use crate::registration::Registration;
 use agatemill_fleet::Tally;
 use agatemill_fleet::census;
@@ -46,6 +48,8 @@
     census: census::Message,
     quarantine: quarantine::notice::Notice,
     throttle: throttle::message::Notice,
+    /// Version of the configuration in force.
+    configuration: u64,
 }
 
 /// Binds the UDP socket.
@@ -76,11 +80,13 @@
         let messages = state.census().round(own, &members, now);
         let quarantine = state.quarantine().notice(now);
         let limits = state.throttle().notice(clock::boot_time());
+        let configuration = state.version();
         for (address, census) in messages {
             let round = Round {
                 census,
                 quarantine: quarantine.clone(),
                 throttle: limits.clone(),
+                configuration,
             };
             send_message(&state, &socket, address, &Message::Round(Box::new(round))).await;
         }
@@ -117,7 +123,12 @@
             Err(_) => None,
         };
         match message {
-            Some((Message::Round(round), _)) => receive_round(&state, *round),
+            Some((Message::Round(round), host)) => {
+                if let SocketAddr::V4(host) = host {
+                    consult::observe(&state, round.configuration, host);
+                }
+                receive_round(&state, *round);
+            }
             Some((Message::Ask(ask), host)) => {
                 crate::throttle::answer(&state, &registration, &socket, ask, host).await;
             }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! Shared state of the process.
 
 use core::net::SocketAddrV4;
+use core::sync::atomic::AtomicBool;
 use core::sync::atomic::AtomicU8;
 use core::sync::atomic::AtomicUsize;
 use core::sync::atomic::Ordering;
@@ -101,6 +102,8 @@
     active: AtomicUsize,
     /// Number of open connections of all listeners.
     connections: AtomicUsize,
+    /// Whether a newer configuration is being fetched from another host.
+    pub is_consulting: AtomicBool,
 }
 
 /// Shutdown stage of the process.
@@ -152,6 +155,7 @@
             stage_changes: Event::new(),
             active: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
+            is_consulting: AtomicBool::new(false),
         }
     }
 
@@ -187,6 +191,14 @@
         lock(&self.view)
     }
 
+    /// Version of the configuration in force, 0 without one.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        let view = self.view();
+        let configuration = view.configuration.as_ref();
+        configuration.map_or(0, |configuration| configuration.version)
+    }
+
     /// Limits on what callers send, from the current configuration.
     #[must_use]
     pub fn limits(&self) -> Limits {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -11,6 +11,7 @@
 
 use crate::State;
 use crate::clock;
+use crate::consult;
 use crate::departure;
 use crate::feed::remote::Remote;
 use crate::sync::probe::Probe;
@@ -142,7 +143,9 @@
     let cursor = snapshot.cursor;
     log::info!(era:% = cursor.era, revision:% = cursor.revision, items = snapshot.items.len(); "store: loaded a snapshot");
     replicator.record_success(state, Source::Store);
-    adopt(state, replicator, snapshot.items, cursor);
+    if adopt(state, replicator, snapshot.items, cursor) {
+        consult::run(state).await;
+    }
     state.view().freshness.confirm(started);
     Ok(())
 }
@@ -340,7 +343,9 @@
             .filter_map(Change::into_item)
             .collect();
         log::info!(era:% = batch.cursor.era, revision:% = batch.cursor.revision, items = items.len(); "store: loaded a snapshot of another host");
-        adopt(state, replicator, items, batch.cursor);
+        if adopt(state, replicator, items, batch.cursor) {
+            consult::run(state).await;
+        }
     } else {
         append(state, replicator, batch.changes, batch.cursor.max(after));
     }
@@ -372,16 +377,18 @@
     state.settings().bounds.timing().batch_interval(wanted)
 }
 
-/// Replaces the view by all items of the store at a state.
-fn adopt(state: &State, replicator: &mut Replicator, items: Vec<Item>, cursor: Cursor) {
+/// Replaces the view by all items of the store at a state. Returns whether other hosts may know a newer configuration: these
+/// are the first items of the process, or the store was restored.
+fn adopt(state: &State, replicator: &mut Replicator, items: Vec<Item>, cursor: Cursor) -> bool {
     let now = agatemill_runtime::now();
-    let is_restored = state.feed.era().is_some_and(|era| era < cursor.era);
+    let former = state.feed.era();
+    let is_restored = former.is_some_and(|era| era < cursor.era);
     let changes = state.feed.reset(items, cursor);
     replicator.cursor = Some(cursor);
     if !is_restored {
         state.view().era = cursor.era;
         apply(state, changes);
-        return;
+        return former.is_none();
     }
     let mut view = state.view();
     view.begin_era(cursor.era, now);
@@ -390,6 +397,7 @@
     }
     drop(view);
     finish(state, now);
+    true
 }
 
 /// Applies the changes up to a state of the same era.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -42,6 +42,8 @@
     pub era: Era,
     /// Current configuration; `None` until the first arrives. Its version never decreases.
     pub configuration: Option<Arc<Configuration>>,
+    /// The entry that the configuration was decoded from.
+    pub configuration_item: Option<Item>,
     /// Backend servers of each service, in the order of their ids.
     pub services: HashMap<id::Service, Vec<Arc<Server>>>,
     /// Serving entry hosts.
@@ -265,9 +267,10 @@
             Ok(new) if new.version > current => {
                 log::info!(version = new.version, revision:% = item.revision; "config: applied");
                 self.configuration = Some(Arc::new(new));
+                self.configuration_item = Some(item.clone());
             }
             Ok(new) if new.version < current => {
-                log::error!(version = new.version, held = current; "config: ignored an older version");
+                log::warn!(version = new.version, held = current; "config: ignored an older version");
             }
             Ok(_) => {}
             Err(error) => {
--- a/crates/gateway/tests/all/restore.rs
+++ b/crates/gateway/tests/all/restore.rs
@@ -10,11 +10,15 @@
 use crate::upstream::version;
 use agatemill_adapter::host;
 use agatemill_adapter::quarantine;
+use agatemill_adapter::store::Change;
+use agatemill_adapter::store::Item;
 use agatemill_adapter::store::Store as Client;
 use agatemill_core::id;
+use agatemill_core::number::Revision;
 use agatemill_fleet::prompt::Segment;
 use agatemill_fleet::quarantine::entry::Entry;
 use agatemill_gateway::Process;
+use agatemill_platform::Lease;
 use agatemill_standin::Engine;
 use agatemill_standin::document;
 use agatemill_standin::store::Fault;
@@ -244,3 +248,44 @@
         assert_eq!(system.store.writes(&key), 1);
     });
 }
+
+/// Guards against a key that was revoked and is accepted again by a host that starts with the configuration of a copy.
+#[test]
+fn a_host_that_starts_after_a_restore_does_not_accept_a_revoked_key() {
+    run_test(2, |system| async move {
+        system.store.set_rewrite_time(Duration::from_mins(1));
+        agatemill_runtime::sleep(Duration::from_secs(1)).await;
+        write_version(&system, 10);
+        wait_for_version(&system, &system.process, 10).await;
+        system
+            .store
+            .restore(Duration::from_millis(500), Leases::Kept);
+        let settings = crate::system::settings("h2", system.store_address);
+        let late = Process::start(settings).await.unwrap();
+        system
+            .wait_until("the new host accepts keys", || late.state().is_fresh())
+            .await;
+        assert_eq!(version(&late), 10);
+        let view = late.state().view();
+        let keys = view.configuration.as_ref().unwrap().keys.clone().unwrap();
+        assert!(!keys.contains_key("k2"), "the key was revoked");
+    });
+}
+
+/// Guards against a revoked key that a host accepts although another one knows a newer configuration than the store.
+#[test]
+fn a_configuration_that_one_host_knows_reaches_the_others() {
+    run_test(2, |system| async move {
+        let (process, _) = start_second_host(&system).await;
+        let item = Item {
+            key: "op/config".to_owned(),
+            value: document::routes(10, r#""k1""#).into_bytes(),
+            revision: Revision(1),
+            created: Revision(1),
+            lease: Lease(0),
+        };
+        let now = agatemill_runtime::now();
+        process.state().view().apply(Change::Put(item), now);
+        wait_for_version(&system, &system.process, 10).await;
+    });
+}
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -17,6 +17,9 @@
     ///
     /// `era` is the latest that the caller knows; a host that knows an earlier one reads the store again first.
     async fn changes(after: Cursor, era: u64, wait_ms: u32, is_last_resort: bool) -> Option<Batch>;
+
+    /// The configuration of this host, if its version is later than `version`.
+    async fn configuration(version: u64) -> Option<Change>;
 }
 
 /// A state of the store.
