Give out no credits while a leader of the former era may do so

By reading: a leader whose lease a restore has taken counts on it for up to 2.7 s unless a call shows it the new era, and a leader of the new era could give out credits for limited servers beside it; together they exceed the limit. A leader that saw the restore waits for the time of a lease.

--- a/crates/gateway/src/throttle.rs
+++ b/crates/gateway/src/throttle.rs
@@ -124,6 +124,13 @@
 #[must_use]
 pub fn grant(state: &State, registration: &Registration, ask: Ask) -> Option<Grant> {
     let term = registration.fence(state)?;
+    if state
+        .view()
+        .may_have_former_leader(agatemill_runtime::now())
+    {
+        // Two leaders together would give out more than the limit.
+        return None;
+    }
     let throttle = state.throttle();
     let limit = |server| throttle.limit(server);
     let grant = state
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -40,6 +40,8 @@
 pub struct View {
     /// Era of the store that the view shows.
     pub era: Era,
+    /// When this host read the store that was restored last.
+    era_began: Option<Duration>,
     /// Current configuration; `None` until the first arrives. Its version never decreases.
     pub configuration: Option<Arc<Configuration>>,
     /// The entry that the configuration was decoded from.
@@ -137,6 +139,7 @@
     /// register again.
     pub fn begin_era(&mut self, era: Era, now: Duration) {
         self.era = era;
+        self.era_began = Some(now);
         self.start_deletion_grace(now);
         let members: Vec<String> = self.members.keys().map(host::key).collect();
         for key in members {
@@ -144,6 +147,13 @@
         }
     }
 
+    /// Whether a leader of the era before may not have noticed the restore and still count on its lease.
+    #[must_use]
+    pub fn may_have_former_leader(&self, now: Duration) -> bool {
+        let began = self.era_began;
+        began.is_some_and(|began| now < began + registration::LEASE_TTL)
+    }
+
     /// Removes the entry of a host unless it is written again within the time of its lease, which may be lost.
     fn expect_again(&mut self, key: String, now: Duration) {
         let until = now + registration::LEASE_TTL;
--- a/crates/gateway/tests/all/view.rs
+++ b/crates/gateway/tests/all/view.rs
@@ -169,3 +169,13 @@
     let names: Vec<&str> = view.members.keys().map(id::Host::as_str).collect();
     assert_eq!(names, ["h1"]);
 }
+
+/// Guards against credits of two leaders, one of which has not noticed that its lease is lost.
+#[test]
+fn a_former_leader_is_expected_for_the_time_of_its_lease() {
+    let mut view = view(&[]);
+    assert!(!view.may_have_former_leader(RESTORE));
+    view.begin_era(Era(2), RESTORE);
+    assert!(view.may_have_former_leader(RESTORE + Duration::from_millis(2_900)));
+    assert!(!view.may_have_former_leader(RESTORE + Duration::from_secs(3)));
+}
