Restore the store from older copies in the soak

A seed draws restores apart from its other faults: the store is away for up to 1.5 s and comes back from a copy 0.2 to 10 s old, with leases kept, lost or orphaned, and the operator and the servers write again after 0.2 to 1.5 s.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A seed determines a series of overlapping faults ([`plan`]): signals to the processes ([`host`]); delays, resets
 //! and stalls in one or both directions on the links to the store and the engines ([`proxy`]); a misbehaving store and
-//! engines; backend servers that are silent, leave, or ask for no requests; and configuration changes. Callers
+//! engines; a store that comes back from an older copy; backend servers that are silent, leave, or ask for no requests; and configuration changes. Callers
 //! ([`caller`]) reuse their connections until the process closes them. [`verdict`] and [`routing`] check the invariants
 //! against what callers and backend servers observed, and [`run`] drives one seed.
 
@@ -25,6 +25,7 @@
 pub use plan::Backoff;
 pub use plan::Departure;
 pub use plan::Fault;
+pub use plan::Restore;
 pub use plan::Schedule;
 pub use plan::Silence;
 pub use proxy::Proxy;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -55,6 +55,21 @@
 /// Times for which a server that turns requests away asks for none.
 const BACKOFF_WAITS_MS: RangeInclusive<u64> = 300..=4_000;
 
+/// Separates the random numbers of restores from those of the faults of the same seed.
+const RESTORE_STREAM: u64 = 0x5245_5354_4f52_4553;
+
+/// Mean interval between the starts of restores.
+const MEAN_RESTORE_INTERVAL_MS: u64 = 5_000;
+
+/// Times for which the store is away before it comes back from a copy.
+const RESTORE_DURATIONS_MS: RangeInclusive<u64> = 0..=1_500;
+
+/// Ages of the copies.
+const COPY_AGES_MS: RangeInclusive<u64> = 200..=10_000;
+
+/// Times after a restore until the operator and the servers write their entries again.
+const REWRITE_TIMES_MS: RangeInclusive<u64> = 200..=1_500;
+
 /// A scheduled fault.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -140,6 +155,21 @@
     pub wait: Duration,
 }
 
+/// A scheduled time in which the store is away, and comes back from an older copy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Restore {
+    /// Start, relative to the start of the schedule.
+    pub start: Duration,
+    /// Time until the store is back.
+    pub duration: Duration,
+    /// Age of the copy when the store is back.
+    pub age: Duration,
+    /// What becomes of the leases.
+    pub leases: store::Leases,
+    /// Time until the operator and the servers write their entries again.
+    pub rewrite: Duration,
+}
+
 impl Departure {
     /// When the server ends.
     #[must_use]
@@ -160,6 +190,8 @@
     pub departures: Vec<Departure>,
     /// Times for which servers ask for no requests.
     pub backoffs: Vec<Backoff>,
+    /// Restores of the store.
+    pub restores: Vec<Restore>,
 }
 
 impl Schedule {
@@ -171,6 +203,7 @@
             silences: silences(seed, over),
             departures: departures(seed, over),
             backoffs: backoffs(seed, over),
+            restores: restores(seed, over),
         }
     }
 
@@ -178,10 +211,10 @@
     #[must_use]
     pub fn fault_count(&self) -> usize {
         let of_servers = self.silences.len() + self.departures.len() + self.backoffs.len();
-        self.faults.len() + of_servers
+        self.faults.len() + of_servers + self.restores.len()
     }
 
-    /// When the last silence or backoff has ended, and the last departure has begun.
+    /// When the last silence, backoff or restore has ended, and the last departure has begun.
     #[must_use]
     pub fn end(&self) -> Duration {
         let silences = self
@@ -193,7 +226,11 @@
             .backoffs
             .iter()
             .map(|backoff| backoff.start + backoff.duration);
-        let ends = silences.chain(departures).chain(backoffs);
+        let restores = self
+            .restores
+            .iter()
+            .map(|restore| restore.start + restore.duration + restore.rewrite);
+        let ends = silences.chain(departures).chain(backoffs).chain(restores);
         ends.max().unwrap_or_default()
     }
 }
@@ -269,6 +306,26 @@
     schedule(seed ^ BACKOFF_STREAM, MEAN_BACKOFF_INTERVAL_MS, over, draw)
 }
 
+/// Restores of a seed that start within `over`, in order, drawn apart from the faults.
+#[must_use]
+pub fn restores(seed: u64, over: Duration) -> Vec<Restore> {
+    let draw = |rng: &mut Rng, start| {
+        let leases = [
+            store::Leases::Kept,
+            store::Leases::Lost,
+            store::Leases::Orphaned,
+        ];
+        Some(Restore {
+            start,
+            duration: Duration::from_millis(rng.u64(RESTORE_DURATIONS_MS)),
+            age: Duration::from_millis(rng.u64(COPY_AGES_MS)),
+            leases: *pick(rng, &leases),
+            rewrite: Duration::from_millis(rng.u64(REWRITE_TIMES_MS)),
+        })
+    };
+    schedule(seed ^ RESTORE_STREAM, MEAN_RESTORE_INTERVAL_MS, over, draw)
+}
+
 /// Draws items with random starts within `over`, in order.
 fn schedule<T>(
     seed: u64,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,6 +12,7 @@
 use crate::Fault;
 use crate::Host;
 use crate::Proxy;
+use crate::Restore;
 use crate::Schedule;
 use crate::Silence;
 use crate::caller::Callers;
@@ -178,6 +179,8 @@
         let mut leaving = departures.clone();
         leaving.retain(|departure| departure.duration.is_some());
         let mut backoffs: Vec<&Backoff> = schedule.backoffs.iter().collect();
+        let mut outages: Vec<&Restore> = schedule.restores.iter().collect();
+        let mut restores = outages.clone();
         let end = schedule.end();
         loop {
             let time = agatemill_runtime::now().saturating_sub(start);
@@ -213,6 +216,14 @@
                     server.turn_away(backoff.duration, &retry_after);
                 }
             }
+            for _ in take_matching(&mut outages, |restore| restore.start <= time) {
+                self.store.set_fault(store::Fault::Busy);
+            }
+            for restore in take_matching(&mut restores, |one| one.start + one.duration <= time) {
+                self.store.set_rewrite_time(restore.rewrite);
+                self.store.restore(restore.age, restore.leases);
+                self.store.set_fault(store::Fault::None);
+            }
             self.detect_crashes()?;
             agatemill_runtime::sleep(POLL_INTERVAL).await;
         }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -9,6 +9,7 @@
 use agatemill_soak::proxy;
 use agatemill_soak::run;
 use agatemill_soak::run::Report;
+use agatemill_standin::store::Leases;
 
 /// Time within which the faults of the short soak start.
 const SHORT: Duration = Duration::from_secs(6);
@@ -96,6 +97,20 @@
     assert!(has(|scope| scope == Scope::All));
 }
 
+/// Guards against restores that a seed does not reproduce, and against those of one kind only.
+#[test]
+fn a_seed_gives_the_same_restores_of_every_kind() {
+    let over = Duration::from_mins(2);
+    let restores = plan::restores(7, over);
+    assert_eq!(restores, plan::restores(7, over));
+    assert_ne!(restores, plan::restores(8, over));
+    for leases in [Leases::Kept, Leases::Lost, Leases::Orphaned] {
+        assert!(restores.iter().any(|restore| restore.leases == leases));
+    }
+    let in_short_soak = SEEDS.map(|seed| plan::restores(seed, SHORT).len());
+    assert!(in_short_soak.iter().sum::<usize>() > 2, "{in_short_soak:?}");
+}
+
 /// Guards against runs in which no server of a kind stays, and against a departure that begins during another one of the
 /// same server.
 #[test]
