--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -68,6 +68,9 @@
     Time::from_millis(2_000)
 }
 
+/// Maximum bound on learning of a change, as a share of the age at which the view is too old for keys.
+const MAX_FOLLOWING_SHARE: f64 = 0.45;
+
 /// Default of [`Bounds::configuration`].
 fn configuration_bound() -> Time {
     Time::from_millis(timing::DEFAULT_BOUND_MS)
@@ -138,10 +141,12 @@
         }
     }
 
-    /// Times of the calls through which a host learns of changes.
+    /// Times of the calls through which a host learns of changes. They also bound how old a view is when the store is lost,
+    /// and with it for how long requests with keys are served without the store.
     #[must_use]
     pub fn timing(&self) -> Timing {
-        Timing::new(self.configuration.to_duration())
+        let for_keys = self.freshness_limit().mul_f64(MAX_FOLLOWING_SHARE);
+        Timing::new(self.configuration.to_duration().min(for_keys))
     }
 
     /// Maximum age of the view for requests with keys: less than the revocation time, because a request is in
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -28,10 +28,6 @@
 use agatemill_fleet::upstream::Source;
 use agatemill_platform::Error;
 
-/// Maximum wait of a watch as a share of the age at which the view is too old for keys: shortly before a response, the
-/// view is two waits old.
-const MAX_WATCH_SHARE: f64 = 0.45;
-
 /// Pause per host when all hosts query the store, which limits them to about a hundred calls a second during a
 /// burst of changes, a small part of the store's capacity.
 const BATCH_INTERVAL_PER_HOST: Duration = Duration::from_millis(10);
@@ -226,10 +222,7 @@
     let is_connected = replicator.failures == 0 && replicator.source == Some(Source::Store);
     let is_followed = is_followed(state, &replicator.upstream);
     let wait = if is_connected {
-        let limit = state.settings().bounds.freshness_limit();
-        timing
-            .watch_wait(is_followed)
-            .min(limit.mul_f64(MAX_WATCH_SHARE))
+        timing.watch_wait(is_followed)
     } else {
         let interval = timing.probe_interval();
         replicator.probe.run(&state.store, interval).await?;
--- a/crates/gateway/tests/all/hosts.rs
+++ b/crates/gateway/tests/all/hosts.rs
@@ -105,6 +105,32 @@
     assert!(agatemill_gateway::Settings::load(file.path()).is_ok());
 }
 
+/// Guards against views that are nearly too old for keys while the store responds, so that a short outage stops requests.
+#[test]
+fn a_view_stays_recent_enough_for_keys_in_an_outage_of_two_seconds() {
+    let text = "host = \"h1\"\nzone = \"a\"\ncallers = \"127.0.0.1:1\"\nready = \"127.0.0.1:2\"\n\
+        directory = \"127.0.0.1:3\"\nmetrics = \"127.0.0.1:4\"\nexchange = \"127.0.0.1:5\"\nstore = \"127.0.0.1:6\"\n\
+        [bounds]\nretry_ratio = 0.2\nretry_base = 200\nretry_window = \"10s\"\nrevocation = \"5s\"\ngrace = \"3s\"\n";
+    let file = tempfile::NamedTempFile::new().unwrap();
+    for configuration in ["2s", "3s", "11s"] {
+        std::fs::write(
+            file.path(),
+            format!("{text}configuration = \"{configuration}\"\n"),
+        )
+        .unwrap();
+        let settings = agatemill_gateway::Settings::load(file.path()).unwrap();
+        let timing = settings.bounds.timing();
+        let pause = timing.batch_interval(Duration::ZERO);
+        let age = pause + timing.watch_wait(true) + timing.feed_wait();
+        let outage = Duration::from_secs(2);
+        let left = settings.bounds.freshness_limit().saturating_sub(age);
+        assert!(
+            left > outage + timing.probe_interval(),
+            "{configuration}: {left:?}"
+        );
+    }
+}
+
 /// Guards against late orders of a former planner, and against a fleet without a planner: the next planner's
 /// orders carry a higher fencing number.
 #[test]
