Show that an entry of another writer ends the planner

Its process keeps the leadership, so no engine gets layers any more. Adds the stand-ins of all cases.

--- /dev/null
+++ b/review/harness/cases.rs
@@ -0,0 +1,332 @@
+//! The cases.
+
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::engine::Engine;
+use crate::engine::Options;
+use crate::world;
+use crate::world::Client;
+use crate::world::Ending;
+use crate::world::Gateway;
+use crate::world::PROMPT;
+use crate::world::Record;
+use crate::world::World;
+use crate::world::configuration;
+
+/// Time after which the platform starts an ended process again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
+
+/// A server in a process of its own: ID SERVICE KIND ADDRESS STORE RECORD.
+pub fn serve_engine(arguments: &[String]) -> ! {
+    let options = Options {
+        id: arguments[0].clone(),
+        service: arguments[1].clone(),
+        kind: arguments[2].clone(),
+        address: arguments[3].parse().unwrap(),
+        store: arguments[4].parse().unwrap(),
+        record: Record::open(PathBuf::from(&arguments[5]), false),
+        max_connections: 978,
+        idle: None,
+    };
+    Engine::start(options);
+    loop {
+        thread::sleep(Duration::from_secs(1));
+    }
+}
+
+/// Requests of one kind.
+#[derive(Default)]
+struct Tally {
+    sent: AtomicUsize,
+    served: AtomicUsize,
+}
+
+impl Tally {
+    fn share(&self) -> f64 {
+        self.served.load(Ordering::SeqCst) as f64 / self.sent.load(Ordering::SeqCst).max(1) as f64
+    }
+
+    fn text(&self) -> String {
+        format!("{} of {}", self.served.load(Ordering::SeqCst), self.sent.load(Ordering::SeqCst))
+    }
+}
+
+/// An entry of another writer, with fields missing, lies among those of the servers while the machines start. Traffic
+/// starts after it is gone.
+pub fn foreign_entry(record: PathBuf) -> ! {
+    let world = World::new(record, Duration::from_secs(80));
+    world.store.put("op/config", &configuration(1, 978));
+    if world.has_trouble {
+        // `slots`, `version`, `cold-left-ms`, `seq` and `models` are missing.
+        let entry = r#"{"service":"model","address":"127.0.0.1:9","zone":"a","state":"ready","kind":"card","layers":{"from":20,"target":24}}"#;
+        world.record.line(&format!("another writer writes servers/other-1: {entry}"));
+        let store = world.store.clone();
+        thread::spawn(move || {
+            for _ in 0..5 {
+                store.put("servers/other-1", entry);
+                thread::sleep(Duration::from_millis(1_200));
+            }
+            store.remove("servers/other-1");
+        });
+    }
+    world.start_servers(3, 3);
+    let mut gateways = world.gateways(3);
+    world.wait_until_ready(&gateways);
+    thread::sleep(Duration::from_secs(6));
+    world.record.line(&format!("traffic starts; the entry of the other writer is there: {}", world.store.has("servers/other-1")));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let kinds: Arc<[Tally; 2]> = Arc::default();
+    let clients: Vec<_> = (0..12)
+        .map(|index| {
+            let gateway = &gateways[index % gateways.len()];
+            let mut client = Client::new(&format!("c{index}"), gateway.callers, &world.record);
+            let (is_over, kinds) = (Arc::clone(&is_over), Arc::clone(&kinds));
+            let kind = index / 6;
+            let (target, headers) = [("/draft/x?events=10&gap=50", PROMPT), ("/submit/x?work=250", "")][kind];
+            thread::spawn(move || {
+                while !is_over.load(Ordering::SeqCst) {
+                    let (_, ending) = client.request(target, headers, 10_000, b"body", &mut |_| {});
+                    kinds[kind].sent.fetch_add(1, Ordering::SeqCst);
+                    match ending {
+                        Ending::Answer(answer) if answer.status() == 200 && answer.is_complete => {
+                            kinds[kind].served.fetch_add(1, Ordering::SeqCst);
+                        }
+                        Ending::Answer(answer) => {
+                            // As long as the answer asks for.
+                            let wait = answer.header("retry-after").and_then(|text| text.parse().ok()).unwrap_or(0.5);
+                            thread::sleep(Duration::from_secs_f64(wait));
+                        }
+                        Ending::NoAnswer | Ending::NotSent => thread::sleep(Duration::from_millis(100)),
+                    }
+                }
+            })
+        })
+        .collect();
+    let end = Instant::now() + Duration::from_secs(25);
+    let mut ended_at: Vec<Option<Instant>> = vec![None; gateways.len()];
+    while Instant::now() < end {
+        for (gateway, ended_at) in gateways.iter_mut().zip(&mut ended_at) {
+            restart(gateway, ended_at, &world.record);
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    is_over.store(true, Ordering::SeqCst);
+    for client in clients {
+        let _ = client.join();
+    }
+    for gateway in &gateways {
+        for line in gateway.log_lines("panicked") {
+            world.record.line(&format!("{} logged: {line}", gateway.name));
+        }
+    }
+    let [drafts, calls] = &*kinds;
+    let sent = (drafts.sent.load(Ordering::SeqCst) + calls.sent.load(Ordering::SeqCst)) as f64;
+    let served = (drafts.served.load(Ordering::SeqCst) + calls.served.load(Ordering::SeqCst)) as f64;
+    if served == 0.0 {
+        println!("nothing was served");
+        world::finish(2);
+    }
+    // Starved: a kind of request is served less than a quarter as often as all requests.
+    let is_broken = drafts.share() < served / sent / 4.0;
+    let text = format!("served: drafts {}, calls {}", drafts.text(), calls.text());
+    world.conclude(is_broken, &text);
+}
+
+fn restart(gateway: &mut Gateway, ended_at: &mut Option<Instant>, record: &Record) {
+    match *ended_at {
+        None if gateway.has_ended(record) => *ended_at = Some(Instant::now()),
+        Some(at) if at.elapsed() >= RESTART_DELAY => {
+            gateway.run();
+            record.line(&format!("{} is started again", gateway.name));
+            *ended_at = None;
+        }
+        _ => {}
+    }
+}
+
+/// An engine crashes in the middle of answers that have neither a length nor chunks.
+pub fn unframed_crash(record: PathBuf) -> ! {
+    let world = World::new(record, Duration::from_secs(60));
+    world.store.put("op/config", &configuration(1, 978));
+    let program = std::env::current_exe().unwrap();
+    let mut engines = Vec::new();
+    for index in 0..6 {
+        let options = world.server(&format!("engine-{index}"), "model", "card", 978);
+        let mut command = Command::new(&program);
+        command.args(["engine", &options.id, "model", "card", &options.address.to_string()]);
+        command.arg(options.store.to_string()).arg(&world.record.path);
+        engines.push((options.id.clone(), world::spawn(&mut command)));
+    }
+    let gateways = world.gateways(1);
+    world.wait_until_ready(&gateways);
+    let clients: Vec<_> = (0..48)
+        .map(|index| {
+            let mut client = Client::new(&format!("c{index}"), gateways[0].callers, &world.record);
+            thread::spawn(move || {
+                let target = "/draft/x?events=20&gap=150&frame=none";
+                client.request(target, PROMPT, 20_000, b"prompt", &mut |_| {})
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(1_200));
+    if world.has_trouble {
+        for (id, child) in &mut engines[..1] {
+            world.record.line(&format!("{id} crashes"));
+            world::signal(child.id(), "KILL");
+            let _ = child.wait();
+            world::reaped(child.id());
+        }
+    }
+    let (mut broken, mut complete, mut cut) = (0, 0, 0);
+    for client in clients {
+        let (attempt, ending) = client.join().unwrap();
+        let Ending::Answer(answer) = ending else {
+            cut += 1;
+            continue;
+        };
+        let body = String::from_utf8_lossy(&answer.body).into_owned();
+        let ids: Vec<&str> = body.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
+        let expected: Vec<String> = (1..=20).map(|id: u32| id.to_string()).collect();
+        let is_whole = ids == expected;
+        world.record.line(&format!("{attempt}: status={} complete={} events={ids:?}", answer.status(), answer.is_complete));
+        match (answer.status(), answer.is_complete, is_whole) {
+            (200, true, true) => complete += 1,
+            (200, true, false) => broken += 1,
+            _ => cut += 1,
+        }
+    }
+    if broken + complete == 0 {
+        println!("nothing was served");
+        world::finish(2);
+    }
+    let text = format!("{broken} streams ended as complete before their last piece; {complete} were whole, {cut} visibly broken off");
+    world.conclude(broken > 0, &text);
+}
+
+/// A machine gets SIGTERM while an engine has all the connections that it accepts, and is silent for less than a second.
+pub fn full_engine(record: PathBuf) -> ! {
+    const STREAMS: usize = 6;
+    let world = World::new(record, Duration::from_secs(60));
+    let max = if world.has_trouble { STREAMS } else { 64 };
+    world.store.put("op/config", &configuration(1, max));
+    let options = Options { idle: Some(Duration::from_secs(1)), ..world.server("engine-0", "model", "card", max) };
+    Engine::start(options);
+    let mut gateways = world.gateways(1);
+    world.wait_until_ready(&gateways);
+    let clients: Vec<_> = (0..STREAMS)
+        .map(|index| {
+            let mut client = Client::new(&format!("c{index}"), gateways[0].callers, &world.record);
+            thread::spawn(move || {
+                client.request("/once/x?events=2&gap=50", PROMPT, 10_000, b"prompt", &mut |_| {});
+                thread::sleep(Duration::from_millis(1_500));
+                let target = "/once/x?events=25&gap=100&pause_at=15&pause=800";
+                client.request(target, PROMPT, 20_000, b"prompt", &mut |_| {})
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(2_300));
+    world.record.line(&format!("SIGTERM to {}", gateways[0].name));
+    gateways[0].is_stopping = true;
+    world::signal(gateways[0].pid(), "TERM");
+    let (mut whole, mut cut) = (0, 0);
+    for client in clients {
+        let (_, ending) = client.join().unwrap();
+        match ending {
+            Ending::Answer(answer) if answer.status() == 200 && answer.is_complete => whole += 1,
+            _ => cut += 1,
+        }
+    }
+    let text = format!("{cut} streams that a sound engine ran were cut after SIGTERM, {whole} were whole");
+    world.conclude(cut > 0, &text);
+}
+
+/// Many users come at once, each with a body of the permitted size. The platform ends a process that exceeds its memory.
+pub fn large_bodies(record: PathBuf) -> ! {
+    const MEMORY_MB: u64 = 260;
+    const BODY_BYTES: usize = 4_000_000;
+    /// Users of each machine in the calm hour, and those that a burst of at most 1.7 times the traffic adds.
+    const USERS: usize = 24;
+    const BURST_USERS: usize = 16;
+    const BURST_LENGTH: Duration = Duration::from_secs(3);
+    const BURSTS: u64 = 3;
+    const BURST_INTERVAL: Duration = Duration::from_secs(10);
+    let world = World::new(record, Duration::from_secs(100));
+    world.store.put("op/config", &configuration(1, 978));
+    world.start_servers(3, 1);
+    let mut gateways = world.gateways(2);
+    world.wait_until_ready(&gateways);
+    let began = Instant::now();
+    let length = Duration::from_secs(4) + BURST_INTERVAL * BURSTS as u32;
+    let served = Arc::new(AtomicUsize::new(0));
+    let lost: Arc<Mutex<Vec<String>>> = Arc::default();
+    let body = Arc::new(vec![b'x'; BODY_BYTES]);
+    let has_trouble = world.has_trouble;
+    let users = (0..(USERS + BURST_USERS) * gateways.len()).map(|index| {
+        let gateway = &gateways[index % gateways.len()];
+        let number = index / gateways.len();
+        let mut client = Client::new(&format!("c{index}"), gateway.callers, &world.record);
+        let (served, lost, body) = (Arc::clone(&served), Arc::clone(&lost), Arc::clone(&body));
+        thread::spawn(move || {
+            // Users do not begin in step.
+            thread::sleep(Duration::from_millis(1_000 * (number % USERS) as u64 / USERS as u64));
+            while began.elapsed() < length {
+                let time = (began.elapsed().as_millis() % BURST_INTERVAL.as_millis()).saturating_sub(4_000);
+                let in_burst = time > 0 && time < BURST_LENGTH.as_millis();
+                if number >= USERS && !(has_trouble && in_burst) {
+                    thread::sleep(Duration::from_millis(50));
+                    continue;
+                }
+                let (attempt, ending) = client.request("/submit/x?work=1000", "", 5_000, &body, &mut |_| {});
+                match ending {
+                    Ending::Answer(answer) if answer.status() == 200 && answer.is_complete => {
+                        served.fetch_add(1, Ordering::SeqCst);
+                    }
+                    Ending::NoAnswer if client.carried > 1 => lost.lock().unwrap().push(attempt),
+                    _ => thread::sleep(Duration::from_millis(300)),
+                }
+            }
+        })
+    });
+    let users: Vec<_> = users.collect();
+    let mut ended_at: Vec<Option<Instant>> = vec![None; gateways.len()];
+    let mut peaks = vec![0; gateways.len()];
+    while began.elapsed() < length {
+        for (index, gateway) in gateways.iter_mut().enumerate() {
+            let memory = gateway.memory_mb();
+            peaks[index] = memory.max(peaks[index]);
+            if memory > MEMORY_MB {
+                world.record.line(&format!("{} has {memory} MB: the platform ends it", gateway.name));
+                world::signal(gateway.pid(), "KILL");
+                thread::sleep(Duration::from_millis(50));
+            }
+            restart(gateway, &mut ended_at[index], &world.record);
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    for user in users {
+        let _ = user.join();
+    }
+    let record = std::fs::read_to_string(&world.record.path).unwrap();
+    let lost = lost.lock().unwrap();
+    let ran = lost.iter().filter(|attempt| record.contains(&format!("run {attempt} at"))).count();
+    let ends: Vec<usize> = gateways.iter().map(|gateway| gateway.own_ends).collect();
+    let served = served.load(Ordering::SeqCst);
+    if served == 0 {
+        println!("nothing was served");
+        world::finish(2);
+    }
+    let text = format!(
+        "{ran} requests on kept connections ran and had no answer (more than 3 break LOST); ends for memory over the limit, \
+         by machine: {ends:?}; most memory in MB: {peaks:?}; {served} requests served"
+    );
+    world.conclude(ran > 3, &text);
+}
