--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -25,7 +25,7 @@
 /// Time after which the platform starts an ended process again.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
 
-/// A server in a process of its own: ID SERVICE KIND ADDRESS STORE RECORD.
+/// A server in a process of its own: ID SERVICE KIND ADDRESS STORE RECORD [POISON].
 pub fn serve_engine(arguments: &[String]) -> ! {
     let options = Options {
         id: arguments[0].clone(),
@@ -36,6 +36,7 @@
         record: Record::open(PathBuf::from(&arguments[5]), false),
         max_connections: 978,
         idle: None,
+        poison: arguments.get(6).cloned(),
     };
     Engine::start(options);
     loop {
@@ -330,3 +331,100 @@
     );
     world.conclude(ran > 3, &text);
 }
+
+/// A part of a prompt, the last but one of eighteen, crashes each engine that begins to write an answer on it.
+pub fn crashing_part(record: PathBuf) -> ! {
+    const ENGINES: usize = 4;
+    const POISON: &str = "dead0001";
+    /// `stable-window-ms`.
+    const WINDOW: Duration = Duration::from_secs(3);
+    const ENGINE_RESTART: Duration = Duration::from_secs(2);
+    let parts = std::env::var("PARTS").ok().and_then(|text| text.parse().ok()).unwrap_or(18);
+    let world = World::new(record, Duration::from_secs(80));
+    world.store.put("op/config", &configuration(1, 978));
+    let program = std::env::current_exe().unwrap();
+    let start = |options: &Options| {
+        let mut command = Command::new(&program);
+        command.args(["engine", &options.id, "model", "card", &options.address.to_string()]);
+        command.arg(options.store.to_string()).arg(&world.record.path);
+        if world.has_trouble {
+            command.arg(POISON);
+        }
+        world::spawn(&mut command)
+    };
+    let options: Vec<Options> =
+        (0..ENGINES).map(|index| world.server(&format!("engine-{index}"), "model", "card", 978)).collect();
+    let mut engines: Vec<_> = options.iter().map(|options| (start(options), None::<Instant>)).collect();
+    let gateways = world.gateways(2);
+    world.wait_until_ready(&gateways);
+    // Prompts of one caller: the same parts, then one that differs between the kinds of request, then the request's own.
+    let shared: Vec<String> = (0..parts - 2).map(|index| format!("a{index:07x}:5")).collect();
+    let prompt = move |kind: &str, own: usize| {
+        format!("X-Model: m\r\nX-Token-Usage: 100,50\r\nX-Prompt-Prefix: {},{kind}:5,{own:08x}:5\r\n", shared.join(","))
+    };
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut clients = Vec::new();
+    for index in 0..10_usize {
+        let is_poison = index >= 8;
+        let name = if is_poison { format!("p{index}") } else { format!("s{index}") };
+        let mut client = Client::new(&name, gateways[index % 2].callers, &world.record);
+        let (is_over, prompt) = (Arc::clone(&is_over), prompt.clone());
+        clients.push(thread::spawn(move || {
+            let mut own = index * 100_000;
+            let mut cut = 0;
+            while !is_over.load(Ordering::SeqCst) {
+                own += 1;
+                let (kind, target) = if is_poison {
+                    (POISON, "/draft/x?events=10&gap=100")
+                } else {
+                    ("b0000001", "/once/x?events=10&gap=100")
+                };
+                let (_, ending) = client.request(target, &prompt(kind, own), 10_000, b"prompt", &mut |_| {});
+                let is_served = matches!(&ending, Ending::Answer(answer) if answer.status() == 200 && answer.is_complete);
+                cut += usize::from(!is_served && !is_poison);
+                if is_poison || !is_served {
+                    thread::sleep(Duration::from_millis(800));
+                }
+            }
+            cut
+        }));
+    }
+    let end = Instant::now() + Duration::from_secs(30);
+    let mut crashes = Vec::new();
+    let mut arrivals_at_fifth = None;
+    while Instant::now() < end {
+        for ((child, down_since), options) in engines.iter_mut().zip(&options) {
+            match *down_since {
+                None if matches!(child.try_wait(), Ok(Some(_))) => {
+                    world::reaped(child.id());
+                    crashes.push(Instant::now());
+                    *down_since = Some(Instant::now());
+                }
+                Some(at) if at.elapsed() >= ENGINE_RESTART => {
+                    *child = start(options);
+                    *down_since = None;
+                }
+                _ => {}
+            }
+        }
+        if arrivals_at_fifth.is_none() && crashes.get(4).is_some_and(|fifth| fifth.elapsed() > WINDOW) {
+            arrivals_at_fifth = Some(poison_arrivals(&world));
+            world.record.line("the fifth crash was three seconds ago");
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    is_over.store(true, Ordering::SeqCst);
+    let cut: usize = clients.into_iter().map(|client| client.join().unwrap()).sum();
+    let late = arrivals_at_fifth.map_or(0, |before| poison_arrivals(&world) - before);
+    let text = format!(
+        "{} crashes of engines; {late} requests with the part reached engines later than 3 s after the fifth (more than 3 \
+         break BUDGET); {cut} sound streams failed or were cut",
+        crashes.len()
+    );
+    world.conclude(late > 3, &text);
+}
+
+fn poison_arrivals(world: &World) -> usize {
+    let text = std::fs::read_to_string(&world.record.path).unwrap();
+    text.lines().filter(|line| line.contains(" run p")).count()
+}
--- a/review/harness/engine.rs
+++ b/review/harness/engine.rs
@@ -37,6 +37,8 @@
     pub max_connections: usize,
     /// Time after which an idle connection is closed; its answers state it.
     pub idle: Option<Duration>,
+    /// Part of a prompt on which the process crashes as it begins to write an answer.
+    pub poison: Option<String>,
 }
 
 struct Layers {
@@ -239,6 +241,13 @@
         if connection.send(head.as_bytes()).is_err() {
             return false;
         }
+        let prompt = request.header("x-prompt-prefix").unwrap_or("");
+        let has_part = |poison: &String| prompt.split(',').any(|part| part.split(':').next() == Some(poison));
+        if self.options.poison.as_ref().is_some_and(has_part) {
+            thread::sleep(Duration::from_millis(30));
+            record.line(&format!("crash of {id} by {attempt}"));
+            std::process::exit(3);
+        }
         let (events, gap) = (number("events", 10), number("gap", 100));
         let (pause_at, pause) = (number("pause_at", 0), number("pause", 0));
         for event in begin + 1..=events {
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -20,6 +20,7 @@
         "foreign-entry" => cases::foreign_entry(record),
         "unframed-crash" => cases::unframed_crash(record),
         "full-engine" => cases::full_engine(record),
+        "crashing-part" => cases::crashing_part(record),
         "large-bodies" => cases::large_bodies(record),
         other => {
             println!("no case {other:?}");
--- a/review/harness/world.rs
+++ b/review/harness/world.rs
@@ -233,6 +233,7 @@
             record: self.record.clone(),
             max_connections,
             idle: None,
+            poison: None,
         }
     }
 
