--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -21,7 +21,7 @@
         "unframed-crash" => cases::unframed_crash(record),
         "full-engine" => cases::full_engine(record),
         "crashing-part" => cases::crashing_part(record),
-        "large-bodies" => cases::large_bodies(record),
+        "grey-server" => cases::grey_server(record),
         other => {
             println!("no case {other:?}");
             std::process::exit(2);
