--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 for program in target/review/harness target/release/agatemill-gateway; do
   [[ -x $program ]] || { echo "$program is not built"; exit 2; }
 done
-exec target/review/harness unframed-crash review/2/record.txt
+exec target/review/harness grey-server review/2/record.txt
