Do not pass on an unconfirmed promise that a request did not run

Callers saw 503 for filings that had run, took it for the promise that they had not, and made them twice.

Cause: a server's 503 says nothing about the request unless the server also states that it did not run. A caller takes 408, 421, 429 and 503 for that statement. The host returned every complete and sealed response unchanged.

Ruled out: that the host counts the response as "not run" (the responses carry the server's seal, and only_stated_refusals_are_not_run passes on the old code), and that the host sends the filing twice (the two runs have two ids of the caller).

Change: fleet::Reply decides what a response means for its request, for calls and streams. A response with such a status that the server does not confirm is dropped; the request counts as one that may have run, goes to another server if its route allows that, and fails with 502 otherwise.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! An entry host selects the whole path of a request, and each engine forwards to the next. This crate decides
 //! which layers each engine holds ([`placement`]), which path a request takes ([`path`]) and which requests
-//! may be retried ([`budget`], [`attempts`]). It aggregates the load from all hosts ([`census`]), selects the source from
+//! may be retried ([`budget`], [`attempts`]), and what a response says about its request ([`reply`]). It aggregates the load from all hosts ([`census`]), selects the source from
 //! which a host receives changes ([`upstream`]) and checks that the view of the platform is recent enough
 //! ([`freshness`]). Nothing here does I/O; times are passed in.
 
@@ -27,6 +27,7 @@
 pub mod prompt;
 pub mod quarantine;
 pub mod recent;
+pub mod reply;
 pub mod route;
 pub mod server;
 pub mod suspicion;
@@ -53,6 +54,7 @@
 pub use plan::Plan;
 pub use quarantine::Quarantine;
 pub use recent::Recent;
+pub use reply::Reply;
 pub use route::Route;
 pub use server::Server;
 pub use suspicion::Suspicion;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::departure;
 use crate::exchange::Job;
+use crate::reply;
 use crate::reservation::Reservation;
 use crate::response;
 use crate::response::Body;
@@ -30,6 +31,7 @@
 use agatemill_fleet::Evidence;
 use agatemill_fleet::Server;
 use agatemill_fleet::budget::Purpose;
+use agatemill_fleet::reply::Verdict;
 use agatemill_fleet::route;
 
 /// Largest response that is buffered, in bytes. The sum over all calls stays far below the memory of a small
@@ -418,34 +420,12 @@
         .await
         .unwrap_or(Err(agatemill_http::Error::TimedOut));
     drop(reservation);
-    let attempt = &job.parameters.attempt;
     if let Ok(response) = &result {
         state.record_response(server.address);
         throttle::observe(state, &server.id, response.headers(), sent);
     }
     match result {
-        Ok(response) if header::is_not_run(attempt, response.status(), response.headers()) => {
-            if response.status() == StatusCode::MISDIRECTED_REQUEST {
-                state.avoid(
-                    server.address,
-                    AVOID_DURATION,
-                    "another server has the address",
-                );
-            }
-            Attempt::NotRun(Cause::Rejected)
-        }
-        Ok(response) if !header::is_answer_to(attempt, response.headers()) => {
-            state.metrics.count_dropped_answer("other_attempt");
-            Attempt::Unknown(Cause::ConnectionLost)
-        }
-        // A success without the server's seal may come from something else.
-        Ok(response)
-            if response.status().is_success() && !header::is_sealed(response.headers()) =>
-        {
-            state.metrics.count_dropped_answer("unsealed");
-            Attempt::Unknown(Cause::ConnectionLost)
-        }
-        Ok(response) => Attempt::Responded(response),
+        Ok(response) => judge(state, job, server, response),
         Err(agatemill_http::Error::Connect(error)) => {
             if let Some(evidence) = Evidence::from_connect_error(error.kind()) {
                 state.suspect(server.address, evidence);
@@ -457,6 +437,23 @@
     }
 }
 
+/// Decides what a complete response of a server means for the call.
+fn judge(state: &State, job: &Job, server: &Server, response: Response<Bytes>) -> Attempt {
+    let attempt = &job.parameters.attempt;
+    let status = response.status();
+    match reply::judge(state, attempt, &server.id, status, response.headers()) {
+        Verdict::Answer => Attempt::Responded(response),
+        Verdict::NotRun => {
+            if status == StatusCode::MISDIRECTED_REQUEST {
+                let reason = "another server has the address";
+                state.avoid(server.address, AVOID_DURATION, reason);
+            }
+            Attempt::NotRun(Cause::Rejected)
+        }
+        Verdict::Unusable(_) => Attempt::Unknown(Cause::ConnectionLost),
+    }
+}
+
 fn request(job: &Job, server: &Server, deadline: Duration) -> Request<Full<Bytes>> {
     let overrides = header::Overrides {
         deadline,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod quarantine;
 pub mod registration;
 pub mod relay;
+pub mod reply;
 pub mod reservation;
 pub mod response;
 pub mod run;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -27,6 +27,7 @@
 use crate::exchange::Job;
 use crate::quarantine;
 use crate::quarantine::Probe;
+use crate::reply;
 use crate::reservation::Reservation;
 use crate::stall;
 use crate::stream;
@@ -36,6 +37,8 @@
 use agatemill_fleet::Evidence;
 use agatemill_fleet::Path;
 use agatemill_fleet::Server;
+use agatemill_fleet::reply::Flaw;
+use agatemill_fleet::reply::Verdict;
 use agatemill_fleet::server::Instance;
 use agatemill_fleet::suspicion::Standing;
 
@@ -134,8 +137,10 @@
     Complete,
     /// The engines stated that they did not run the request, or it was not sent.
     NotRun(Cause),
-    /// The run ended without a usable response head; it may have begun.
+    /// The run ended without a response head; it may have begun.
     Unknown(Cause),
+    /// The response is of no use to the caller; the run may have begun.
+    Unusable,
     /// The run ended within the response.
     Broken(&'static str),
     /// An engine became silent, or still is. The run may still continue.
@@ -333,21 +338,30 @@
             backoff::observe(&self.state, server, response.status(), response.headers());
         }
         let attempt = &self.job.parameters.attempt;
-        if header::is_not_run(attempt, response.status(), response.headers()) {
-            let faulty = header::faulty_server(response.headers()).unwrap_or(first.address);
-            if faulty != first.address || !self.is_backing_off() {
-                self.state
-                    .avoid(faulty, stream::AVOID_DURATION, "it rejected a request");
+        let status = response.status();
+        let faulty = header::faulty_server(response.headers()).unwrap_or(first.address);
+        match reply::judge(
+            &self.state,
+            attempt,
+            &first.server,
+            status,
+            response.headers(),
+        ) {
+            Verdict::Answer => {}
+            Verdict::NotRun => {
+                if faulty != first.address || !self.is_backing_off() {
+                    let reason = "it rejected a request";
+                    self.state.avoid(faulty, stream::AVOID_DURATION, reason);
+                }
+                return Step::NotRun(Cause::Rejected);
+            }
+            Verdict::Unusable(flaw) => {
+                if flaw == Flaw::Unconfirmed {
+                    let reason = "it failed a request";
+                    self.state.avoid(faulty, stream::AVOID_DURATION, reason);
+                }
+                return Step::Unusable;
             }
-            return Step::NotRun(Cause::Rejected);
-        }
-        if response.status().is_success() && !header::is_sealed(response.headers()) {
-            self.state.metrics.count_dropped_answer("unsealed");
-            return Step::Unknown(Cause::ConnectionLost);
-        }
-        if !header::is_answer_to(attempt, response.headers()) {
-            self.state.metrics.count_dropped_answer("other_attempt");
-            return Step::Unknown(Cause::ConnectionLost);
         }
         let (head, body) = response.into_parts();
         self.head = Some(head);
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -229,6 +229,10 @@
                 self.remove_ended(index, cause, "the connection broke")
                     .await
             }
+            Step::Unusable => {
+                let why = "the response is unusable";
+                self.remove_ended(index, Cause::ConnectionLost, why).await
+            }
             Step::Broken(why) => self.remove_ended(index, Cause::ConnectionLost, why).await,
             Step::Ended => {
                 let why = "the first engine is lost";
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod outage;
 mod quarantine;
+mod refused;
 mod restore;
 mod reused;
 mod runs;
