Do not end the runs of a server because it refuses a connection

Callers' streams were cut in the middle, during a planned stop of their host, although the engine went on running them.

Cause: a refused connection counted as proof that the server had ended. A server that has all the connections that it accepts refuses further ones too. When such an engine was silent for a moment, the host asked it for a report, the connection was refused, and all runs at it were ended although their own connections were open.

The log of the old code has "suspected … it refuses connections" and six times "run ended … the first engine is lost".

Change: a run ends with its own connection, or when another instance is listed at its engine's address. A refusal has the effect of silence. Whether a server whose connection broke has ended is decided by fleet::Suspicion: it has if it refuses connections and has closed all others to this host, and it is full if some stay open for 0.15 s. The planner presumes an engine lost at once only if it has closed its connections to this host and no stream of this host passes through it.

--- a/crates/fleet/src/evidence.rs
+++ b/crates/fleet/src/evidence.rs
@@ -11,11 +11,11 @@
 
 /// An observation of a backend server that did not serve as expected.
 ///
-/// Only [`Evidence::Refused`] shows that the server has ended, and with it every run that it had. A sound server may be
-/// silent for a second or more and then continue, so the others only tell where new requests should not go.
+/// None shows that the server has ended. A sound server may be silent for a second or more and then continue, and one that
+/// has all the connections that it accepts refuses further ones. [`Suspicion`](crate::Suspicion) decides what follows.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Evidence {
-    /// It refused a connection: no process listens at its address.
+    /// It refused a connection: no process listens at its address, or the process accepts no further connections.
     #[display("it refuses connections")]
     Refused,
     /// The first engine of a path waits for it.
@@ -38,10 +38,4 @@
             _ => None,
         }
     }
-
-    /// Whether every run on the server has ended.
-    #[must_use]
-    pub fn ends_runs(self) -> bool {
-        self == Self::Refused
-    }
 }
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -19,9 +19,17 @@
 /// servers, and moved layers take seconds to load.
 const LOSS_SILENCE: Duration = Duration::from_secs(1);
 
+/// Time after an observation of a server in which events may arrive that its path sent before.
+const TRANSIT_TIME: Duration = Duration::from_millis(200);
+
+/// Time within which a host notices that all connections of a process that has ended are closed: they are closed one after
+/// the other, and a host that has used up its processor time may not run for a tenth of a second.
+const CLOSE_TIME: Duration = Duration::from_millis(150);
+
 /// Backend servers that new requests avoid although the platform lists them as ready.
 ///
-/// A server that refuses connections has ended, and its runs with it. A server that is silent may continue: new requests
+/// A server that refuses connections has ended or is full. Its runs end with their connections: a process that ends closes
+/// all of them, while one that is full keeps them. A server that is silent may continue: new requests
 /// and the parts of stalled streams go to other servers until it responds or the platform has had time to notice, and
 /// its runs stay. A server that rejected a request is only full or has changed its layers: new requests go to
 /// other servers for a short time. If it rejects the next request as well, it is avoided for longer: with many hosts
@@ -32,6 +40,8 @@
     suspects: HashMap<SocketAddrV4, Suspect>,
     /// Servers that rejected requests recently.
     rejecting: HashMap<SocketAddrV4, Rejection>,
+    /// Number of connections to each server on which this host is receiving a response; never 0.
+    connections: HashMap<SocketAddrV4, usize>,
 }
 
 /// A server that may be lost.
@@ -39,8 +49,8 @@
 struct Suspect {
     /// First observation, or the last response after it.
     since: Duration,
-    /// Time of the last refused connection.
-    refused_at: Option<Duration>,
+    /// Time of the last events of a run that passes through the server.
+    progressed_at: Option<Duration>,
     /// Time until which each kind of evidence counts.
     refused_until: Duration,
     awaited_until: Duration,
@@ -53,6 +63,22 @@
             .max(self.awaited_until)
             .max(self.silent_until)
     }
+
+    /// Whether the server was seen to run so recently that a sound one may have been silent since.
+    fn has_run(&self, now: Duration) -> bool {
+        self.progressed_at.is_some_and(|at| now < at + LOSS_SILENCE)
+    }
+}
+
+/// Whether the process of a server runs that refuses connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// It runs, and has all the connections that it accepts.
+    Full,
+    /// It has ended.
+    Ended,
+    /// It has ended if its connections close soon.
+    Unclear,
 }
 
 /// What is known about a run from the engines of its path.
@@ -62,9 +88,9 @@
     Sound,
     /// An engine after the first is suspected.
     PartSuspected,
-    /// The first engine is silent; the run may continue.
+    /// The first engine is silent or refuses connections; the run may continue.
     FirstSilent,
-    /// The first engine has ended, and the run with it.
+    /// Another server, or a later start of the first engine, is at its address. The run has ended.
     Ended,
 }
 
@@ -86,17 +112,14 @@
         let is_new = !self.suspects.contains_key(&address);
         let suspect = self.suspects.entry(address).or_insert(Suspect {
             since: now,
-            refused_at: None,
+            progressed_at: None,
             refused_until: Duration::ZERO,
             awaited_until: Duration::ZERO,
             silent_until: Duration::ZERO,
         });
         let until = now + AVOIDANCE;
         match evidence {
-            Evidence::Refused => {
-                suspect.refused_at = Some(now);
-                suspect.refused_until = until;
-            }
+            Evidence::Refused => suspect.refused_until = until,
             Evidence::Awaited => suspect.awaited_until = until,
             Evidence::Silent => suspect.silent_until = until,
         }
@@ -127,6 +150,49 @@
         cleared.collect()
     }
 
+    /// Records events of a run: the engines of its path have sent them, unless that was before they were suspected. A server
+    /// that refuses connections is still avoided.
+    pub fn record_events(&mut self, path: &Path, now: Duration) {
+        if self.suspects.is_empty() {
+            return;
+        }
+        for part in path.parts() {
+            if let Some(suspect) = self.suspects.get_mut(&part.address)
+                && now >= suspect.since + TRANSIT_TIME
+            {
+                suspect.progressed_at = Some(now);
+            }
+        }
+    }
+
+    /// Records that this host receives a response on a connection to a server.
+    pub fn record_open(&mut self, address: SocketAddrV4) {
+        *self.connections.entry(address).or_default() += 1;
+    }
+
+    /// Records that such a connection is closed or no longer read.
+    pub fn record_close(&mut self, address: &SocketAddrV4) {
+        if let Some(count) = self.connections.get_mut(address) {
+            *count -= 1;
+            if *count == 0 {
+                self.connections.remove(address);
+            }
+        }
+    }
+
+    /// Whether the process of a server runs that has refused a connection `waited` ago. Connections that stay open show that
+    /// it does.
+    #[must_use]
+    pub fn life(&self, address: &SocketAddrV4, waited: Duration) -> Life {
+        if !self.connections.contains_key(address) {
+            Life::Ended
+        } else if waited < CLOSE_TIME {
+            Life::Unclear
+        } else {
+            Life::Full
+        }
+    }
+
     /// Avoids a server for `time`, or longer when it was avoided recently. Returns for how long, or `None` when
     /// it is already being avoided.
     pub fn avoid(
@@ -170,25 +236,24 @@
             .is_some_and(|suspect| suspect.refused_until.max(suspect.silent_until) > now)
     }
 
-    /// Whether the layers of a server that does not answer a query either count as missing: it refuses connections, or has
-    /// been suspected for longer than a sound server is silent.
+    /// Whether the layers of a server that does not answer a query either count as missing: it refuses connections and has
+    /// closed those to this host, or has been suspected for longer than a sound server is silent. Events of a run that passes
+    /// through it show that it is there.
     #[must_use]
     pub fn is_presumed_lost(&self, address: &SocketAddrV4, now: Duration) -> bool {
+        let is_connected = self.connections.contains_key(address);
         self.suspects.get(address).is_some_and(|suspect| {
-            suspect.refused_until > now
-                || (suspect.until() > now && now >= suspect.since + LOSS_SILENCE)
+            let has_ended = suspect.refused_until > now && !is_connected;
+            let is_silent = suspect.until() > now && now >= suspect.since + LOSS_SILENCE;
+            (has_ended || is_silent) && !suspect.has_run(now)
         })
     }
 
-    /// What is known about a run that was sent along `path` at `sent`.
+    /// What is known about a run that was sent along `path`.
     #[must_use]
-    pub fn standing(&self, path: &Path, sent: Duration, now: Duration) -> Standing {
-        let first = self.suspects.get(&path.first().address);
-        let has_ended = |suspect: &Suspect| suspect.refused_at.is_some_and(|at| at >= sent);
+    pub fn standing(&self, path: &Path, now: Duration) -> Standing {
         let is_suspected = |part: &Part| self.is_suspected(&part.address, now);
-        if first.is_some_and(has_ended) {
-            Standing::Ended
-        } else if is_suspected(path.first()) {
+        if is_suspected(path.first()) {
             Standing::FirstSilent
         } else if path.parts().iter().any(is_suspected) {
             Standing::PartSuspected
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod choice;
 pub mod clock;
 pub mod command;
+pub mod connection;
 pub mod consult;
 pub mod departure;
 pub mod directory;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,6 +23,7 @@
 use crate::call;
 use crate::choice::Size;
 use crate::clock;
+use crate::connection::Connection;
 use crate::departure;
 use crate::exchange::Job;
 use crate::quarantine;
@@ -87,8 +88,6 @@
     /// Set while the run decides about suspected parts of its prompt. A silent run may take seconds to, so that others decide
     /// instead.
     probe: Option<Probe>,
-    /// When the request was sent.
-    sent: Duration,
     /// When the request was sent, on a clock that also runs while the machine is suspended.
     sent_boot: Duration,
     phase: Phase,
@@ -109,7 +108,11 @@
     /// The head of the response has not arrived.
     Head(BoxFuture<'static, Result<Response<Incoming>, agatemill_http::Error>>),
     /// The body is read.
-    Body(Incoming),
+    Body {
+        body: Incoming,
+        /// Held while the connection is open.
+        _connection: Connection,
+    },
     /// The body was taken, or the run has ended.
     Closed,
 }
@@ -198,7 +201,6 @@
             server,
             size,
             probe,
-            sent: now,
             sent_boot: clock::boot_time(),
             phase: Phase::Head(response.boxed()),
             partial: BytesMut::new(),
@@ -216,6 +218,7 @@
             match &step {
                 Step::Head => self.state.record_response(self.path.first().address),
                 Step::Events(_) if was_silent => self.state.record_progress(&self.path),
+                Step::Events(_) => self.record_events(),
                 _ => {}
             }
             return Poll::Ready(step);
@@ -242,7 +245,7 @@
     /// Takes the body of a response that is not relayed as a stream; `None` before the head has arrived.
     pub fn take_body(&mut self) -> Option<Incoming> {
         match core::mem::replace(&mut self.phase, Phase::Closed) {
-            Phase::Body(body) => Some(body),
+            Phase::Body { body, .. } => Some(body),
             Phase::Head(_) | Phase::Closed => None,
         }
     }
@@ -273,6 +276,11 @@
         true
     }
 
+    fn record_events(&self) {
+        let now = agatemill_runtime::now();
+        self.state.suspicion().record_events(&self.path, now);
+    }
+
     fn poll_response(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
         loop {
             let frame = match &mut self.phase {
@@ -280,7 +288,7 @@
                     let result = ready!(response.poll_unpin(cx));
                     return Poll::Ready(self.accept(result));
                 }
-                Phase::Body(body) => ready!(Pin::new(body).poll_frame(cx)),
+                Phase::Body { body, .. } => ready!(Pin::new(body).poll_frame(cx)),
                 Phase::Closed => return Poll::Pending,
             };
             match frame {
@@ -365,7 +373,10 @@
         }
         let (head, body) = response.into_parts();
         self.head = Some(head);
-        self.phase = Phase::Body(body);
+        self.phase = Phase::Body {
+            body,
+            _connection: Connection::open(&self.state, first.address),
+        };
         self.last_data_at = agatemill_runtime::now();
         self.watchdog = Timer::after(STALL_TIMEOUT);
         Step::Head
@@ -405,7 +416,7 @@
     fn stall_timeout(&self) -> Duration {
         match self.phase {
             Phase::Head(_) => HEAD_STALL_TIMEOUT,
-            Phase::Body(_) | Phase::Closed => STALL_TIMEOUT,
+            Phase::Body { .. } | Phase::Closed => STALL_TIMEOUT,
         }
     }
 
@@ -414,11 +425,10 @@
         let job = Arc::clone(&self.job);
         let path = self.path.clone();
         let instance = self.instance.clone();
-        let sent = self.sent;
         let is_first = !self.is_silent;
         let check = async move {
             let attempt = &job.parameters.attempt;
-            match stall::investigate(&state, &path, &instance, sent, attempt).await {
+            match stall::investigate(&state, &path, &instance, attempt).await {
                 Standing::Sound => Check::Slow,
                 Standing::FirstSilent => Check::Silent,
                 Standing::Ended => Check::Ended,
@@ -436,7 +446,7 @@
         let has_continued = now.saturating_sub(self.last_data_at) < self.stall_timeout();
         let recheck = match self.phase {
             Phase::Head(_) => HEAD_STALL_TIMEOUT,
-            Phase::Body(_) | Phase::Closed => STALL_RECHECK_INTERVAL,
+            Phase::Body { .. } | Phase::Closed => STALL_RECHECK_INTERVAL,
         };
         self.watchdog = Timer::after(recheck);
         match check {
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -19,6 +19,7 @@
 use agatemill_fleet::Path;
 use agatemill_fleet::Server;
 use agatemill_fleet::server::Instance;
+use agatemill_fleet::suspicion::Life;
 use agatemill_fleet::suspicion::Standing;
 
 /// Maximum age of a cached report: streams that stall together share one call, since calls are priced.
@@ -30,6 +31,9 @@
 /// Timeout for a connection that shows whether a server has ended; one that has refuses it within a round trip.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Interval between checks whether a server that refuses connections has closed the others.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Interval between queries of engines that are silent, which show that they respond again.
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -67,13 +71,11 @@
     }
 }
 
-/// Queries the first engine of a run that stalled for the engines that it waits for. The run was sent to `instance`, at
-/// `sent`.
+/// Queries the first engine of a run that stalled for the engines that it waits for. The run was sent to `instance`.
 pub async fn investigate(
     state: &State,
     path: &Path,
     instance: &Instance,
-    sent: Duration,
     attempt: &str,
 ) -> Standing {
     let first = path.first();
@@ -82,10 +84,10 @@
     }
     let standing = || {
         let now = agatemill_runtime::now();
-        state.suspicion().standing(path, sent, now)
+        state.suspicion().standing(path, now)
     };
     let known = standing();
-    if matches!(known, Standing::FirstSilent | Standing::Ended) {
+    if known == Standing::FirstSilent {
         return known;
     }
     match query(state, first.address).await {
@@ -123,16 +125,34 @@
 }
 
 /// Finds out by a connection whether a server has ended, and records the result. A server that is cut off or silent does
-/// not refuse connections.
+/// not refuse connections, and one that is full keeps those that it has.
 pub async fn has_ended(state: &State, address: SocketAddrV4) -> bool {
     let Err(kind) = connect(address).await else {
         return false;
     };
-    let evidence = Evidence::from_connect_error(kind);
-    if let Some(evidence) = evidence {
-        state.suspect(address, evidence);
+    let Some(evidence) = Evidence::from_connect_error(kind) else {
+        return false;
+    };
+    state.suspect(address, evidence);
+    evidence == Evidence::Refused && has_closed_connections(state, address).await
+}
+
+/// Waits until it is clear whether a server that has refused a connection has closed all others.
+async fn has_closed_connections(state: &State, address: SocketAddrV4) -> bool {
+    let refused_at = agatemill_runtime::now();
+    loop {
+        let waited = agatemill_runtime::now().saturating_sub(refused_at);
+        let life = state.suspicion().life(&address, waited);
+        match life {
+            Life::Ended => return true,
+            Life::Unclear => agatemill_runtime::sleep(CLOSE_CHECK_INTERVAL).await,
+            Life::Full => {
+                log::info!(server:% = address; "servers: refuses connections and keeps those that it has");
+                state.metrics.count_event("servers", "full");
+                return false;
+            }
+        }
     }
-    evidence.is_some_and(Evidence::ends_runs)
 }
 
 async fn connect(address: SocketAddrV4) -> Result<(), io::ErrorKind> {
--- a/crates/gateway/tests/all/hosts.rs
+++ b/crates/gateway/tests/all/hosts.rs
@@ -2,11 +2,13 @@
 
 use core::time::Duration;
 
+use crate::full::fill;
 use crate::run_test;
 use crate::system::System;
 use crate::system::settings;
 use agatemill_fleet::Evidence;
 use agatemill_fleet::budget::Purpose;
+use agatemill_gateway::connection::Connection;
 use agatemill_standin::Engine;
 use agatemill_standin::document;
 use agatemill_standin::engine::Behaviour;
@@ -350,6 +352,9 @@
 /// lost engine.
 const MAX_GAP_TIME: Duration = Duration::from_millis(2_500);
 
+/// Silences that sound servers have; a server that refuses connections and is silent for longer is given up.
+const USUAL_SILENCE: Duration = Duration::from_secs(1);
+
 async fn assert_gap_closes(system: &System, lost: &Engine, others: &[Engine]) {
     let from = lost.orders().last().unwrap()["from"].clone();
     let start = agatemill_runtime::now();
@@ -430,6 +435,28 @@
     });
 }
 
+/// Guards against layers that move away from a sound engine because it refuses further connections, and against layers of
+/// one that has ended which are not assigned again at once.
+#[test]
+fn a_full_engine_keeps_its_layers() {
+    run_test(3, |system| async move {
+        let (full, others) = unbalanced_fleet(&system).await;
+        let orders = || others.iter().map(|engine| engine.orders().len());
+        let before: usize = orders().sum();
+        let state = system.process.state();
+        let connection = Connection::open(state, full.address);
+        fill(&system, &full).await;
+        let start = agatemill_runtime::now();
+        state.suspect(full.address, Evidence::Refused);
+        agatemill_runtime::sleep(Duration::from_millis(600)).await;
+        let has_moved = orders().sum::<usize>() != before;
+        let taken = agatemill_runtime::now().saturating_sub(start);
+        assert!(!has_moved || taken >= USUAL_SILENCE, "{taken:?}");
+        drop(connection);
+        assert_gap_closes(&system, &full, &others).await;
+    });
+}
+
 /// Guards against missing layers that are not assigned again while other servers come and go.
 #[test]
 fn a_gap_is_closed_while_the_fleet_changes() {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod backoff;
 mod endless;
+mod full;
 mod hosts;
 mod leaving;
 mod outage;
