Read and record all parts of a prompt that crashes engines

Engines went on crashing on one part of a prompt, and sound callers' streams were cut or refused with them.

Cause: a limit on what is read, applied before it is known which of it matters. The adapter dropped all shared parts after the sixteenth, and all parts of a prompt if one id had more than 64 bits. The same limit on the suspects of a crash (24 others) could make a sound prompt count as one that has all of them.

Ruled out: that the evidence of the hosts does not add up.

Change: all parts are read; the size of heads bounds them. A long or unreadable id is represented by its digest. The records of the parts of a prompt share one set of suspects, so that memory, notices and checks grow with their number and not its square. Of quarantined parts that came together one is told and stored, with the others as partners.

--- a/crates/fleet/src/prompt.rs
+++ b/crates/fleet/src/prompt.rs
@@ -9,6 +9,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use agatemill_core::Digest;
+
+/// Maximum number of parts in a log line.
+const MAX_SHOWN: usize = 32;
+
 /// Id of a part of a prompt, such as a system prompt or a document. Equal parts have equal ids.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Segment(pub u64);
@@ -28,10 +33,38 @@
         self.shared.iter().copied().chain(self.own)
     }
 
-    /// Whether a part is one of the prompt.
+    /// The shared parts, for the log.
+    #[must_use]
+    pub fn summary(&self) -> Summary<'_> {
+        Summary(&self.shared)
+    }
+}
+
+/// Shows the first of some parts and the number of the others, so that log lines stay short.
+#[derive(Clone, Copy, Debug)]
+pub struct Summary<'a>(pub &'a [Segment]);
+
+impl fmt::Display for Summary<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let shown = self.0.len().min(MAX_SHOWN);
+        f.debug_list().entries(&self.0[..shown]).finish()?;
+        match self.0.len() - shown {
+            0 => Ok(()),
+            hidden => write!(f, " and {hidden} more"),
+        }
+    }
+}
+
+impl Segment {
+    /// The part with an id as callers write it: usually a hexadecimal number of up to 64 bits. Any other text, such as a
+    /// longer number, is represented by its digest, so that the part still counts.
     #[must_use]
-    pub fn contains(&self, segment: Segment) -> bool {
-        self.segments().any(|own| own == segment)
+    pub fn from_id(id: &str) -> Self {
+        if let Ok(number) = u64::from_str_radix(id, 16) {
+            return Self(number);
+        }
+        let digits = id.trim_start_matches('0').to_ascii_lowercase();
+        Self(Digest::of(digits.as_bytes()).prefix())
     }
 }
 
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -9,9 +9,12 @@
 //! Hosts exchange their evidence ([`notice`]): each sees only its own requests, and a part comes to any of them.
 
 pub mod entry;
+pub mod group;
 pub mod notice;
 pub mod record;
+pub mod suspects;
 
+use core::cmp::Reverse;
 use core::time::Duration;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -19,20 +22,20 @@
 use crate::prompt::Prompt;
 use crate::prompt::Segment;
 use crate::quarantine::entry::Entry;
+use crate::quarantine::group::Group;
 use crate::quarantine::notice::Notice;
 use crate::quarantine::record::Crash;
 use crate::quarantine::record::Record;
+use crate::quarantine::suspects::Memo;
+use crate::quarantine::suspects::Suspects;
 use crate::recent::Recent;
 use crate::tally::Key;
 
-/// Maximum number of suspected and quarantined parts.
-const MAX_RECORDS: usize = 512;
-
-/// Maximum number of rows of each kind in a notice. A crash makes dozens of healthy parts suspected for a moment.
-const MAX_ROWS: usize = 64;
+/// Maximum number of suspected and quarantined parts: more than a prompt has whose parts fit into the head of a request.
+const MAX_RECORDS: usize = 2_048;
 
 /// Number of parts that are remembered as healthy, in each of two generations.
-const MAX_HEALTHY: usize = 4_096;
+const MAX_HEALTHY: usize = 16_384;
 
 /// Lifetime of a generation of healthy parts.
 const HEALTHY_LIFETIME: Duration = Duration::from_mins(10);
@@ -85,17 +88,26 @@
         }
         self.expire(now);
         let mut suspected = Vec::new();
+        let mut checked: Option<(&Suspects, bool)> = None;
+        let parts: HashSet<Segment> = prompt.segments().collect();
+        let is_there =
+            |segment: Segment| parts.contains(&segment) || self.healthy.contains(&segment, now);
         for segment in prompt.segments() {
             let Some(record) = self.records.get(&segment) else {
                 continue;
             };
-            match &record.entry {
-                Some(entry) if entry.covers(prompt) => {
+            if let Some(entry) = &record.entry {
+                let known = checked.filter(|(set, _)| set.is_clone_of(&entry.suspects));
+                // No part that may be the cause instead is missing.
+                let is_covered =
+                    known.map_or_else(|| entry.suspects.iter().all(is_there), |(_, result)| result);
+                if is_covered {
                     let left = entry.end().saturating_sub(now);
                     return Admission::Quarantined(segment, left);
                 }
-                _ => suspected.push(segment),
+                checked = Some((&entry.suspects, false));
             }
+            suspected.push(segment);
         }
         if suspected.is_empty() {
             return Admission::Clear;
@@ -124,18 +136,19 @@
         let suspects = prompt
             .segments()
             .filter(|segment| !healthy.contains(segment, now));
-        let suspects: Vec<Segment> = suspects.collect();
+        let suspects: Suspects = suspects.collect();
+        let mut unions = Memo::new(Suspects::union);
         let mut is_news = false;
-        for segment in &suspects {
-            let partners = suspects.iter().filter(|other| *other != segment);
+        for segment in suspects.iter() {
             let crash = Crash {
                 server,
                 at: now,
-                partners: partners.copied().collect(),
+                suspects: suspects.clone(),
             };
-            let is_shared = prompt.own != Some(*segment);
-            is_news |= self.add(*segment, crash, is_shared, now);
+            let is_shared = prompt.own != Some(segment);
+            is_news |= self.add(segment, crash, is_shared, &mut unions, now);
         }
+        let suspects: Vec<Segment> = suspects.iter().collect();
         self.update(&suspects, now);
         self.expire(now);
         is_news
@@ -161,61 +174,75 @@
         if self.is_cleared(segment, now) || self.is_explained(segment) {
             return false;
         }
-        let healthy = &self.healthy;
-        let partners = entry.partners.into_iter();
-        let partners = partners.filter(|partner| !healthy.contains(partner, now));
-        let entry = Entry {
-            since: entry.since,
-            partners: partners.collect(),
-        };
-        self.records.entry(segment).or_default().insert(entry)
+        let mut intersections = Memo::new(Suspects::intersection);
+        let record = self.records.entry(segment).or_default();
+        record.insert(entry, &mut intersections)
     }
 
-    /// Quarantined parts with their entries.
-    pub fn quarantined(&self) -> impl Iterator<Item = (Segment, &Entry)> {
+    /// Quarantined parts, the latest first; of those that came together at all crashes, one.
+    #[must_use]
+    pub fn groups(&self, now: Duration) -> Vec<Group> {
         let records = self.records.iter();
-        records.filter_map(|(segment, record)| Some((*segment, record.entry.as_ref()?)))
+        let entries =
+            records.filter_map(|(segment, record)| Some((*segment, record.entry.as_ref()?)));
+        let mut entries: Vec<(Segment, &Entry)> = entries.collect();
+        entries.sort_by_key(|(segment, entry)| (Reverse(entry.since), *segment));
+        let mut listed: Vec<&Suspects> = Vec::new();
+        let mut groups = Vec::new();
+        for (segment, entry) in entries {
+            if listed.iter().any(|set| set.is_clone_of(&entry.suspects)) {
+                continue;
+            }
+            listed.push(&entry.suspects);
+            let partners = entry.suspects.iter();
+            let partners =
+                partners.filter(|other| *other != segment && !self.healthy.contains(other, now));
+            groups.push(Group {
+                segment,
+                partners: partners.collect(),
+                since: entry.since,
+            });
+        }
+        groups
     }
 
-    /// Evidence for the other hosts: the quarantined parts, and the suspected ones with the most and the latest crashes.
+    /// Evidence for the other hosts: the parts that were quarantined last, and the suspected ones with the most and the latest
+    /// crashes.
     pub fn notice(&mut self, now: Duration) -> Notice {
         self.expire(now);
-        let quarantined = self.quarantined().take(MAX_ROWS);
-        let mut notice = Notice {
-            quarantined: quarantined
-                .map(|(segment, entry)| notice::Quarantined::new(segment, entry, now))
-                .collect(),
-            cleared: self.cleared.keys().copied().take(MAX_ROWS).collect(),
-            suspected: Vec::new(),
-        };
-        let suspected = self
+        let mut notice = Notice::default();
+        notice.list_quarantined(self.groups(now), now);
+        notice.list_cleared(self.cleared.keys().copied());
+        let records = self
             .records
             .iter()
-            .filter(|(_, record)| record.entry.is_none() && record.concerns_others());
+            .map(|(segment, record)| (*segment, record));
+        let suspected =
+            records.filter(|(_, record)| record.entry.is_none() && record.concerns_others());
         let mut suspected: Vec<_> = suspected.collect();
         suspected.sort_by_key(|(segment, record)| {
-            (record.crashes.len(), record.last_crash(), **segment)
+            Reverse((record.crashes.len(), record.last_crash(), *segment))
         });
-        let suspected = suspected.into_iter().rev().take(MAX_ROWS);
-        notice.suspected = suspected
-            .map(|(segment, record)| notice::Suspected::new(*segment, record, now))
-            .collect();
+        let is_healthy = |segment| self.healthy.contains(&segment, now);
+        notice.list_suspected(suspected.into_iter(), is_healthy, now);
         notice
     }
 
     /// Adds the evidence of another host. Returns whether other hosts should be told.
-    pub fn receive(&mut self, notice: Notice, now: Duration) -> bool {
+    pub fn receive(&mut self, mut notice: Notice, now: Duration) -> bool {
         let mut is_news = false;
+        let rows = notice.take_suspected(now);
         for segment in notice.cleared {
             if self.records.contains_key(&segment) || !self.healthy.contains(&segment, now) {
                 is_news |= self.clear(segment, now);
             }
         }
         let mut suspected = Vec::new();
-        for row in notice.suspected {
+        let mut unions = Memo::new(Suspects::union);
+        for (row, crashes) in rows {
             let (segment, is_shared) = (row.segment, row.is_shared);
-            for crash in row.crashes(now) {
-                is_news |= self.add(segment, crash, is_shared, now);
+            for crash in crashes {
+                is_news |= self.add(segment, crash, is_shared, &mut unions, now);
             }
             suspected.push(segment);
         }
@@ -228,36 +255,48 @@
     }
 
     /// Adds a crash to the evidence against a part, unless the part is healthy. Returns whether it was not known.
-    fn add(&mut self, segment: Segment, mut crash: Crash, is_shared: bool, now: Duration) -> bool {
+    fn add(
+        &mut self,
+        segment: Segment,
+        crash: Crash,
+        is_shared: bool,
+        unions: &mut Memo,
+        now: Duration,
+    ) -> bool {
         if self.is_cleared(segment, now) {
             return false;
         }
-        let healthy = &self.healthy;
-        crash
-            .partners
-            .retain(|partner| !healthy.contains(partner, now));
         let record = self.records.entry(segment).or_default();
         record.is_shared |= is_shared;
-        record.add(crash) && record.concerns_others()
+        record.add(crash, unions) && record.concerns_others()
     }
 
     /// Quarantines the suspected parts whose crashes suffice, and releases those whose crashes another part explains.
     fn update(&mut self, suspects: &[Segment], now: Duration) {
-        let quarantined = self.quarantined().map(|(segment, _)| segment);
-        let segments: Vec<Segment> = quarantined.chain(suspects.iter().copied()).collect();
-        for segment in segments {
-            let is_candidate = |record: &Record| record.has_enough() || record.entry.is_some();
-            if !self.records.get(&segment).is_some_and(is_candidate) {
-                continue;
+        // Most parts are shared and were there at all crashes, so that no other one explains theirs.
+        let most = self.most_crashes();
+        let may_be_explained = |record: &Record| !record.is_shared || record.crashes.len() < most;
+        let records = self.records.iter();
+        let quarantined =
+            records.filter(|(_, record)| record.entry.is_some() && may_be_explained(record));
+        let quarantined: Vec<Segment> = quarantined.map(|(segment, _)| *segment).collect();
+        for segment in quarantined {
+            if self.is_explained(segment)
+                && let Some(record) = self.records.get_mut(&segment)
+            {
+                record.entry = None;
             }
-            let is_explained = self.is_explained(segment);
-            let Some(record) = self.records.get_mut(&segment) else {
+        }
+        let mut intersections = Memo::new(Suspects::intersection);
+        for segment in suspects {
+            let Some(record) = self.records.get(segment) else {
                 continue;
             };
-            if is_explained {
-                record.entry = None;
-            } else if record.has_enough() {
-                record.quarantine(now);
+            if !record.has_enough() || (may_be_explained(record) && self.is_explained(*segment)) {
+                continue;
+            }
+            if let Some(record) = self.records.get_mut(segment) {
+                record.quarantine(now, &mut intersections);
             }
         }
     }
@@ -271,6 +310,12 @@
         others.any(|(_, other)| record.is_explained_by(other))
     }
 
+    /// Largest number of crashes of a part that several requests may have.
+    fn most_crashes(&self) -> usize {
+        let shared = self.records.values().filter(|record| record.is_shared);
+        shared.map(|record| record.crashes.len()).max().unwrap_or(0)
+    }
+
     /// Whether a suspected part is known to be healthy; other hosts are then told.
     fn is_cleared(&mut self, segment: Segment, now: Duration) -> bool {
         let is_healthy = self.healthy.contains(&segment, now);
@@ -284,9 +329,6 @@
         self.healthy.insert(segment, now);
         let record = self.records.remove(&segment);
         let was_suspected = record.is_some_and(|record| record.concerns_others());
-        for record in self.records.values_mut() {
-            record.remove_partner(segment);
-        }
         if was_suspected {
             self.cleared.insert(segment, now + CLEARANCE);
         }
--- a/crates/fleet/src/quarantine/entry.rs
+++ b/crates/fleet/src/quarantine/entry.rs
@@ -2,8 +2,9 @@
 
 use core::time::Duration;
 
-use crate::prompt::Prompt;
 use crate::prompt::Segment;
+use crate::quarantine::suspects::Memo;
+use crate::quarantine::suspects::Suspects;
 
 /// Time for which requests with a quarantined part are rejected. Afterwards its requests reach engines again, which may have been
 /// repaired; a part that still crashes them costs a few engines, one after the other.
@@ -14,17 +15,19 @@
 pub struct Entry {
     /// When the part was quarantined.
     pub since: Duration,
-    /// Suspected parts that the requests had at every crash, each of which may be the cause instead.
-    pub partners: Vec<Segment>,
+    /// Parts that the requests had at every crash, each of which may be the cause instead: the part itself, and its partners.
+    /// Some may have turned out to be healthy since.
+    pub suspects: Suspects,
 }
 
 impl Entry {
-    /// Whether requests with this prompt are rejected: no part that may be the cause instead is missing.
+    /// Creates the entry of a part with these partners.
     #[must_use]
-    pub fn covers(&self, prompt: &Prompt) -> bool {
-        self.partners
-            .iter()
-            .all(|partner| prompt.contains(*partner))
+    pub fn new(segment: Segment, partners: &[Segment], since: Duration) -> Self {
+        Self {
+            since,
+            suspects: partners.iter().copied().chain([segment]).collect(),
+        }
     }
 
     /// When the quarantine ends.
@@ -36,11 +39,10 @@
     /// Adds another entry for the same part. Returns whether it leaves fewer other causes.
     ///
     /// The earliest entry counts, so that hosts which learn of it later do not prolong it.
-    pub fn merge(&mut self, other: &Self) -> bool {
+    pub fn merge(&mut self, other: &Self, intersections: &mut Memo) -> bool {
         self.since = self.since.min(other.since);
-        let before = self.partners.len();
-        self.partners
-            .retain(|partner| other.partners.contains(partner));
-        self.partners.len() < before
+        let before = self.suspects.clone();
+        self.suspects = intersections.get(&before, &other.suspects);
+        !self.suspects.is_clone_of(&before)
     }
 }
--- a/crates/fleet/src/quarantine/record.rs
+++ b/crates/fleet/src/quarantine/record.rs
@@ -2,8 +2,9 @@
 
 use core::time::Duration;
 
-use crate::prompt::Segment;
 use crate::quarantine::entry::Entry;
+use crate::quarantine::suspects::Memo;
+use crate::quarantine::suspects::Suspects;
 use crate::tally::Key;
 
 /// Moments at which engines must have crashed before a part is quarantined.
@@ -15,9 +16,6 @@
 /// Maximum number of crashes that are kept for a part; further ones change nothing.
 pub const MAX_CRASHES: usize = 8;
 
-/// Maximum number of partners that are kept for a crash; bounds the size of notices.
-const MAX_PARTNERS: usize = 24;
-
 /// Time within which reports of a crash of one server are about the same crash. A server takes longer to restart.
 const SAME_CRASH_TIME: Duration = Duration::from_secs(2);
 
@@ -42,8 +40,8 @@
     pub server: Key,
     /// When it crashed.
     pub at: Duration,
-    /// Other suspected parts of these requests.
-    pub partners: Vec<Segment>,
+    /// Parts of these requests that may be the cause, this one among them. Some may have turned out to be healthy since.
+    pub suspects: Suspects,
 }
 
 impl Crash {
@@ -56,23 +54,21 @@
 
 impl Record {
     /// Adds a crash. Returns whether it changes the evidence.
-    pub fn add(&mut self, mut crash: Crash) -> bool {
+    pub fn add(&mut self, crash: Crash, unions: &mut Memo) -> bool {
         if let Some(known) = self
             .crashes
             .iter_mut()
             .find(|known| known.coincides_with(&crash))
         {
             // Any part of the requests at this moment may be the cause.
-            let is_new = |partner: &Segment| !known.partners.contains(partner);
-            let new: Vec<Segment> = crash.partners.into_iter().filter(is_new).collect();
-            known.partners.extend(&new);
-            known.partners.truncate(MAX_PARTNERS);
-            return !new.is_empty() && self.entry.is_none();
+            let union = unions.get(&known.suspects, &crash.suspects);
+            let is_new = !union.is_clone_of(&known.suspects);
+            known.suspects = union;
+            return is_new && self.entry.is_none();
         }
         if self.crashes.len() >= MAX_CRASHES {
             return false;
         }
-        crash.partners.truncate(MAX_PARTNERS);
         self.crashes.push(crash);
         self.crashes.sort_by_key(|crash| crash.at);
         true
@@ -88,6 +84,10 @@
     /// these among them, or at all but one of those of a part that belongs to a single request.
     #[must_use]
     pub fn is_explained_by(&self, other: &Self) -> bool {
+        let has_more = other.crashes.len() > self.crashes.len();
+        if !other.is_shared || (self.is_shared && !has_more) {
+            return false;
+        }
         let coincides = |crash: &&Crash| {
             let mut crashes = other.crashes.iter();
             crashes.any(|known| known.coincides_with(crash))
@@ -97,44 +97,29 @@
             common > 0 && common == self.crashes.len() && other.crashes.len() > common;
         let needed = self.crashes.len().max(CRASH_THRESHOLD);
         let is_own = !self.is_shared && common + 1 >= needed;
-        other.is_shared && (is_contained || is_own)
+        is_contained || is_own
     }
 
     /// Quarantines the part because of its crashes.
-    pub fn quarantine(&mut self, now: Duration) {
-        let partners = self.common_partners();
-        self.insert(Entry {
-            since: now,
-            partners,
-        });
-    }
-
-    /// Parts that the requests had at every crash.
-    fn common_partners(&self) -> Vec<Segment> {
-        let Some((first, others)) = self.crashes.split_first() else {
-            return Vec::new();
-        };
-        let is_common =
-            |partner: &&Segment| others.iter().all(|crash| crash.partners.contains(partner));
-        first.partners.iter().filter(is_common).copied().collect()
+    pub fn quarantine(&mut self, now: Duration, intersections: &mut Memo) {
+        let sets = self.crashes.iter().map(|crash| crash.suspects.clone());
+        let common = sets.reduce(|common, set| intersections.get(&common, &set));
+        if let Some(suspects) = common {
+            let entry = Entry {
+                since: now,
+                suspects,
+            };
+            self.insert(entry, intersections);
+        }
     }
 
     /// Quarantines the part, or adds another entry for it. Returns whether it changes.
-    pub fn insert(&mut self, entry: Entry) -> bool {
+    pub fn insert(&mut self, entry: Entry, intersections: &mut Memo) -> bool {
         let Some(known) = &mut self.entry else {
             self.entry = Some(entry);
             return true;
         };
-        known.merge(&entry)
-    }
-
-    /// Removes a part that turned out to be healthy from those that may be the cause.
-    pub fn remove_partner(&mut self, segment: Segment) {
-        let lists = self.crashes.iter_mut().map(|crash| &mut crash.partners);
-        let entry = self.entry.iter_mut().map(|entry| &mut entry.partners);
-        for partners in lists.chain(entry) {
-            partners.retain(|partner| *partner != segment);
-        }
+        known.merge(&entry, intersections)
     }
 
     /// Whether other hosts are told. After one crash of a part that belongs to one request alone they are not: a crash has
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -292,11 +292,8 @@
     assert!(new.receive(old.notice(now), now));
     assert!(is_quarantined(&mut new, &shared(&[POISON]), now));
     let mut alone = Quarantine::default();
-    let (_, entry) = old.quarantined().next().unwrap();
-    let stored = Entry {
-        since: now,
-        partners: entry.partners.clone(),
-    };
+    let groups = old.groups(now);
+    let stored = Entry::new(POISON, &groups[0].partners, now);
     assert!(alone.insert(POISON, stored, now));
     assert!(is_quarantined(&mut alone, &shared(&[POISON]), now));
 }
@@ -324,6 +321,136 @@
     }
 }
 
+/// A prompt with many shared parts and its own one, of which `poison` crashes engines.
+fn long_prompt(count: u64, poison: Option<Segment>, own: u64) -> Prompt {
+    let shared = (0..count).map(|number| Segment(0x1000 + number));
+    Prompt {
+        shared: shared.chain(poison).collect(),
+        own: Some(Segment(0x9_0000 + own)),
+    }
+}
+
+/// Guards against a poison part that goes on crashing engines because its prompts have many parts.
+#[test]
+fn a_poison_part_of_a_prompt_with_many_parts_is_quarantined() {
+    for count in [17, 100, 1_200] {
+        let mut quarantine = Quarantine::default();
+        quarantine.record_survival(&long_prompt(count, None, 0), seconds(1.0));
+        for number in 0..3_u8 {
+            let prompt = long_prompt(count, Some(POISON), number.into());
+            let now = seconds(2.0 + f64::from(number));
+            quarantine.record_crash(&prompt, server(number.into()), now);
+        }
+        let now = seconds(5.0);
+        let poison = long_prompt(count, Some(POISON), 9);
+        assert!(is_quarantined(&mut quarantine, &poison, now), "{count}");
+        let sound = long_prompt(count, None, 10);
+        assert_eq!(quarantine.admit(&sound, now), Admission::Clear, "{count}");
+    }
+}
+
+/// Guards against sound prompts that are rejected because they share many parts with those that crash engines, before any of
+/// them has survived.
+#[test]
+fn a_sound_prompt_with_many_parts_is_tried_without_the_poison_one() {
+    for count in [17, 100, 1_200] {
+        let mut quarantine = Quarantine::default();
+        for number in 0..3_u8 {
+            let prompt = long_prompt(count, Some(POISON), number.into());
+            let now = seconds(2.0 + f64::from(number));
+            quarantine.record_crash(&prompt, server(number.into()), now);
+        }
+        let now = seconds(5.0);
+        let poison = long_prompt(count, Some(POISON), 9);
+        assert!(is_quarantined(&mut quarantine, &poison, now), "{count}");
+        let sound = long_prompt(count, None, 10);
+        let Admission::Probe(probe) = quarantine.admit(&sound, now) else {
+            panic!("a sound prompt of {count} parts is not tried");
+        };
+        quarantine.end_probe(&probe);
+        quarantine.record_survival(&sound, now);
+        assert_eq!(quarantine.admit(&sound, now), Admission::Clear);
+        assert!(is_quarantined(&mut quarantine, &poison, now), "{count}");
+        let groups = quarantine.groups(now);
+        assert_eq!(groups.len(), 1, "only the poison part is left");
+        assert_eq!((groups[0].segment, groups[0].partners.len()), (POISON, 0));
+    }
+}
+
+/// Guards against a store that is written once for each of many parts of which one crashes engines.
+#[test]
+fn parts_that_came_together_are_told_as_one() {
+    let mut quarantine = Quarantine::default();
+    let now = crash(
+        &mut quarantine,
+        &long_prompt(100, Some(POISON), 0),
+        3,
+        seconds(1.0),
+    );
+    let groups = quarantine.groups(now);
+    assert_eq!(groups.len(), 1, "{groups:?}");
+    assert_eq!(groups[0].partners.len(), 101);
+    let mut new = Quarantine::default();
+    let stored = Entry::new(groups[0].segment, &groups[0].partners, now);
+    new.insert(groups[0].segment, stored, now);
+    let poison = long_prompt(100, Some(POISON), 0);
+    assert!(is_quarantined(&mut new, &poison, now));
+    assert!(!is_quarantined(&mut new, &long_prompt(100, None, 0), now));
+}
+
+/// Guards against hosts that do not learn of a poison part because its prompts have many parts.
+#[test]
+fn hosts_tell_each_other_of_prompts_with_many_parts() {
+    for count in [17, 100, 900] {
+        let mut hosts = vec![Quarantine::default(); 3];
+        for number in 0..3_u8 {
+            let now = seconds(2.0 + f64::from(number));
+            let prompt = long_prompt(count, Some(POISON), number.into());
+            hosts[usize::from(number)].record_crash(&prompt, server(number.into()), now);
+            for from in 0..3 {
+                let notice = hosts[from].notice(now);
+                for host in &mut hosts {
+                    host.receive(notice.clone(), now);
+                }
+            }
+        }
+        let now = seconds(5.0);
+        let poison = long_prompt(count, Some(POISON), 9);
+        for host in &mut hosts {
+            assert!(is_quarantined(host, &poison, now), "{count}");
+            let sound = long_prompt(count, None, 10);
+            assert!(!is_quarantined(host, &sound, now), "{count}");
+        }
+    }
+}
+
+/// Guards against a notice that is too large for a datagram, so that neither it nor the load report arrives.
+#[test]
+fn a_notice_fits_into_a_datagram() {
+    const MAX_BYTES: usize = 45_000;
+    let mut quarantine = Quarantine::default();
+    let id = |number: u64| Segment(u64::MAX - number);
+    for round in 0..6_u8 {
+        for family in 0..20_u64 {
+            let segments = (0..100).map(|number| id(family * 1_000 + number));
+            let prompt = Prompt {
+                shared: segments.collect(),
+                own: Some(id(100_000 + family * 100 + u64::from(round))),
+            };
+            let now = seconds(1.0 + f64::from(round)) + Duration::from_millis(30 * family);
+            quarantine.record_crash(&prompt, server(usize::from(round)), now);
+            let size = postcard::to_stdvec(&quarantine.notice(now)).unwrap().len();
+            assert!(size <= MAX_BYTES, "{size}");
+        }
+    }
+    for family in 0..20_u64 {
+        let segments: Vec<Segment> = (0..100).map(|number| id(family * 1_000 + number)).collect();
+        quarantine.record_survival(&shared(&segments), seconds(8.0));
+    }
+    let size = postcard::to_stdvec(&quarantine.notice(seconds(8.0))).unwrap();
+    assert!(size.len() <= MAX_BYTES, "{}", size.len());
+}
+
 /// Guards against memory and messages that grow with the number of parts.
 #[test]
 fn the_evidence_is_bounded() {
@@ -407,11 +534,10 @@
             hosts[host].record_crash(&shared(&[POPULAR, POISON]), server, now);
             tell(&mut hosts, host, now, &mut rng);
         }
-        let entry = hosts
-            .iter()
-            .find_map(|host| host.quarantined().next().map(|(_, entry)| entry.clone()));
         if now.as_millis().is_multiple_of(1_000) && stored.is_none() {
-            stored = entry;
+            let mut groups = hosts.iter().flat_map(|host| host.groups(now));
+            let group = groups.next();
+            stored = group.map(|group| Entry::new(group.segment, &group.partners, group.since));
         }
         if now.as_millis().is_multiple_of(250) {
             for host in 0..host_count {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -11,8 +11,9 @@
 use agatemill_fleet::path::Part;
 use agatemill_fleet::prompt::Prompt;
 use agatemill_fleet::prompt::Segment;
+use agatemill_fleet::prompt::Summary;
 use agatemill_fleet::quarantine::Admission;
-use agatemill_fleet::quarantine::entry::Entry;
+use agatemill_fleet::quarantine::group::Group;
 use agatemill_fleet::tally::Key;
 use agatemill_platform::Error;
 
@@ -86,7 +87,7 @@
 /// Records that the first engine of a request ended before the request survived.
 pub fn record_crash(state: &State, attempt: &str, prompt: &Prompt, first: &Part) {
     log::warn!(
-        request = attempt, server:% = first.server, segments:? = prompt.shared, own:? = prompt.own;
+        request = attempt, server:% = first.server, segments:% = prompt.summary(), own:? = prompt.own;
         "quarantine: an engine crashed while it began to answer"
     );
     let now = agatemill_runtime::now();
@@ -103,29 +104,28 @@
     loop {
         agatemill_runtime::sleep(POLL_INTERVAL).await;
         log_changes(&state, &mut known);
-        let Some((segment, entry)) = next_to_store(&state, &mut missing) else {
+        let Some(group) = next_to_store(&state, &mut missing) else {
             continue;
         };
-        if let Err(error) = store(&state, segment, &entry).await {
-            log::warn!(segment:%, error:%; "quarantine: cannot store a part");
+        if let Err(error) = store(&state, &group).await {
+            log::warn!(segment:% = group.segment, error:%; "quarantine: cannot store a part");
             agatemill_runtime::sleep(STORE_RETRY_INTERVAL).await;
         }
     }
 }
 
 fn log_changes(state: &State, known: &mut HashSet<Segment>) {
-    let quarantine = state.quarantine();
-    for (segment, entry) in quarantine.quarantined() {
+    let now = agatemill_runtime::now();
+    let groups = state.quarantine().groups(now);
+    for group in &groups {
+        let segment = group.segment;
         if known.insert(segment) {
-            let left = entry.end().saturating_sub(agatemill_runtime::now());
-            log::warn!(segment:%, partners:? = entry.partners, for_s = left.as_secs(); "quarantine: part quarantined");
+            let left = group.end().saturating_sub(now);
+            log::warn!(segment:%, partners:% = Summary(&group.partners), for_s = left.as_secs(); "quarantine: part quarantined");
             state.metrics.count_event("quarantine", "quarantined");
         }
     }
-    let current: HashSet<Segment> = quarantine
-        .quarantined()
-        .map(|(segment, _)| segment)
-        .collect();
+    let current: HashSet<Segment> = groups.iter().map(|group| group.segment).collect();
     known.retain(|segment| {
         let is_quarantined = current.contains(segment);
         if !is_quarantined {
@@ -136,12 +136,9 @@
     });
 }
 
-/// A quarantined part that this host has to write: the store lacks it, or has more parts that may be the cause instead.
+/// Quarantined parts that this host has to write: the store lacks them, or has more parts that may be the cause instead.
 /// `missing` has the times since when this host knows that; a store that was restored lacks parts that all hosts know.
-fn next_to_store(
-    state: &State,
-    missing: &mut HashMap<Segment, Duration>,
-) -> Option<(Segment, Entry)> {
+fn next_to_store(state: &State, missing: &mut HashMap<Segment, Duration>) -> Option<Group> {
     let now = agatemill_runtime::now();
     let rank = registration::rank(state);
     if rank >= MAX_WRITERS {
@@ -149,32 +146,30 @@
     }
     let delay = STORE_STAGGER * (rank + 1);
     let stored = state.view().quarantined.clone();
-    let quarantine = state.quarantine();
-    let unstored = quarantine.quarantined().filter(|(segment, entry)| {
+    let mut unstored = state.quarantine().groups(now);
+    unstored.retain(|group| {
         let is_stored = stored
-            .get(segment)
-            .is_some_and(|partners| partners.len() <= entry.partners.len());
-        !is_stored && now + STORE_MARGIN < entry.end()
+            .get(&group.segment)
+            .is_some_and(|partners| partners.len() <= group.partners.len());
+        !is_stored && now + STORE_MARGIN < group.end()
     });
-    let unstored: Vec<(Segment, &Entry)> = unstored.collect();
-    missing.retain(|segment, _| unstored.iter().any(|(unstored, _)| unstored == segment));
+    missing.retain(|segment, _| unstored.iter().any(|group| group.segment == *segment));
     let mut due = unstored
         .into_iter()
-        .filter(|(segment, _)| now >= *missing.entry(*segment).or_insert(now) + delay);
-    let (segment, entry) = due.next()?;
-    Some((segment, entry.clone()))
+        .filter(|group| now >= *missing.entry(group.segment).or_insert(now) + delay);
+    due.next()
 }
 
-async fn store(state: &State, segment: Segment, entry: &Entry) -> Result<(), Error> {
-    let left = entry.end().saturating_sub(agatemill_runtime::now());
+async fn store(state: &State, group: &Group) -> Result<(), Error> {
+    let left = group.end().saturating_sub(agatemill_runtime::now());
     let lease = state.store.grant(left.saturating_sub(STORE_MARGIN)).await?;
-    let value = stored::encode(&entry.partners);
+    let value = stored::encode(&group.partners);
     state
         .store
-        .put(&stored::key(segment), &value, lease)
+        .put(&stored::key(group.segment), &value, lease)
         .await?;
     // The view may lag behind; without this, the entry would be written again until it shows it.
-    let partners = entry.partners.clone();
-    state.view().quarantined.insert(segment, partners);
+    let partners = group.partners.clone();
+    state.view().quarantined.insert(group.segment, partners);
     Ok(())
 }
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -342,7 +342,7 @@
             request:% = self.job.parameters.attempt, server:% = run.path.first().server, why, cause:%,
             last_event:? = self.last_event, has_begun = run.begun_at.is_some(), left = self.active.len(),
             runs = self.attempts.runs(), losses = self.attempts.losses(), rejections = self.attempts.rejections(),
-            segments:? = self.job.parameters.parts.shared;
+            segments:% = self.job.parameters.parts.summary();
             "stream: run ended"
         );
         if !self.active.is_empty() {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -187,7 +187,7 @@
                 return Err(Obstacle::Quarantined(left));
             }
             Err(Denial::Busy) if is_last => {
-                log::warn!(request:% = attempt, segments:? = prompt.shared, own:? = prompt.own; "stream: a part of the prompt is probed by another request");
+                log::warn!(request:% = attempt, segments:% = prompt.summary(), own:? = prompt.own; "stream: a part of the prompt is probed by another request");
                 return Err(Obstacle::Suspected);
             }
             Err(Denial::Busy) => {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -424,10 +424,7 @@
         if let Change::Put(item) = change
             && let Ok((segment, partners)) = quarantine::decode(&item.key, &item.value)
         {
-            let entry = Entry {
-                since: now,
-                partners,
-            };
+            let entry = Entry::new(segment, &partners, now);
             state.quarantine().insert(segment, entry, now);
         }
     }
--- a/crates/gateway/tests/all/quarantine.rs
+++ b/crates/gateway/tests/all/quarantine.rs
@@ -57,6 +57,42 @@
     });
 }
 
+/// Guards against a part that crashes engines without end because it stands behind many others, or because its id is longer
+/// than usual.
+#[test]
+fn a_part_on_which_engines_crash_is_found_in_any_prompt() {
+    let many: Vec<String> = (0..17).map(|part| format!("a{part:07x}:5,")).collect();
+    let many = many.concat();
+    let long_id = format!("{POISON_PART}{POISON_PART}{POISON_PART}");
+    for (before, part) in [(many.as_str(), POISON_PART), ("5eed0001:5,", &long_id)] {
+        run_test(8, |system| async move {
+            for engine in &system.engines {
+                engine.set_behaviour(Behaviour::CrashOnPart);
+            }
+            for number in 0..8 {
+                let sound = format!("{before}b0000001:5,{number:x}1:5");
+                let poison = format!("{before}{part}:5,{number:x}2:5");
+                for (kind, prompt) in [("s", &sound), ("d", &poison)] {
+                    let attempt = format!("{kind}{number}");
+                    let call = Call {
+                        prompt,
+                        ..system.call("draft", &attempt)
+                    };
+                    let response = system.send_call(call).await;
+                    if kind == "s" {
+                        assert_eq!(response.body, complete_stream(), "{response:?}");
+                    }
+                    system.wait_for_restarts().await;
+                }
+            }
+            let arrivals = system.engines.iter().flat_map(Engine::arrivals);
+            let crashes = arrivals.filter(|arrival| arrival.prompt.contains(POISON_PART));
+            let crashes = crashes.count();
+            assert!(crashes <= MAX_CRASHES, "{crashes}");
+        });
+    }
+}
+
 /// Guards against a restarted host that sends quarantined requests to engines while no other host runs.
 #[test]
 fn a_host_that_starts_reads_quarantined_parts_from_the_store() {
--- a/crates/gateway/tests/all/restore.rs
+++ b/crates/gateway/tests/all/restore.rs
@@ -229,11 +229,8 @@
         let (process, _) = start_second_host(&system).await;
         let segment = Segment(0xdead);
         for state in [system.process.state(), process.state()] {
-            let entry = Entry {
-                since: agatemill_runtime::now(),
-                partners: Vec::new(),
-            };
             let now = agatemill_runtime::now();
+            let entry = Entry::new(segment, &[], now);
             state.quarantine().insert(segment, entry, now);
         }
         let key = quarantine::key(segment);
