--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -3,6 +3,7 @@
 use compact_str::CompactString;
 
 use agatemill_core::id;
+use agatemill_core::layer;
 
 /// A model whose layers are spread over engines, with the figures that its operator states.
 #[derive(Clone, Debug, PartialEq)]
@@ -70,6 +71,12 @@
         self.accelerators.iter().find(|known| known.name == kind)
     }
 
+    /// Whether all layers of a range are layers of the model. An entry may list others.
+    #[must_use]
+    pub fn has_layers(&self, range: layer::Range) -> bool {
+        range.end() <= self.layers
+    }
+
     /// Tokens of requests that fit into the memory left free by `count` layers; 0 for an engine without layers.
     #[must_use]
     pub fn token_capacity(&self, accelerator: &Accelerator, count: u32) -> f64 {
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -265,10 +265,16 @@
         coverage
     }
 
+    /// Indices of the layers of a range, without those that the model does not have.
+    fn span(&self, range: layer::Range) -> core::ops::Range<usize> {
+        let end = (range.end() as usize).min(self.total.len());
+        (range.start() as usize).min(end)..end
+    }
+
     /// Adds `by` to the number of holders of each layer of a range.
     fn add_holders(&mut self, zone: &id::Zone, range: layer::Range, by: i32) {
+        let span = self.span(range);
         let group = &mut self.by_group[self.groups[zone]];
-        let span = range.start() as usize..(range.end() as usize).min(self.total.len());
         for counts in [group, &mut self.total] {
             for count in &mut counts[span.clone()] {
                 *count += by;
@@ -279,15 +285,15 @@
     /// Value of one more holder of these layers.
     fn value(&self, zone: &id::Zone, range: layer::Range) -> f64 {
         let group = &self.by_group[self.groups[zone]];
-        let span = range.start() as usize..(range.end() as usize).min(self.total.len());
-        span.map(|layer| {
-            let group_value = match group[layer] {
-                0 => GAP_WEIGHT,
-                holders => HOLDER_DISCOUNT.powi(holders),
-            };
-            group_value + ANY_ZONE_WEIGHT * HOLDER_DISCOUNT.powi(self.total[layer])
-        })
-        .sum()
+        self.span(range)
+            .map(|layer| {
+                let group_value = match group[layer] {
+                    0 => GAP_WEIGHT,
+                    holders => HOLDER_DISCOUNT.powi(holders),
+                };
+                group_value + ANY_ZONE_WEIGHT * HOLDER_DISCOUNT.powi(self.total[layer])
+            })
+            .sum()
     }
 
     /// Finds the range of `size` layers where one more holder has the highest value; returns it with the value.
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -52,6 +52,35 @@
     }
 }
 
+/// Guards against a planner that ends because an entry lists layers that the model does not have.
+#[test]
+fn layers_outside_the_model_do_not_disturb_a_placement() {
+    let model = fleet::model();
+    let mut cards = fleet::usual_cards();
+    let ranges = [
+        (model.layers, model.layers + 4),
+        (model.layers - 1, u32::MAX),
+    ];
+    for ((start, end), card) in ranges.into_iter().zip(cards.clone()) {
+        let server = format!("other-{start}").parse().unwrap();
+        let layers = layer::Range::new(start, end).ok();
+        cards.push(Card {
+            server,
+            layers,
+            ..card
+        });
+    }
+    let cards = place_all(&model, cards);
+    for name in ["a", "b", "c"] {
+        let holders = holders(&cards, Some(&fleet::zone(name)), model.layers);
+        assert!(
+            holders.iter().all(|count| *count > 0),
+            "zone {name}: {holders:?}"
+        );
+    }
+    let _ = placement::best_moves(&model, &cards, 4);
+}
+
 /// Guards against an order that exceeds the memory of an engine.
 #[test]
 fn no_card_holds_more_than_its_memory() {
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -85,7 +85,7 @@
         }
     };
     let candidates = servers.iter().filter_map(|server| {
-        let layers = server.layers?;
+        let layers = server.layers.filter(|layers| model.has_layers(*layers))?;
         let accelerator = model.accelerator(server.accelerator.as_deref()?)?;
         let usage = census.estimate(server.key, load.of(&server.id), hosts, now);
         Some(Candidate {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod stall;
 pub mod state;
 pub mod stream;
+pub mod supervise;
 pub mod sync;
 pub mod throttle;
 pub mod view;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -15,6 +15,7 @@
 use crate::server;
 use crate::shutdown;
 use crate::stall;
+use crate::supervise;
 use crate::sync;
 use crate::throttle;
 use agatemill_metrics::Registry;
@@ -52,7 +53,10 @@
         let tasks = vec![
             agatemill_runtime::spawn(sync::run(share())),
             agatemill_runtime::spawn(Arc::clone(&registration).run(share())),
-            agatemill_runtime::spawn(planner::run(share(), Arc::clone(&registration))),
+            agatemill_runtime::spawn(supervise::run(share(), "planner", {
+                let (state, registration) = (share(), Arc::clone(&registration));
+                move || planner::run(Arc::clone(&state), Arc::clone(&registration))
+            })),
             agatemill_runtime::spawn(server::serve_callers(share(), callers)),
             agatemill_runtime::spawn(server::serve_ready(share(), ready)),
             agatemill_runtime::spawn(server::serve_directory(share(), directory)),
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod backoff;
 mod endless;
+mod foreign;
 mod full;
 mod hosts;
 mod leaving;
