Do not end a stream as complete because its engine crashed

Callers got streams without their last events that looked complete, from an engine that answers with neither a length nor chunks and was killed between two events.

Cause: the end of the connection marks the end of such a response, and the end of a process ends its connections too. The host asked whether the engine had ended only before the first event.

Ruled out: nothing else was tested.

Change: a stream whose end only its connection marks is complete if its engine still runs, or if the engine leaves. Otherwise the run counts as broken. Parts of prompts count as survived only then.

Before: a_stream_that_ends_with_its_engine_between_events_is_not_ complete fails.

--- a/crates/fleet/src/reply.rs
+++ b/crates/fleet/src/reply.rs
@@ -1,8 +1,10 @@
 //! What the response of a backend server says about a request.
 
 pub mod flaw;
+pub mod framing;
 
 pub use flaw::Flaw;
+pub use framing::Framing;
 
 /// What the head of a response states.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/fleet/tests/reply.rs
+++ b/crates/fleet/tests/reply.rs
@@ -3,6 +3,7 @@
 use agatemill_fleet::Reply;
 use agatemill_fleet::reply::Attempt;
 use agatemill_fleet::reply::Flaw;
+use agatemill_fleet::reply::Framing;
 use agatemill_fleet::reply::Meaning;
 use agatemill_fleet::reply::Verdict;
 
@@ -73,3 +74,12 @@
     };
     assert_eq!(rejection.verdict(), Verdict::NotRun);
 }
+
+/// Guards against a response that looks whole because the end of its server ended its connection, and against a whole one that
+/// is dropped because its server exits as planned.
+#[test]
+fn a_response_that_ends_with_its_connection_needs_a_running_server() {
+    assert!(Framing::Connection.needs_running_server(true));
+    assert!(!Framing::Connection.needs_running_server(false));
+    assert!(!Framing::Delimited.needs_running_server(true));
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -39,7 +39,9 @@
 use agatemill_fleet::Path;
 use agatemill_fleet::Server;
 use agatemill_fleet::reply::Flaw;
+use agatemill_fleet::reply::Framing;
 use agatemill_fleet::reply::Verdict;
+use agatemill_fleet::server;
 use agatemill_fleet::server::Instance;
 use agatemill_fleet::suspicion::Standing;
 
@@ -91,6 +93,8 @@
     /// When the request was sent, on a clock that also runs while the machine is suspended.
     sent_boot: Duration,
     phase: Phase,
+    /// How the end of the response is marked.
+    framing: Framing,
     /// Bytes after the last complete event.
     partial: BytesMut,
     /// Whether the run has outlived its first event.
@@ -203,6 +207,7 @@
             probe,
             sent_boot: clock::boot_time(),
             phase: Phase::Head(response.boxed()),
+            framing: Framing::Delimited,
             partial: BytesMut::new(),
             has_survived: false,
             last_data_at: now,
@@ -259,6 +264,17 @@
         }
     }
 
+    /// Whether the response, which has ended, may lack its last events: only the end of its connection marks its end, and the
+    /// first engine is not about to exit.
+    #[must_use]
+    pub fn may_be_cut(&self) -> bool {
+        let listed = self.state.view().server(&self.instance.server).cloned();
+        let is_staying = listed.is_some_and(|server| {
+            server.state == server::State::Ready && self.state.departures().is_staying(&server)
+        });
+        self.framing.needs_running_server(is_staying)
+    }
+
     /// Finds out whether the first engine of a run that ended has ended too, and records a crash.
     pub async fn has_lost_engine(&mut self) -> bool {
         let first = self.path.first();
@@ -371,6 +387,7 @@
                 return Step::Unusable;
             }
         }
+        self.framing = header::framing(response.headers());
         let (head, body) = response.into_parts();
         self.head = Some(head);
         self.phase = Phase::Body {
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -245,18 +245,21 @@
         }
     }
 
-    /// Ends the stream with a run that is complete. A response without a length looks complete also when its engine
-    /// crashes before the first event.
+    /// Ends the stream with a run that is complete. A response whose end is marked by its connection only looks complete also
+    /// when its engine crashes, and any without an event may have lost all of them.
     async fn complete(&mut self, index: usize) -> Result<Option<Output>, Refusal> {
-        if self.active[index].begun_at.is_some() {
-            self.active[index].record_survival();
-        } else if self.active[index].has_lost_engine().await {
+        let run = &mut self.active[index];
+        let has_begun = run.begun_at.is_some();
+        if (!has_begun || run.may_be_cut()) && run.has_lost_engine().await {
             let run = self.active.remove(index);
             self.ended_at = agatemill_runtime::now();
             self.attempts.record_loss(&run.path.first().server);
             self.replace(&run, Cause::ConnectionLost, "the engine crashed")?;
             return Ok(None);
         }
+        if has_begun {
+            self.active[index].record_survival();
+        }
         self.keep(index);
         Ok(Some(self.with_head(Output::Complete)))
     }
--- a/crates/gateway/tests/all/unframed.rs
+++ b/crates/gateway/tests/all/unframed.rs
@@ -124,6 +124,38 @@
     });
 }
 
+/// Guards against a stream that looks complete without its last events because its engine crashed between two.
+#[test]
+fn a_stream_that_ends_with_its_engine_between_events_is_not_complete() {
+    for route in ["draft", "once"] {
+        run_test(4, |system| async move {
+            let runs = Arc::new(AtomicUsize::new(0));
+            let counted = Arc::clone(&runs);
+            let address = http::serve_unframed(move |_| {
+                counted.fetch_add(1, Ordering::Relaxed);
+                (events(0, 3), End::Exit)
+            });
+            system
+                .move_server(system.first_engine(), "model", address)
+                .await;
+            // Another engine has the first layers as well, and either is chosen.
+            let mut number = 0;
+            while runs.load(Ordering::Relaxed) == 0 {
+                let response = system.send(route, &format!("a{number}")).await;
+                let is_cut = runs.load(Ordering::Relaxed) > 0 && route == "once";
+                assert_eq!(response.is_complete, !is_cut, "{route}: {response:?}");
+                let expected = if is_cut {
+                    events(0, 3)
+                } else {
+                    complete_stream()
+                };
+                assert_eq!(response.body, expected, "{route}");
+                number += 1;
+            }
+        });
+    }
+}
+
 /// Guards against a part of a stream that passes for all of it because its engine speaks an older version of HTTP.
 #[test]
 fn a_cut_stream_of_an_older_version_is_incomplete() {
