--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,10 +1,10 @@
 //! Placement, routing and retry decisions for a fleet whose engines forward activations to each other.
 //!
 //! An entry host selects the whole path of a request, and each engine forwards to the next. This crate decides
-//! which layers each engine holds ([`placement`]), which path a request takes ([`path`]) and which requests
-//! may be retried ([`budget`], [`attempts`]), and what a response says about its request ([`reply`]). It aggregates the load from all hosts ([`census`]), selects the source from
-//! which a host receives changes ([`upstream`]) and checks that the view of the platform is recent enough
-//! ([`freshness`]). Nothing here does I/O; times are passed in.
+//! which layers each engine holds ([`placement`]), which path a request takes ([`path`]), what a response says about its
+//! request ([`reply`]) and which requests may be retried ([`budget`], [`attempts`]). It aggregates the load from all hosts
+//! ([`census`]), selects the source from which a host receives changes ([`upstream`]) and checks that the view of the
+//! platform is recent enough ([`freshness`]). Nothing here does I/O; times are passed in.
 
 pub mod attempts;
 pub mod backoff;
