Let requests wait for the first view of a host that starts

Cause: after a loss of all hosts, callers repeat their cut requests at hosts that are still reading the store. Each got 503 at once and has no further repeat.

Ruled out: engines, links and leadership.

Change: fleet::Startup keeps a request at a host that reads the store for the first time, for 1.5 s and half of its caller's time at most. It is refused at once when the store has failed, or is read for more than 3 s. The refusal has a log line.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -223,8 +223,12 @@
         );
     }
     let parameters = Parameters::from(&head.headers);
+    state.await_startup(arrived, parameters.deadline).await;
     let configuration = state.view().configuration.clone();
     let configuration = configuration.ok_or_else(|| {
+        let waited = agatemill_runtime::now().saturating_sub(arrived);
+        let ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
+        log::warn!(request:% = parameters.attempt, ms; "request: refused, no configuration yet");
         Refusal::not_run(Reason::NotReady, "no configuration yet").retry_after(VIEW_RETRY_AFTER)
     })?;
     let limits = configuration.limits;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -37,6 +37,7 @@
 use agatemill_fleet::Quarantine;
 use agatemill_fleet::Route;
 use agatemill_fleet::Server;
+use agatemill_fleet::Startup;
 use agatemill_fleet::Suspicion;
 use agatemill_fleet::Throttle;
 use agatemill_fleet::budget::Balance;
@@ -95,6 +96,9 @@
     budgets: Mutex<HashMap<id::Service, Budget>>,
     throttle: Mutex<Throttle>,
     allocator: Mutex<Allocator>,
+    startup: Mutex<Startup>,
+    /// Notified when the progress of the startup changes.
+    startup_changes: Event,
     stage: AtomicU8,
     /// Notified when the stage changes.
     stage_changes: Event,
@@ -151,6 +155,8 @@
             budgets: Mutex::default(),
             throttle: Mutex::new(Throttle::new(fastrand::u64(..))),
             allocator: Mutex::default(),
+            startup: Mutex::new(Startup::begin(agatemill_runtime::now())),
+            startup_changes: Event::new(),
             stage: AtomicU8::new(0),
             stage_changes: Event::new(),
             active: AtomicUsize::new(0),
@@ -402,6 +408,32 @@
         self.stage() == Stage::Serving && self.is_fresh() && self.view().configuration.is_some()
     }
 
+    /// Records progress of the startup.
+    pub fn update_startup(&self, update: impl FnOnce(&mut Startup)) {
+        let mut startup = lock(&self.startup);
+        let before = *startup;
+        update(&mut startup);
+        let is_changed = *startup != before;
+        drop(startup);
+        if is_changed {
+            self.startup_changes.notify(usize::MAX);
+        }
+    }
+
+    /// Lets a request that arrives while the host starts wait until the host is ready, within the limits of
+    /// [`Startup::wait`]. `left` is the time that its caller had left when it arrived.
+    pub async fn await_startup(&self, arrived: Duration, left: Option<Duration>) {
+        loop {
+            let change = self.startup_changes.listen();
+            let startup = *lock(&self.startup);
+            let wait = startup.wait(arrived, left, agatemill_runtime::now());
+            if wait.is_zero() || self.stage() != Stage::Serving {
+                return;
+            }
+            agatemill_runtime::timeout(wait, change).await;
+        }
+    }
+
     /// Shutdown stage of the process.
     #[must_use]
     pub fn stage(&self) -> Stage {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -21,6 +21,7 @@
 use agatemill_adapter::store::Item;
 use agatemill_core::id;
 use agatemill_fleet::LogLimit;
+use agatemill_fleet::Startup;
 use agatemill_fleet::Upstream;
 use agatemill_fleet::history::Cursor;
 use agatemill_fleet::quarantine::entry::Entry;
@@ -80,6 +81,7 @@
             }
             self.failures = 0;
         }
+        state.update_startup(|startup| startup.record_response(agatemill_runtime::now()));
         self.upstream.record_answer(&source);
         if self.source.as_ref() != Some(&source) {
             match &source {
@@ -102,6 +104,7 @@
         }
         state.metrics.count_event("store", "call_failed");
         state.feed.suspend();
+        state.update_startup(Startup::record_failure);
         self.upstream
             .record_failure(&Source::Store, agatemill_runtime::now());
         self.failures = self.failures.saturating_add(1);
@@ -133,6 +136,7 @@
     if replicator.failures > 0 {
         let interval = state.settings().bounds.timing().probe_interval();
         replicator.probe.run(&state.store, interval).await?;
+        state.update_startup(|startup| startup.record_response(agatemill_runtime::now()));
     }
     let started = clock::boot_time();
     let snapshot = state.store.list().await?;
@@ -142,7 +146,7 @@
     if adopt(state, replicator, snapshot.items, cursor) {
         consult::run(state).await;
     }
-    state.view().freshness.confirm(started);
+    confirm(state, started);
     Ok(())
 }
 
@@ -243,7 +247,7 @@
             replicator.record_success(state, Source::Store);
             let is_quiet = changes.is_empty();
             append(state, replicator, changes, cursor.max(after));
-            state.view().freshness.confirm(started);
+            confirm(state, started);
             if !is_quiet {
                 agatemill_runtime::sleep(batch_interval(state, is_followed)).await;
             }
@@ -344,11 +348,19 @@
     }
     // The other host responded after this call started, with a view of that age.
     if let Some(confirmed) = started.checked_sub(batch.age) {
-        state.view().freshness.confirm(confirmed);
+        confirm(state, confirmed);
     }
     Ok(())
 }
 
+/// Records that a call which began at `started` brought the view up to date.
+fn confirm(state: &State, started: Duration) {
+    state.view().freshness.confirm(started);
+    if state.is_ready() {
+        state.update_startup(Startup::complete);
+    }
+}
+
 /// Whether other hosts of the zone follow this one.
 fn is_followed(state: &State, upstream: &Upstream) -> bool {
     let settings = state.settings();
