--- a/crates/gateway/tests/all/startup.rs
+++ b/crates/gateway/tests/all/startup.rs
@@ -1,11 +1,13 @@
 //! Tests of hosts that start while the store is slow or its link is full.
 
+use core::net::SocketAddrV4;
 use core::time::Duration;
 
 use hyper::StatusCode;
 
 use crate::complete_stream;
 use crate::run_test;
+use crate::system::Response;
 use crate::system::System;
 use agatemill_gateway::Process;
 use agatemill_standin::Link;
@@ -16,10 +18,7 @@
 const ENTRY_BYTES: usize = 200_000;
 
 /// Starts another host whose link to the store carries `bytes_per_s`, and returns it with its address for callers.
-async fn start_host(
-    system: &System,
-    bytes_per_s: usize,
-) -> (Process, core::net::SocketAddrV4, Link) {
+async fn start_host(system: &System, bytes_per_s: usize) -> (Process, SocketAddrV4, Link) {
     let link = Link::open(system.store_address, bytes_per_s);
     let settings = crate::system::settings("h2", link.address);
     let callers = settings.callers;
@@ -50,11 +49,7 @@
     });
 }
 
-async fn send(
-    system: &System,
-    host: core::net::SocketAddrV4,
-    attempt: &str,
-) -> crate::system::Response {
+async fn send(system: &System, host: SocketAddrV4, attempt: &str) -> Response {
     let call = system.call("draft", attempt);
     system.send_call(Call { host, ..call }).await
 }
@@ -99,3 +94,27 @@
         assert_eq!(system.run_count("long") + system.run_count("failed"), 0);
     });
 }
+
+/// Guards against a request that waits for the first view of its host and is cut off without an answer by a planned stop.
+#[test]
+fn a_request_that_waits_during_a_planned_stop_is_answered() {
+    run_test(2, |system| async move {
+        fill_store(&system);
+        let (process, callers, _link) = start_host(&system, 300_000).await;
+        let stop = async {
+            agatemill_runtime::sleep(Duration::from_millis(100)).await;
+            assert!(!process.state().is_ready());
+            process.close().await;
+        };
+        let (response, ()) = futures::join!(send(&system, callers, "waiting"), stop);
+        assert!(response.is_complete);
+        match response.status {
+            StatusCode::OK => assert_eq!(response.body, complete_stream()),
+            status => {
+                assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+                assert!(response.headers.contains_key("retry-after"));
+                assert_eq!(system.run_count("waiting"), 0);
+            }
+        }
+    });
+}
