Let the retries of a large fleet add up

Cause: each host sent the whole number below its share of the retry budget.

Ruled out: the number of hosts, which was right; the reserve for killed processes, which is kept.

Change: each process adds a random offset between 0 and 1 before it rounds.

The test of restarts also plays offsets.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -38,9 +38,14 @@
 /// A process may follow one that was killed and whose retries in the window are unknown. Its free retries grow
 /// with its age over one window, so that all processes of a host together send less than two shares of them in
 /// any window, however often the host restarts.
+///
+/// Shares are fractions, and small in a large fleet: 1.9 retries a window for each of 295 hosts. Rounded down, they would
+/// leave half of the retries unused, so each process adds an offset of its own before it rounds.
 #[derive(Clone, Debug)]
 pub struct Budget {
     allowance: Allowance,
+    /// Added to the share before it is rounded down. Invariant: from 0 to below 1.
+    offset: f64,
     /// When the budget was created.
     created: Duration,
     /// Whether an earlier process of this host may have sent retries.
@@ -67,8 +72,10 @@
     pub requests: u32,
     /// Retries that this host sent in the window.
     pub retries: u32,
-    /// Retries that this host may send in the window.
+    /// Retries that this host may send in the window, before rounding.
     pub allowed: f64,
+    /// Added before `allowed` is rounded down.
+    pub offset: f64,
 }
 
 impl Balance {
@@ -79,7 +86,7 @@
             Purpose::Retry => self.allowed,
             Purpose::Backup => self.allowed * (1.0 - RESERVED_SHARE),
         };
-        f64::from(self.retries) + 1.0 <= allowed
+        f64::from(self.retries) + 1.0 <= allowed + self.offset
     }
 }
 
@@ -100,6 +107,7 @@
     pub fn new(allowance: Allowance, now: Duration) -> Self {
         Self {
             allowance,
+            offset: 0.0,
             created: now,
             has_predecessor: true,
             buckets: VecDeque::new(),
@@ -115,13 +123,20 @@
         }
     }
 
+    /// Sets what is added to the share before it is rounded down: random numbers from 0 to below 1 in the processes of a
+    /// fleet, so that their shares together are not rounded.
+    #[must_use]
+    pub fn with_offset(self, offset: f64) -> Self {
+        Self { offset, ..self }
+    }
+
     /// Replaces the allowance. Requests and retries of the window still count. With a window of another length they
     /// cannot be assigned to its buckets, so the budget continues like that of a restarted process.
     pub fn set_allowance(&mut self, allowance: Allowance, now: Duration) {
         if allowance.window == self.allowance.window {
             self.allowance = allowance;
         } else {
-            *self = Self::new(allowance, now);
+            *self = Self::new(allowance, now).with_offset(self.offset);
         }
     }
 
@@ -165,6 +180,7 @@
             requests,
             retries,
             allowed: (free * available + earned) * USED_SHARE,
+            offset: self.offset,
         }
     }
 
--- a/crates/fleet/tests/budget.rs
+++ b/crates/fleet/tests/budget.rs
@@ -72,6 +72,11 @@
     }
 }
 
+/// Numbers from 0 to 1 that are spread evenly, for processes that are numbered.
+fn spread(process: u32) -> f64 {
+    (f64::from(process) * 0.618_033_988_75).fract()
+}
+
 /// A fleet whose hosts take every retry that they may.
 struct Fleet {
     allowance: Allowance,
@@ -97,12 +102,14 @@
 impl Fleet {
     /// Plays the fleet, in which all listed hosts are killed at the times `kills`, and returns the largest number of
     /// retries in any window. A host that the store turns away serves nothing after a restart, so it is not killed.
-    fn play(&self, kills: &[Duration]) -> usize {
+    fn play(&self, kills: &[Duration], offset: fn(u32) -> f64) -> usize {
+        let mut processes = 0..;
+        let mut start = |now| {
+            let offset = offset(processes.next().unwrap());
+            Budget::new(self.allowance, now).with_offset(offset)
+        };
         let mut hosts: Vec<(Budget, Headcount)> = (0..self.hosts)
-            .map(|_| {
-                let budget = Budget::new(self.allowance, Duration::ZERO);
-                (budget, Headcount::default())
-            })
+            .map(|_| (start(Duration::ZERO), Headcount::default()))
             .collect();
         let mut taken = Vec::new();
         let mut requests = 0;
@@ -113,7 +120,7 @@
             let listed = if is_unlisted { self.listed } else { self.hosts };
             for (number, (budget, headcount)) in (0..self.hosts).zip(&mut hosts) {
                 if is_killed && number < listed {
-                    *budget = Budget::new(self.allowance, now);
+                    *budget = start(now);
                     *headcount = Headcount::default();
                 }
                 headcount.record(listed as usize, now);
@@ -166,7 +173,8 @@
                     rate,
                     listed,
                 };
-                let most = fleet.play(kills);
+                let most = [|_| 0.0, spread].map(|offset| fleet.play(kills, offset));
+                let most = most.into_iter().max().unwrap();
                 let requests = f64::from(rate) * allowance.window.as_secs_f64();
                 let allowed = allowance.base + allowance.ratio * requests;
                 println!("{rate}/s, {listed} listed, killed at {kills:?}: {most} of {allowed}");
@@ -178,3 +186,29 @@
         }
     }
 }
+
+/// Guards against a large fleet that refuses requests of callers although most of its retries are unused: in a play of 295
+/// hosts, large engines crashed while each host had received 6 requests, and each sent one retry of the 1.9 of its share.
+#[test]
+fn hosts_with_small_shares_use_the_retries_of_the_fleet() {
+    const LARGE_FLEET: u32 = 295;
+    let allowance = Allowance {
+        base: 774.0,
+        ..ALLOWANCE
+    };
+    let mut headcount = Headcount::default();
+    headcount.record(LARGE_FLEET as usize, Duration::ZERO);
+    let now = Duration::from_secs(5);
+    let play = |host| {
+        let budget = Budget::without_predecessor(allowance, Duration::ZERO);
+        let mut budget = budget.with_offset(spread(host));
+        (0..6).for_each(|_| budget.record_request(now));
+        let takes = core::iter::repeat_with(|| budget.take(Purpose::Retry, &headcount, now));
+        takes.take_while(|taken| *taken).count()
+    };
+    let retries: usize = (0..LARGE_FLEET).map(play).sum();
+    let retries = f64::from(u32::try_from(retries).unwrap());
+    let half = 0.5 * (allowance.base + allowance.ratio * f64::from(6 * LARGE_FLEET));
+    assert!(retries > 0.98 * half, "{retries} of {half} are sent");
+    assert!(retries < 1.02 * half, "{retries} of {half} are sent");
+}
--- a/crates/fleet/tests/startup.rs
+++ b/crates/fleet/tests/startup.rs
@@ -47,10 +47,10 @@
         loop {
             let startup = self.startup(now);
             if startup == Startup::Complete {
-                return End::Admitted(now - arrived);
+                return End::Admitted(now.saturating_sub(arrived));
             }
             if startup.wait(arrived, Some(left), now).is_zero() {
-                return End::Refused(now - arrived);
+                return End::Refused(now.saturating_sub(arrived));
             }
             now += STEP;
         }
@@ -112,7 +112,10 @@
     assert_eq!(host.play(ms(200), STREAM), End::Refused(Duration::ZERO));
     let mut startup = host.startup(ms(200));
     startup.record_response(ms(900));
-    assert_eq!(startup.wait(ms(950), None, ms(1_000)), MAX_WAIT - ms(50));
+    assert_eq!(
+        startup.wait(ms(950), None, ms(1_000)),
+        MAX_WAIT.saturating_sub(ms(50))
+    );
 }
 
 /// Guards against requests that wait at a host which has served and lost the store since: its answer is known at once.
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -205,7 +205,7 @@
         let balance = state.retry_balance(&job.service);
         log::info!(
             request:% = job.parameters.attempt, service:% = job.service, hosts = balance.hosts,
-            requests = balance.requests, retries = balance.retries, allowed = balance.allowed;
+            requests = balance.requests, retries = balance.retries, allowed = balance.allowed, offset = balance.offset;
             "request: retry budget used up"
         );
         state.metrics.count_event("retry", "denied");
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -345,11 +345,12 @@
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
             let allowance = settings.bounds.allowance();
             let created = since.unwrap_or_else(agatemill_runtime::now);
-            if settings.first_start {
+            let budget = if settings.first_start {
                 Budget::without_predecessor(allowance, created)
             } else {
                 Budget::new(allowance, created)
-            }
+            };
+            budget.with_offset(fastrand::f64())
         });
         act(budget)
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -236,7 +236,7 @@
     let balance = state.retry_balance(&job.service);
     log::warn!(
         request:% = job.parameters.attempt, service:% = job.service, hosts = balance.hosts,
-        requests = balance.requests, retries = balance.retries, allowed = balance.allowed;
+        requests = balance.requests, retries = balance.retries, allowed = balance.allowed, offset = balance.offset;
         "stream: retry budget used up"
     );
     Obstacle::Budget
--- a/crates/gateway/tests/all/startup.rs
+++ b/crates/gateway/tests/all/startup.rs
@@ -40,7 +40,7 @@
         system
             .wait_until("the host is ready", || process.state().is_ready())
             .await;
-        let time = agatemill_runtime::now() - started;
+        let time = agatemill_runtime::now().saturating_sub(started);
         assert!(
             time > Duration::from_secs(2),
             "the reading took only {time:?}"
@@ -79,7 +79,7 @@
         let process = Process::start(settings).await.unwrap();
         let started = agatemill_runtime::now();
         let response = send(&system, callers, "long").await;
-        let time = agatemill_runtime::now() - started;
+        let time = agatemill_runtime::now().saturating_sub(started);
         assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
         assert!(response.headers.contains_key("retry-after"));
         assert!(time < Duration::from_secs(3), "it waited for {time:?}");
@@ -87,7 +87,7 @@
         agatemill_runtime::sleep(Duration::from_secs(2)).await;
         let started = agatemill_runtime::now();
         let response = send(&system, callers, "failed").await;
-        let time = agatemill_runtime::now() - started;
+        let time = agatemill_runtime::now().saturating_sub(started);
         assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
         assert!(time < Duration::from_secs(1), "it waited for {time:?}");
         assert!(!process.state().is_ready());
