--- a/crates/http/tests/pace.rs
+++ b/crates/http/tests/pace.rs
@@ -79,7 +79,7 @@
 #[test]
 fn a_body_whose_end_does_not_arrive_is_given_up() {
     smol::block_on(async {
-        let address = serve(2, 1_500, Duration::from_millis(1_000)).await;
+        let address = serve(2, 1_500, Duration::from_secs(1)).await;
         assert_matches!(fetch(address).await, Err(Error::TimedOut));
     });
 }
