--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -39,8 +39,8 @@
 /// with its age over one window, so that all processes of a host together send less than two shares of them in
 /// any window, however often the host restarts.
 ///
-/// Shares are fractions, and small in a large fleet: 1.9 retries a window for each of 295 hosts. Rounded down, they would
-/// leave half of the retries unused, so each process adds an offset of its own before it rounds.
+/// Shares are fractions, and small in a large fleet. Rounded down at each host they would leave up to one retry a host
+/// unused, so each process adds an offset of its own before it rounds.
 #[derive(Clone, Debug)]
 pub struct Budget {
     allowance: Allowance,
