Do not pass on an answer that ended with its server

Cause: an answer to a call that has neither a length nor chunks ends with its connection, and so does one whose server crashes in it.

Ruled out: answers with a length or chunks, whose missing rest the HTTP library reports, and resets.

Change: such an answer is whole if its server still runs or leaves, as for streams; otherwise it is unknown whether the call has run. The decision is one function of calls and streams. Responses without a body are not checked.

Test: an_answer_that_ends_with_its_server_is_not_complete. After: 502, and an idempotent call gets the whole answer of another server.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,6 +7,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use http_body_util::Full;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -21,6 +22,7 @@
 use crate::reservation::Reservation;
 use crate::response;
 use crate::response::Body;
+use crate::stall;
 use crate::throttle;
 use agatemill_adapter::header;
 use agatemill_core::Cause;
@@ -423,6 +425,13 @@
     if let Ok(response) = &result {
         state.record_response(server.address);
         throttle::observe(state, &server.id, response.headers(), sent);
+        if has_body(job, response.status())
+            && reply::may_be_cut(state, &server.id, header::framing(response.headers()))
+            && stall::has_ended(state, server.address).await
+        {
+            log::warn!(request:% = job.parameters.attempt, server:% = server.id; "request: the server ended with its answer");
+            return Attempt::Unknown(Cause::ConnectionLost);
+        }
     }
     match result {
         Ok(response) => judge(state, job, server, response),
@@ -437,6 +446,12 @@
     }
 }
 
+/// Whether a response to the call with this status has a body.
+fn has_body(job: &Job, status: StatusCode) -> bool {
+    let is_empty = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    job.method != Method::HEAD && !is_empty
+}
+
 /// Decides what a complete response of a server means for the call.
 fn judge(state: &State, job: &Job, server: &Server, response: Response<Bytes>) -> Attempt {
     let attempt = &job.parameters.attempt;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -41,7 +41,6 @@
 use agatemill_fleet::reply::Flaw;
 use agatemill_fleet::reply::Framing;
 use agatemill_fleet::reply::Verdict;
-use agatemill_fleet::server;
 use agatemill_fleet::server::Instance;
 use agatemill_fleet::suspicion::Standing;
 
@@ -268,11 +267,7 @@
     /// first engine is not about to exit.
     #[must_use]
     pub fn may_be_cut(&self) -> bool {
-        let listed = self.state.view().server(&self.instance.server).cloned();
-        let is_staying = listed.is_some_and(|server| {
-            server.state == server::State::Ready && self.state.departures().is_staying(&server)
-        });
-        self.framing.needs_running_server(is_staying)
+        reply::may_be_cut(&self.state, &self.instance.server, self.framing)
     }
 
     /// Finds out whether the first engine of a run that ended has ended too, and records a crash.
--- a/crates/gateway/tests/all/unframed.rs
+++ b/crates/gateway/tests/all/unframed.rs
@@ -173,3 +173,38 @@
         assert!(!response.is_complete);
     });
 }
+
+/// Guards against the part of an answer that passes for all of it because its server crashed within it.
+#[test]
+fn an_answer_that_ends_with_its_server_is_not_complete() {
+    run_test(2, |system| async move {
+        let closed = http::serve_unframed(|_| ("done by raw".to_owned(), End::Close));
+        system
+            .move_server(&system.services[1], "plain", closed)
+            .await;
+        for route in ["pay", "read"] {
+            let runs = Arc::new(AtomicUsize::new(0));
+            let counted = Arc::clone(&runs);
+            let address = http::serve_unframed(move |_| {
+                counted.fetch_add(1, Ordering::Relaxed);
+                ("done by".to_owned(), End::Exit)
+            });
+            system
+                .move_server(&system.services[0], "plain", address)
+                .await;
+            // Either server is chosen.
+            let mut number = 0;
+            while runs.load(Ordering::Relaxed) == 0 {
+                let response = system.send(route, &format!("{route}{number}")).await;
+                let is_cut = runs.load(Ordering::Relaxed) > 0 && route == "pay";
+                if is_cut {
+                    assert_eq!(response.status, 502, "it may have run: {response:?}");
+                } else {
+                    let answer = (response.status.as_u16(), response.body.as_str());
+                    assert_eq!(answer, (200, "done by raw"), "{route}");
+                }
+                number += 1;
+            }
+        }
+    });
+}
