Split the shared state and wait for startups without a listener

It held two guards of one shape, which the server had a third time, and what I had added for startups: each request created a listener, also at hosts that have long been ready.

Change: Counter and its guard serve requests, connections and listeners. Gate holds the wait of requests and looks at the startup before it listens. Stage has its own file. A request that waited has a log line.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,6 +21,7 @@
 
 use crate::State;
 use crate::call;
+use crate::counter;
 use crate::response;
 use crate::response::Body;
 use crate::state::Stage;
@@ -181,7 +182,7 @@
 async fn serve(
     state: &Arc<State>,
     job: Job,
-    active: crate::state::RequestGuard,
+    active: counter::Guard,
 ) -> Result<Response<Body>, Refusal> {
     state.count_request(&job.service);
     let id = job.parameters.attempt.clone();
@@ -223,11 +224,18 @@
         );
     }
     let parameters = Parameters::from(&head.headers);
-    state.await_startup(arrived, parameters.deadline).await;
+    let is_serving = || state.stage() == Stage::Serving;
+    let has_waited = state
+        .gate
+        .pass(arrived, parameters.deadline, is_serving)
+        .await;
     let configuration = state.view().configuration.clone();
+    let waited = agatemill_runtime::now().saturating_sub(arrived);
+    let ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
+    if has_waited {
+        log::info!(request:% = parameters.attempt, ms, is_ready = state.is_ready(); "request: waited for the first view");
+    }
     let configuration = configuration.ok_or_else(|| {
-        let waited = agatemill_runtime::now().saturating_sub(arrived);
-        let ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
         log::warn!(request:% = parameters.attempt, ms; "request: refused, no configuration yet");
         Refusal::not_run(Reason::NotReady, "no configuration yet").retry_after(VIEW_RETRY_AFTER)
     })?;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,10 +6,10 @@
 use bytes::Bytes;
 
 use crate::State;
+use crate::counter;
 use crate::exchange::Job;
 use crate::runs::Output;
 use crate::runs::Runs;
-use crate::state::RequestGuard;
 use agatemill_core::Outcome;
 use agatemill_core::Refusal;
 
@@ -19,13 +19,13 @@
     job: Arc<Job>,
     runs: Runs,
     is_done: bool,
-    active: Option<RequestGuard>,
+    active: Option<counter::Guard>,
 }
 
 impl Relay {
     /// Creates the relay for a stream that an engine has started.
     #[must_use]
-    pub fn new(state: &Arc<State>, job: &Arc<Job>, runs: Runs, active: RequestGuard) -> Self {
+    pub fn new(state: &Arc<State>, job: &Arc<Job>, runs: Runs, active: counter::Guard) -> Self {
         Self {
             state: Arc::clone(state),
             job: Arc::clone(job),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -4,8 +4,6 @@
 use core::future::Future;
 use core::net::SocketAddrV4;
 use core::pin::pin;
-use core::sync::atomic::AtomicUsize;
-use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::sync::Arc;
 
@@ -24,6 +22,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use crate::Counter;
 use crate::Error;
 use crate::State;
 use crate::directory;
@@ -117,15 +116,15 @@
 ) where
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let open = Arc::new(AtomicUsize::new(0));
+    let open = Counter::default();
     loop {
-        if open.load(Ordering::Relaxed) >= MAX_CONNECTIONS {
+        if open.get() >= MAX_CONNECTIONS {
             agatemill_runtime::sleep(ACCEPT_BACKOFF).await;
             continue;
         }
         match listener.accept().await {
             Ok((stream, _)) => {
-                let guards = (SlotGuard::new(&open), state.track_connection());
+                let guards = (open.track(), state.track_connection());
                 let connection = serve_connection(Arc::clone(state), stream, respond.clone());
                 let task = async move {
                     connection.await;
@@ -141,22 +140,6 @@
     }
 }
 
-/// Takes one of the connections of a listener until dropped.
-struct SlotGuard(Arc<AtomicUsize>);
-
-impl SlotGuard {
-    fn new(open: &Arc<AtomicUsize>) -> Self {
-        open.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(open))
-    }
-}
-
-impl Drop for SlotGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 async fn serve_connection<F>(
     state: Arc<State>,
     stream: TcpStream,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,9 +1,10 @@
 //! Shared state of the process.
 
+pub mod stage;
+
 use core::net::SocketAddrV4;
 use core::sync::atomic::AtomicBool;
 use core::sync::atomic::AtomicU8;
-use core::sync::atomic::AtomicUsize;
 use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::collections::HashMap;
@@ -15,11 +16,14 @@
 use event_listener::Event;
 use event_listener::EventListener;
 
+use crate::Counter;
 use crate::Settings;
 use crate::View;
 use crate::backoff;
 use crate::clock;
+use crate::counter;
 use crate::feed::Feed;
+use crate::gate::Gate;
 use crate::stall;
 use agatemill_adapter::Store;
 use agatemill_core::id;
@@ -37,7 +41,6 @@
 use agatemill_fleet::Quarantine;
 use agatemill_fleet::Route;
 use agatemill_fleet::Server;
-use agatemill_fleet::Startup;
 use agatemill_fleet::Suspicion;
 use agatemill_fleet::Throttle;
 use agatemill_fleet::budget::Balance;
@@ -49,6 +52,8 @@
 use agatemill_http::Buffers;
 use agatemill_metrics::Registry;
 
+pub use stage::Stage;
+
 /// Timeout for connecting to a backend server: many round trips within a region, and a small part of the target
 /// latency.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -96,33 +101,19 @@
     budgets: Mutex<HashMap<id::Service, Budget>>,
     throttle: Mutex<Throttle>,
     allocator: Mutex<Allocator>,
-    startup: Mutex<Startup>,
-    /// Notified when the progress of the startup changes.
-    startup_changes: Event,
+    /// Keeps requests until the host is ready for the first time.
+    pub gate: Gate,
     stage: AtomicU8,
     /// Notified when the stage changes.
     stage_changes: Event,
     /// Number of requests in progress.
-    active: AtomicUsize,
+    active: Counter,
     /// Number of open connections of all listeners.
-    connections: AtomicUsize,
+    connections: Counter,
     /// Whether a newer configuration is being fetched from another host.
     pub is_consulting: AtomicBool,
 }
 
-/// Shutdown stage of the process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Stage {
-    /// Serving normally.
-    Serving,
-    /// Still serving, but closing connections so that callers move to other hosts.
-    Leaving,
-    /// No new streams are started, since they might outlast the process.
-    Closing,
-    /// No requests are started, and connections are closed as soon as their responses are written.
-    Ending,
-}
-
 impl State {
     /// Creates the initial state, with an empty view.
     #[must_use]
@@ -155,12 +146,11 @@
             budgets: Mutex::default(),
             throttle: Mutex::new(Throttle::new(fastrand::u64(..))),
             allocator: Mutex::default(),
-            startup: Mutex::new(Startup::begin(agatemill_runtime::now())),
-            startup_changes: Event::new(),
+            gate: Gate::new(agatemill_runtime::now()),
             stage: AtomicU8::new(0),
             stage_changes: Event::new(),
-            active: AtomicUsize::new(0),
-            connections: AtomicUsize::new(0),
+            active: Counter::default(),
+            connections: Counter::default(),
             is_consulting: AtomicBool::new(false),
         }
     }
@@ -409,41 +399,10 @@
         self.stage() == Stage::Serving && self.is_fresh() && self.view().configuration.is_some()
     }
 
-    /// Records progress of the startup.
-    pub fn update_startup(&self, update: impl FnOnce(&mut Startup)) {
-        let mut startup = lock(&self.startup);
-        let before = *startup;
-        update(&mut startup);
-        let is_changed = *startup != before;
-        drop(startup);
-        if is_changed {
-            self.startup_changes.notify(usize::MAX);
-        }
-    }
-
-    /// Lets a request that arrives while the host starts wait until the host is ready, within the limits of
-    /// [`Startup::wait`]. `left` is the time that its caller had left when it arrived.
-    pub async fn await_startup(&self, arrived: Duration, left: Option<Duration>) {
-        loop {
-            let change = self.startup_changes.listen();
-            let startup = *lock(&self.startup);
-            let wait = startup.wait(arrived, left, agatemill_runtime::now());
-            if wait.is_zero() || self.stage() != Stage::Serving {
-                return;
-            }
-            agatemill_runtime::timeout(wait, change).await;
-        }
-    }
-
     /// Shutdown stage of the process.
     #[must_use]
     pub fn stage(&self) -> Stage {
-        match self.stage.load(Ordering::Relaxed) {
-            0 => Stage::Serving,
-            1 => Stage::Leaving,
-            2 => Stage::Closing,
-            _ => Stage::Ending,
-        }
+        self.stage.load(Ordering::Relaxed).into()
     }
 
     /// Sets the shutdown stage.
@@ -466,27 +425,25 @@
     /// Number of requests in progress.
     #[must_use]
     pub fn active(&self) -> usize {
-        self.active.load(Ordering::Relaxed)
+        self.active.get()
     }
 
     /// Counts a request as active until the guard is dropped.
     #[must_use]
-    pub fn track_request(self: &Arc<Self>) -> RequestGuard {
-        self.active.fetch_add(1, Ordering::Relaxed);
-        RequestGuard(Arc::clone(self))
+    pub fn track_request(&self) -> counter::Guard {
+        self.active.track()
     }
 
     /// Number of open connections of all listeners.
     #[must_use]
     pub fn connections(&self) -> usize {
-        self.connections.load(Ordering::Relaxed)
+        self.connections.get()
     }
 
     /// Counts a connection as open until the guard is dropped.
     #[must_use]
-    pub fn track_connection(self: &Arc<Self>) -> ConnectionGuard {
-        self.connections.fetch_add(1, Ordering::Relaxed);
-        ConnectionGuard(Arc::clone(self))
+    pub fn track_connection(&self) -> counter::Guard {
+        self.connections.track()
     }
 
     /// Servers of a service that are ready, do not leave, are not avoided and accept requests of this host.
@@ -505,26 +462,6 @@
     }
 }
 
-/// Counts a request as active until dropped.
-#[derive(Debug)]
-pub struct RequestGuard(Arc<State>);
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        self.0.active.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// Counts a connection as open until dropped.
-#[derive(Debug)]
-pub struct ConnectionGuard(Arc<State>);
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.connections.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Logs and counts what the eras of the store's responses show.
 fn store_observer(
     metrics: &Registry,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -19,6 +19,7 @@
 use crate::backoff;
 use crate::choice;
 use crate::choice::Size;
+use crate::counter;
 use crate::exchange::Job;
 use crate::quarantine;
 use crate::quarantine::Denial;
@@ -28,7 +29,6 @@
 use crate::response::Body;
 use crate::runs::Output;
 use crate::runs::Runs;
-use crate::state::RequestGuard;
 use crate::state::Stage;
 use crate::throttle;
 use agatemill_adapter::engine;
@@ -102,7 +102,7 @@
 pub async fn open(
     state: &Arc<State>,
     job: Job,
-    active: RequestGuard,
+    active: counter::Guard,
 ) -> Result<Response<Body>, Refusal> {
     if state.stage() >= Stage::Closing {
         return Err(
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -81,7 +81,9 @@
             }
             self.failures = 0;
         }
-        state.update_startup(|startup| startup.record_response(agatemill_runtime::now()));
+        state
+            .gate
+            .update(|startup| startup.record_response(agatemill_runtime::now()));
         self.upstream.record_answer(&source);
         if self.source.as_ref() != Some(&source) {
             match &source {
@@ -104,7 +106,7 @@
         }
         state.metrics.count_event("store", "call_failed");
         state.feed.suspend();
-        state.update_startup(Startup::record_failure);
+        state.gate.update(Startup::record_failure);
         self.upstream
             .record_failure(&Source::Store, agatemill_runtime::now());
         self.failures = self.failures.saturating_add(1);
@@ -136,7 +138,9 @@
     if replicator.failures > 0 {
         let interval = state.settings().bounds.timing().probe_interval();
         replicator.probe.run(&state.store, interval).await?;
-        state.update_startup(|startup| startup.record_response(agatemill_runtime::now()));
+        state
+            .gate
+            .update(|startup| startup.record_response(agatemill_runtime::now()));
     }
     let started = clock::boot_time();
     let snapshot = state.store.list().await?;
@@ -357,7 +361,7 @@
 fn confirm(state: &State, started: Duration) {
     state.view().freshness.confirm(started);
     if state.is_ready() {
-        state.update_startup(Startup::complete);
+        state.gate.update(Startup::complete);
     }
 }
 
