Reach the failing server before its failures are checked

Cause: refused::a_request_that_may_run_again_is_sent_to_another_server sends six requests to servers that are chosen at random and asserts that the failing one received one. Change: System::reach_with sends requests, each of which is checked as before, until the server has received one; the six requests follow as before. Conclusion: the test failed by chance; no fault of the router.

--- a/crates/gateway/tests/all/backoff.rs
+++ b/crates/gateway/tests/all/backoff.rs
@@ -72,23 +72,10 @@
         .collect()
 }
 
-/// Sends requests until the server has received one.
-async fn reach(system: &System, route: &str, server: &Engine) {
-    let before = server.arrivals().len();
-    for number in 0..200 {
-        let attempt = format!("{}-{number}-{before}", server.id);
-        system.send(route, &attempt).await;
-        if server.arrivals().len() > before {
-            return;
-        }
-    }
-    panic!("no request reached {}", server.id);
-}
-
 /// Sends requests to a server that serves again, until it receives one.
 async fn assert_used_again(system: &System, route: &str, server: &Engine) {
     server.set_behaviour(Behaviour::Serve);
-    reach(system, route, server).await;
+    system.reach(route, server).await;
 }
 
 /// The `Retry-After` of a rejection, in seconds.
@@ -160,7 +147,7 @@
         let wait = Duration::from_secs(5);
         let busy = first_engines(&system)[0];
         turn_away(busy, Behaviour::Reject, "5");
-        reach(&system, "draft", busy).await;
+        system.reach("draft", busy).await;
         let responses = press(&system, "draft", Duration::from_millis(4_600)).await;
         assert!(late_requests(busy, wait) <= MAX_REQUESTS);
         assert!(responses.len() > SENDERS);
@@ -184,7 +171,7 @@
             .find(|engine| firsts.iter().all(|first| first.id != engine.id));
         busy.set_faulty(Some(named.unwrap().address));
         turn_away(busy, Behaviour::Reject, "2");
-        reach(&system, "draft", busy).await;
+        system.reach("draft", busy).await;
         press(&system, "draft", Duration::from_millis(1_800)).await;
         assert!(late_requests(busy, Duration::from_secs(2)) <= MAX_REQUESTS);
         assert!(late_requests(firsts[1], Duration::from_mins(1)) > MAX_REQUESTS);
@@ -204,7 +191,7 @@
             let wait = Duration::from_millis(1_800);
             let busy = &system.services[0];
             turn_away(busy, behaviour, "1.8");
-            reach(&system, route, busy).await;
+            system.reach(route, busy).await;
             let responses = press(&system, route, Duration::from_millis(1_500)).await;
             let late = late_requests(busy, wait);
             assert!(late <= MAX_REQUESTS, "{route} {behaviour:?}: {late}");
@@ -223,7 +210,7 @@
     run_test(2, |system| async move {
         let busy = &system.services[0];
         turn_away(busy, Behaviour::EndlessBody(503), "3");
-        reach(&system, "read", busy).await;
+        system.reach("read", busy).await;
         press(&system, "read", Duration::from_millis(1_500)).await;
         assert!(late_requests(busy, Duration::from_secs(3)) <= MAX_REQUESTS);
     });
@@ -302,7 +289,7 @@
     run_test(4, |system| async move {
         let firsts = first_engines(&system);
         turn_away(firsts[0], Behaviour::Reject, "8");
-        reach(&system, "draft", firsts[0]).await;
+        system.reach("draft", firsts[0]).await;
         firsts[0].set_behaviour(Behaviour::Serve);
         // The brief avoidance after a rejection ends.
         agatemill_runtime::sleep(SETTLE_TIME).await;
@@ -350,7 +337,7 @@
     run_test(4, |system| async move {
         let firsts = first_engines(&system);
         turn_away(firsts[0], Behaviour::Reject, "8");
-        reach(&system, "draft", firsts[0]).await;
+        system.reach("draft", firsts[0]).await;
         firsts[0].set_behaviour(Behaviour::Serve);
         agatemill_runtime::sleep(SETTLE_TIME).await;
         firsts[1].set_behaviour(Behaviour::BreakAfter(3));
@@ -370,7 +357,7 @@
             panic!("two servers");
         };
         turn_away(busy, Behaviour::Reject, "8");
-        reach(&system, "read", busy).await;
+        system.reach("read", busy).await;
         busy.set_behaviour(Behaviour::Serve);
         agatemill_runtime::sleep(SETTLE_TIME).await;
         slow.set_behaviour(Behaviour::Slow(2_500));
@@ -398,14 +385,14 @@
         ];
         for text in texts {
             turn_away(server, Behaviour::Reject, text);
-            reach(&system, "read", server).await;
+            system.reach("read", server).await;
             assert_eq!(state.usable_servers(&plain()).len(), 2, "{text}");
         }
         let metrics = String::from_utf8(state.metrics.export().unwrap()).unwrap();
         let line = r#"agatemill_events_total{event="backoff_invalid",part="servers"} 8"#;
         assert!(metrics.contains(line), "{metrics}");
         turn_away(server, Behaviour::Status(500), "8");
-        reach(&system, "read", server).await;
+        system.reach("read", server).await;
         assert_eq!(state.usable_servers(&plain()).len(), 2);
         assert_used_again(&system, "read", server).await;
     });
@@ -420,7 +407,7 @@
             panic!("two servers");
         };
         turn_away(busy, Behaviour::Reject, "8");
-        reach(&system, "read", busy).await;
+        system.reach("read", busy).await;
         for server in &system.services {
             state.suspect(server.address, Evidence::Silent);
         }
@@ -442,7 +429,7 @@
     run_test(2, |system| async move {
         let server = &system.services[0];
         turn_away(server, Behaviour::Reject, "60");
-        reach(&system, "read", server).await;
+        system.reach("read", server).await;
         let usable = || system.process.state().usable_servers(&plain()).len();
         assert_eq!(usable(), 1);
         server.crash();
@@ -461,7 +448,7 @@
         use_slow_routes(&system).await;
         let firsts = first_engines(&system);
         turn_away(firsts[0], Behaviour::Reject, "30");
-        reach(&system, "draft", firsts[0]).await;
+        system.reach("draft", firsts[0]).await;
         for attempt in ["a1", "a2", "a3"] {
             let state = system.process.state();
             let reason = "the test holds it back";
@@ -486,7 +473,7 @@
             };
             for server in &servers {
                 server.set_request_limit(Some(50.0));
-                reach(&system, route, server).await;
+                system.reach(route, server).await;
             }
             turn_all_away(&system, route, "2.5").await;
             // Longer than a credit lasts.
@@ -506,7 +493,7 @@
             panic!("two servers");
         };
         turn_away(busy, Behaviour::Reject, "0.8");
-        reach(&system, "pay", busy).await;
+        system.reach("pay", busy).await;
         busy.set_behaviour(Behaviour::Serve);
         silent.set_behaviour(Behaviour::Silent);
         // A suspicion would end with the next regular query, which a silent server accepts.
--- a/crates/gateway/tests/all/endless.rs
+++ b/crates/gateway/tests/all/endless.rs
@@ -7,6 +7,7 @@
 
 use crate::complete_stream;
 use crate::run_test;
+use crate::system::Response;
 use agatemill_standin::engine::Behaviour;
 use agatemill_standin::http;
 
@@ -35,15 +36,14 @@
     run_test(4, |system| async move {
         let faulty = &system.engines[0];
         faulty.set_behaviour(Behaviour::EndlessBody(200));
-        for number in 0..6 {
-            let response = system.send("draft", &format!("a{number}")).await;
+        let is_complete = |response: &Response| {
             assert_eq!(response.body, complete_stream());
             assert!(response.is_complete);
+        };
+        system.reach_with("draft", faulty, is_complete).await;
+        for number in 0..6 {
+            is_complete(&system.send("draft", &format!("a{number}")).await);
         }
-        assert!(
-            !faulty.arrivals().is_empty(),
-            "no stream met the faulty engine"
-        );
     });
 }
 
--- a/crates/gateway/tests/all/refused.rs
+++ b/crates/gateway/tests/all/refused.rs
@@ -65,18 +65,19 @@
 fn a_request_that_may_run_again_is_sent_to_another_server() {
     run_test(4, |system| async move {
         fail_all(&system.services[..1], 503);
+        let is_served = |response: &Response| assert_eq!(response.status, 200, "{response:?}");
+        let failing = &system.services[0];
+        system.reach_with("read", failing, is_served).await;
         for number in 0..6 {
-            let response = system.send("read", &format!("r{number}")).await;
-            assert_eq!(response.status, 200, "{response:?}");
+            is_served(&system.send("read", &format!("r{number}")).await);
         }
-        assert!(!system.services[0].arrivals().is_empty());
         let failing = system.first_engine();
         failing.set_behaviour(Behaviour::Status(503));
+        let is_complete = |response: &Response| assert_eq!(response.body, complete_stream());
+        system.reach_with("draft", failing, is_complete).await;
         for number in 0..6 {
-            let response = system.send("draft", &format!("d{number}")).await;
-            assert_eq!(response.body, complete_stream());
+            is_complete(&system.send("draft", &format!("d{number}")).await);
         }
-        assert!(!failing.arrivals().is_empty());
     });
 }
 
--- a/crates/gateway/tests/all/system.rs
+++ b/crates/gateway/tests/all/system.rs
@@ -29,6 +29,9 @@
 /// time in which the process does not run.
 const MAX_CHECKS: u32 = 2_000;
 
+/// Number of requests that are sent to reach a server.
+const MAX_REQUESTS: u32 = 200;
+
 /// One host, a model on engines that hold half of its layers each, and a service without a model.
 pub struct System {
     pub store: Store,
@@ -232,6 +235,24 @@
         .await;
     }
 
+    /// Sends requests until the server has received one, whatever their responses are.
+    pub async fn reach(&self, route: &str, server: &Engine) {
+        self.reach_with(route, server, |_| ()).await;
+    }
+
+    /// Sends requests until the server has received one, and checks each response. Servers are chosen at random.
+    pub async fn reach_with(&self, route: &str, server: &Engine, check: impl Fn(&Response)) {
+        let before = server.arrivals().len();
+        for number in 0..MAX_REQUESTS {
+            let attempt = format!("{}-{number}-{before}", server.id);
+            check(&self.send(route, &attempt).await);
+            if server.arrivals().len() > before {
+                return;
+            }
+        }
+        panic!("no request reached {}", server.id);
+    }
+
     /// The engine with the first layers.
     pub fn first_engine(&self) -> &Engine {
         let mut engines = self.engines.iter();
