Count the load of hosts with another view of the fleet

Cause: hosts that lose the store keep their former view and collector, while the others take another collector. Change: sums are kept by collector; collectors of other views are found by their messages and name each other. A host that stops collecting tells it with an empty sum. All tests of the workspace were not run on this commit alone.

--- a/crates/fleet/src/census.rs
+++ b/crates/fleet/src/census.rs
@@ -3,7 +3,10 @@
 //! Each host sees a small part of the traffic: an engine that looks idle to one of 80 hosts may be full. Each
 //! host sends its load to one collector of its zone, the collectors exchange their sums, and each collector
 //! sends the total to its zone. A host thus sends and receives one message per round regardless of the number
-//! of hosts, and a collector one for each host of its zone and each other zone.
+//! of hosts, and a collector one for each host of its zone and each other collector.
+//!
+//! Hosts that have lost the store keep their former view, in which another host may be the collector. The collectors of a
+//! zone find each other by their messages, so that the total includes the hosts on both sides.
 
 use core::net::SocketAddrV4;
 use core::time::Duration;
@@ -23,6 +26,9 @@
 /// not vanish when one message is lost.
 const MAX_AGE: Duration = Duration::from_millis(1_200);
 
+/// Maximum number of collectors that a message names: several for each zone.
+const MAX_COLLECTORS: usize = 64;
+
 /// Message between hosts about their load on backend servers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -33,12 +39,14 @@
         /// Its load.
         tally: Tally,
     },
-    /// Load from all hosts of a zone, sent between collectors.
-    Zone {
-        /// The zone.
-        zone: id::Zone,
-        /// The sum over its hosts.
+    /// Load from the hosts of one collector, sent between collectors.
+    Sum {
+        /// The collector.
+        collector: id::Host,
+        /// The sum over its hosts; empty if it no longer is a collector.
         tally: Tally,
+        /// Addresses of the collectors whose messages it receives.
+        collectors: Vec<SocketAddrV4>,
     },
     /// Load from all hosts, sent by a collector to its zone.
     Total {
@@ -54,14 +62,27 @@
     zone: id::Zone,
     /// Load from the other hosts of this zone, while this host is the collector.
     hosts: HashMap<id::Host, Sample>,
-    /// Load from the other zones, while this host is the collector.
-    zones: HashMap<id::Zone, Sample>,
+    /// Load from the hosts of the other collectors, while this host is a collector.
+    sums: HashMap<id::Host, Sample>,
+    /// Addresses of other collectors with the time of the last sign of each, while this host is a collector.
+    collectors: HashMap<SocketAddrV4, Sign>,
+    /// Addresses that the last sums of this host were sent to; empty if it is not a collector.
+    told: Vec<SocketAddrV4>,
     /// Load from all hosts.
     total: Option<Sample>,
     /// This host's load as of the last round, which the total includes.
     own_sent: Tally,
 }
 
+/// How and when this host last learned that another one is a collector.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sign {
+    /// A message of the collector arrived.
+    received: Option<Duration>,
+    /// Another collector named it.
+    named: Option<Duration>,
+}
+
 /// A received or computed tally and its time.
 #[derive(Clone, Debug)]
 struct Sample {
@@ -77,23 +98,38 @@
             host,
             zone,
             hosts: HashMap::new(),
-            zones: HashMap::new(),
+            sums: HashMap::new(),
+            collectors: HashMap::new(),
+            told: Vec::new(),
             total: None,
             own_sent: Tally::default(),
         }
     }
 
-    /// Handles a message from another host.
-    pub fn receive(&mut self, message: Message, now: Duration) {
+    /// Handles a message that the host at `sender` sent.
+    pub fn receive(&mut self, message: Message, sender: SocketAddrV4, now: Duration) {
         let sample = |tally| Sample { at: now, tally };
         match message {
             Message::Host { host, tally } => {
                 self.hosts.insert(host, sample(tally));
             }
-            Message::Zone { zone, tally } => {
-                self.zones.insert(zone, sample(tally));
+            Message::Sum { collector, .. } if collector == self.host => {}
+            Message::Sum {
+                collector,
+                tally,
+                collectors,
+            } => {
+                self.sums.insert(collector, sample(tally));
+                self.collectors.entry(sender).or_default().received = Some(now);
+                for address in collectors.into_iter().take(MAX_COLLECTORS) {
+                    self.collectors.entry(address).or_default().named = Some(now);
+                }
+            }
+            Message::Total { tally } => {
+                self.total = Some(sample(tally));
+                // It is news only to a host that collects for the same zone.
+                self.collectors.entry(sender).or_default().received = Some(now);
             }
-            Message::Total { tally } => self.total = Some(sample(tally)),
         }
     }
 
@@ -108,12 +144,20 @@
         match member::zone_leader(members, &self.zone) {
             Some(collector) if collector.host != self.host => {
                 self.hosts.clear();
-                self.zones.clear();
+                self.sums.clear();
+                self.collectors.clear();
+                // The hosts of this one are counted by another collector from now on.
+                let told = core::mem::take(&mut self.told);
+                let ends = told
+                    .into_iter()
+                    .map(|address| (address, self.sum(Tally::default(), Vec::new())));
+                let mut messages: Vec<_> = ends.collect();
                 let message = Message::Host {
                     host: self.host.clone(),
                     tally: own,
                 };
-                vec![(collector.exchange, message)]
+                messages.push((collector.exchange, message));
+                messages
             }
             _ => self.collect(own, members, now),
         }
@@ -127,28 +171,29 @@
         members: &HashMap<id::Host, Member>,
         now: Duration,
     ) -> Vec<(SocketAddrV4, Message)> {
-        let is_recent = |sample: &Sample| now <= sample.at + MAX_AGE;
-        self.hosts.retain(|_, sample| is_recent(sample));
-        self.zones.retain(|_, sample| is_recent(sample));
+        let is_recent = |at: Duration| now <= at + MAX_AGE;
+        self.hosts.retain(|_, sample| is_recent(sample.at));
+        self.sums.retain(|_, sample| is_recent(sample.at));
+        self.collectors
+            .retain(|_, sign| sign.received.max(sign.named).is_some_and(is_recent));
         self.hosts.remove(&self.host);
         let mut sum = own;
         for sample in self.hosts.values() {
             sum.add(&sample.tally);
         }
         let mut total = sum.clone();
-        for sample in self.zones.values() {
+        for sample in self.sums.values() {
             total.add(&sample.tally);
         }
-        let mut messages = Vec::new();
-        for zone in member::other_zones(members, &self.zone) {
-            if let Some(collector) = member::zone_leader(members, zone) {
-                let message = Message::Zone {
-                    zone: self.zone.clone(),
-                    tally: sum.clone(),
-                };
-                messages.push((collector.exchange, message));
-            }
-        }
+        self.told = self.other_collectors(members);
+        let received = self.collectors.iter();
+        let received = received.filter(|(_, sign)| sign.received.is_some_and(is_recent));
+        let mut collectors: Vec<SocketAddrV4> = received.map(|(address, _)| *address).collect();
+        collectors.sort_unstable();
+        collectors.truncate(MAX_COLLECTORS);
+        let others = self.told.iter();
+        let sums = others.map(|address| (*address, self.sum(sum.clone(), collectors.clone())));
+        let mut messages: Vec<_> = sums.collect();
         let neighbours = members
             .values()
             .filter(|member| member.zone == self.zone && member.host != self.host);
@@ -165,6 +210,28 @@
         messages
     }
 
+    fn sum(&self, tally: Tally, collectors: Vec<SocketAddrV4>) -> Message {
+        Message::Sum {
+            collector: self.host.clone(),
+            tally,
+            collectors,
+        }
+    }
+
+    /// Addresses of the collectors of the other zones, and of all that have given a sign.
+    fn other_collectors(&self, members: &HashMap<id::Host, Member>) -> Vec<SocketAddrV4> {
+        let zones = member::other_zones(members, &self.zone).into_iter();
+        let leaders = zones.filter_map(|zone| member::zone_leader(members, zone));
+        let leaders = leaders.map(|leader| leader.exchange);
+        let mut others: Vec<SocketAddrV4> =
+            leaders.chain(self.collectors.keys().copied()).collect();
+        let own = members.get(&self.host).map(|member| member.exchange);
+        others.retain(|address| Some(*address) != own);
+        others.sort_unstable();
+        others.dedup();
+        others
+    }
+
     /// Estimates the load from all hosts on a server, given this host's own load and the number of hosts.
     ///
     /// Without a recent total, every other host is assumed to have the same load as this one, since callers
--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -54,24 +54,90 @@
     members: &HashMap<id::Host, Member>,
     from: u32,
     rounds: u32,
+) -> usize {
+    run_rounds_with(hosts, |_| members, from, rounds)
+}
+
+/// Runs rounds in which `members` gives the hosts that the host at an address knows; returns the number of messages of the
+/// last one.
+fn run_rounds_with<'a>(
+    hosts: &mut [Host],
+    members: impl Fn(SocketAddrV4) -> &'a HashMap<id::Host, Member>,
+    from: u32,
+    rounds: u32,
 ) -> usize {
     let mut sent = 0;
     for round in from..from + rounds {
         let now = ROUND * round;
-        let messages: Vec<_> = hosts
-            .iter_mut()
-            .flat_map(|host| host.census.round(Tally::from(&host.load), members, now))
-            .collect();
+        let messages = hosts.iter_mut().flat_map(|host| {
+            let (sender, members) = (host.address, members(host.address));
+            let messages = host.census.round(Tally::from(&host.load), members, now);
+            let messages = messages.into_iter();
+            messages.map(move |(address, message)| (sender, address, message))
+        });
+        let messages: Vec<_> = messages.collect();
         sent = messages.len();
-        for (address, message) in messages {
+        for (sender, address, message) in messages {
             if let Some(host) = hosts.iter_mut().find(|host| host.address == address) {
-                host.census.receive(message, now);
+                host.census.receive(message, sender, now);
             }
         }
     }
     sent
 }
 
+/// The load of all hosts on a server as each host estimates it.
+fn estimates(hosts: &[Host], server: &id::Server, now: Duration) -> Vec<u32> {
+    let estimate = |host: &Host| {
+        let own = host.load.of(server);
+        let all = host
+            .census
+            .estimate(Key::from(server), own, hosts.len(), now);
+        all.requests
+    };
+    hosts.iter().map(estimate).collect()
+}
+
+/// Guards against engines that get twice the requests that they take while some hosts have lost the store: these keep their
+/// former view, the others no longer know them, and either side counted only its own load.
+#[test]
+fn hosts_that_lost_the_store_and_the_others_count_each_other() {
+    let (mut hosts, members) = hosts(30);
+    let server: id::Server = "engine-1".parse().unwrap();
+    for host in &mut hosts {
+        host.load.add(&server, usage(2));
+    }
+    run_rounds(&mut hosts, &members, 0, 4);
+    // The first 12 hosts, among them the collectors of all zones, lose the store, and their leases end.
+    let has_lost = |address: SocketAddrV4| address.port() < 1_012;
+    let mut others = members.clone();
+    others.retain(|_, member| !has_lost(member.exchange));
+    let known = |address| if has_lost(address) { &members } else { &others };
+    run_rounds_with(&mut hosts, known, 4, 8);
+    assert_eq!(estimates(&hosts, &server, ROUND * 12), [60; 30]);
+    // They have the store again.
+    run_rounds(&mut hosts, &members, 12, 8);
+    assert_eq!(estimates(&hosts, &server, ROUND * 20), [60; 30]);
+}
+
+/// Guards against the load of a zone that counts twice after another host has become its collector.
+#[test]
+fn the_load_of_a_former_collector_does_not_count_beside_that_of_the_next() {
+    let (mut hosts, members) = hosts(9);
+    let server: id::Server = "engine-1".parse().unwrap();
+    for host in &mut hosts {
+        host.load.add(&server, usage(2));
+    }
+    let first: id::Host = "h000".parse().unwrap();
+    let mut others = members.clone();
+    others.remove(&first);
+    run_rounds(&mut hosts, &others, 0, 4);
+    run_rounds(&mut hosts, &members, 4, 2);
+    for requests in estimates(&hosts, &server, ROUND * 6) {
+        assert!(requests <= 18, "{requests}");
+    }
+}
+
 fn usage(requests: u32) -> Usage {
     Usage {
         requests,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -116,18 +116,18 @@
     loop {
         let received = socket.recv_from(&mut buffer).await;
         let message = match received {
-            Ok((length, host)) => postcard::from_bytes::<Message>(&buffer[..length])
-                .ok()
-                .map(|message| (message, host)),
-            // A datagram sent earlier reached a closed port; the socket stays usable.
-            Err(_) => None,
+            Ok((length, SocketAddr::V4(host))) => {
+                postcard::from_bytes::<Message>(&buffer[..length])
+                    .ok()
+                    .map(|message| (message, host))
+            }
+            // A datagram sent earlier reached a closed port; the socket stays usable. It has an IPv4 address.
+            Ok((_, SocketAddr::V6(_))) | Err(_) => None,
         };
         match message {
             Some((Message::Round(round), host)) => {
-                if let SocketAddr::V4(host) = host {
-                    consult::observe(&state, round.configuration, host);
-                }
-                receive_round(&state, *round);
+                consult::observe(&state, round.configuration, host);
+                receive_round(&state, *round, host);
             }
             Some((Message::Ask(ask), host)) => {
                 crate::throttle::answer(&state, &registration, &socket, ask, host).await;
@@ -141,9 +141,9 @@
     }
 }
 
-fn receive_round(state: &State, round: Round) {
+fn receive_round(state: &State, round: Round, host: SocketAddrV4) {
     let now = agatemill_runtime::now();
-    state.census().receive(round.census, now);
+    state.census().receive(round.census, host, now);
     let has_evidence = state.quarantine().receive(round.quarantine, now);
     let has_limits = state.throttle().receive(round.throttle, clock::boot_time());
     if has_evidence || has_limits {
--- a/crates/gateway/src/throttle.rs
+++ b/crates/gateway/src/throttle.rs
@@ -1,6 +1,5 @@
 //! Keeps the requests to a server within the rate that it names for all hosts together.
 
-use core::net::SocketAddr;
 use core::net::SocketAddrV4;
 use core::time::Duration;
 use std::collections::HashSet;
@@ -145,11 +144,8 @@
     registration: &Registration,
     socket: &UdpSocket,
     ask: Ask,
-    host: SocketAddr,
+    host: SocketAddrV4,
 ) {
-    let SocketAddr::V4(host) = host else {
-        return;
-    };
     if let Some(grant) = grant(state, registration, ask) {
         gossip::send_message(state, socket, host, &Message::Grant(grant)).await;
     }
