Query engines that are named as lost, and tell the other hosts

Cause: a rejection names the engine at fault, and the host avoided it for 0.3 s. Change: the host queries the named engine, which is suspected if it does not respond. Hosts tell each other what they suspect, and each believes only its own query. The datagram of the census has one more field, so hosts of this version and of earlier ones do not read each other's during an update.

--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -1,5 +1,7 @@
 //! Backend servers that new requests avoid.
 
+mod notice;
+
 use core::net::SocketAddrV4;
 use core::time::Duration;
 use std::collections::HashMap;
@@ -9,6 +11,8 @@
 use crate::evidence::AVOIDANCE;
 use crate::path::Part;
 
+pub use notice::Notice;
+
 /// How often the time for which a server is avoided doubles while it keeps rejecting requests.
 const MAX_DOUBLINGS: u32 = 2;
 
@@ -26,6 +30,16 @@
 /// the other, and a host that has used up its processor time may not run for a tenth of a second.
 const CLOSE_TIME: Duration = Duration::from_millis(150);
 
+/// Interval between queries of a server that others name as lost.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Part of the listed servers of which a host tells the others that they may be lost. A host that finds more silent is probably
+/// cut off itself.
+const MAX_TOLD_SHARE: f64 = 1.0 / 3.0;
+
+/// Maximum number of servers that one notice names.
+const MAX_TOLD: usize = 256;
+
 /// Backend servers that new requests avoid although the platform lists them as ready.
 ///
 /// A server that refuses connections has ended or is full. Its runs end with their connections: a process that ends closes
@@ -40,6 +54,8 @@
     suspects: HashMap<SocketAddrV4, Suspect>,
     /// Servers that rejected requests recently.
     rejecting: HashMap<SocketAddrV4, Rejection>,
+    /// Servers that were queried because others named them as lost, with the time from which they may be queried again.
+    checked: HashMap<SocketAddrV4, Duration>,
     /// Number of connections to each server on which this host is receiving a response; never 0.
     connections: HashMap<SocketAddrV4, usize>,
 }
@@ -220,6 +236,36 @@
         Some(time)
     }
 
+    /// Servers that may be lost, for the other hosts, if they are few of the `listed` ones.
+    #[must_use]
+    pub fn notice(&self, listed: usize, now: Duration) -> Notice {
+        let suspects = self.suspects.iter();
+        let suspects = suspects.filter(|(_, suspect)| suspect.until() > now);
+        let mut servers: Vec<SocketAddrV4> = suspects.map(|(address, _)| *address).collect();
+        // A few thousand servers at most.
+        #[allow(clippy::cast_precision_loss)]
+        let share = servers.len() as f64 / listed.max(1) as f64;
+        if share > MAX_TOLD_SHARE {
+            servers.clear();
+        }
+        servers.sort_unstable();
+        servers.truncate(MAX_TOLD);
+        Notice { servers }
+    }
+
+    /// Whether a server that another server or host names as lost is to be queried now: it is not suspected, and has not been
+    /// queried for that reason within [`CHECK_INTERVAL`]. That others miss it does not show that it is lost, since only their
+    /// links to it may be cut.
+    #[must_use]
+    pub fn begin_check(&mut self, address: SocketAddrV4, now: Duration) -> bool {
+        self.checked.retain(|_, until| *until > now);
+        if self.is_suspected(&address, now) || self.checked.contains_key(&address) {
+            return false;
+        }
+        self.checked.insert(address, now + CHECK_INTERVAL);
+        true
+    }
+
     /// Whether the server is suspected, for whatever reason.
     #[must_use]
     pub fn is_suspected(&self, address: &SocketAddrV4, now: Duration) -> bool {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -14,9 +14,11 @@
 use crate::clock;
 use crate::consult;
 use crate::registration::Registration;
+use crate::stall;
 use agatemill_fleet::Tally;
 use agatemill_fleet::census;
 use agatemill_fleet::quarantine;
+use agatemill_fleet::suspicion;
 use agatemill_fleet::throttle;
 use agatemill_fleet::throttle::message::Ask;
 use agatemill_fleet::throttle::message::Grant;
@@ -48,6 +50,8 @@
     census: census::Message,
     quarantine: quarantine::notice::Notice,
     throttle: throttle::message::Notice,
+    /// Servers that may be lost.
+    suspicion: suspicion::Notice,
     /// Version of the configuration in force.
     configuration: u64,
 }
@@ -80,12 +84,15 @@
         let messages = state.census().round(own, &members, now);
         let quarantine = state.quarantine().notice(now);
         let limits = state.throttle().notice(clock::boot_time());
+        let listed = state.view().services.values().map(Vec::len).sum();
+        let suspicion = state.suspicion().notice(listed, now);
         let configuration = state.version();
         for (address, census) in messages {
             let round = Round {
                 census,
                 quarantine: quarantine.clone(),
                 throttle: limits.clone(),
+                suspicion: suspicion.clone(),
                 configuration,
             };
             send_message(&state, &socket, address, &Message::Round(Box::new(round))).await;
@@ -141,11 +148,12 @@
     }
 }
 
-fn receive_round(state: &State, round: Round, host: SocketAddrV4) {
+fn receive_round(state: &Arc<State>, round: Round, host: SocketAddrV4) {
     let now = agatemill_runtime::now();
     state.census().receive(round.census, host, now);
     let has_evidence = state.quarantine().receive(round.quarantine, now);
     let has_limits = state.throttle().receive(round.throttle, clock::boot_time());
+    stall::check(state, &round.suspicion.servers);
     if has_evidence || has_limits {
         state.announce();
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -372,6 +372,10 @@
                     let reason = "it rejected a request";
                     self.state.avoid(faulty, stream::AVOID_DURATION, reason);
                 }
+                if faulty != first.address {
+                    // It may be full or lost; a lost one would be avoided too briefly.
+                    stall::check(&self.state, &[faulty]);
+                }
                 return Step::NotRun(Cause::Rejected);
             }
             Verdict::Unusable(flaw) => {
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -179,16 +179,46 @@
             });
             suspects.cloned().collect()
         };
-        let checks = suspects.into_iter().map(async |server| {
-            if server.accelerator.is_none() {
-                // Such a server is suspected only because of failed connections.
-                if connect(server.address).await.is_ok() {
-                    state.record_response(server.address);
-                }
-            } else if let Err(error) = query(&state, server.address).await {
-                log::debug!(server:% = server.id, error:%; "servers: no report");
-            }
-        });
+        let checks = suspects
+            .into_iter()
+            .map(async |server| probe(&state, &server).await);
         futures::future::join_all(checks).await;
     }
 }
+
+/// Queries a server and records whether it responds.
+async fn probe(state: &State, server: &Server) {
+    if server.accelerator.is_none() {
+        // Such a server is suspected only because of failed connections.
+        if connect(server.address).await.is_ok() {
+            state.record_response(server.address);
+        }
+    } else if let Err(error) = query(state, server.address).await {
+        log::debug!(server:% = server.id, error:%; "servers: no report");
+    }
+}
+
+/// Queries the engines at `addresses`, which other servers or hosts name as lost, so that requests avoid those that do not
+/// respond. A caller loses no attempt to another server that has ended, since its port refuses the connection.
+pub fn check(state: &Arc<State>, addresses: &[SocketAddrV4]) {
+    let now = agatemill_runtime::now();
+    let addresses = addresses.iter();
+    let due: Vec<SocketAddrV4> = addresses
+        .copied()
+        .filter(|address| state.suspicion().begin_check(*address, now))
+        .collect();
+    if due.is_empty() {
+        return;
+    }
+    let engines: Vec<Arc<Server>> = {
+        let view = state.view();
+        let servers = view.services.values().flatten();
+        let engines =
+            servers.filter(|server| server.accelerator.is_some() && due.contains(&server.address));
+        engines.cloned().collect()
+    };
+    for engine in engines {
+        let state = Arc::clone(state);
+        agatemill_runtime::spawn(async move { probe(&state, &engine).await }).detach();
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -345,13 +345,14 @@
         act(budget)
     }
 
-    /// Records an observation of a server that may be lost, and logs it.
+    /// Records an observation of a server that may be lost, logs it and tells the other hosts.
     pub fn suspect(&self, server: SocketAddrV4, evidence: Evidence) {
         let now = agatemill_runtime::now();
         if self.suspicion().suspect(server, evidence, now) {
             let ms = u64::try_from(evidence::AVOIDANCE.as_millis()).unwrap_or(u64::MAX);
             log::warn!(server:% = server, reason:% = evidence, for_ms = ms; "servers: suspected");
             self.metrics.count_event("servers", "suspected");
+            self.announce();
         }
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -29,6 +29,7 @@
 use crate::response::Body;
 use crate::runs::Output;
 use crate::runs::Runs;
+use crate::stall;
 use crate::state::Stage;
 use crate::throttle;
 use agatemill_adapter::engine;
@@ -367,6 +368,7 @@
             } = error
             {
                 state.avoid(address, AVOID_DURATION, "it refused a part");
+                stall::check(state, &[address]);
             }
             None
         }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod full;
 mod hosts;
 mod leaving;
+mod lost;
 mod outage;
 mod quarantine;
 mod refused;
