Tell the former collector that a host has another one

Cause: hosts whose collector changed counted at both for up to 1.2 s. Change: a host whose collector changes sends an empty load to the former one. Figures: hosts_that_change_their_collector_do_not_count_twice has 62 of 60 requests without the change. Conclusion: the moment counts less; it is not gone, since the next collectors first have to find each other.

--- a/crates/fleet/src/census.rs
+++ b/crates/fleet/src/census.rs
@@ -36,7 +36,7 @@
     Host {
         /// The host.
         host: id::Host,
-        /// Its load.
+        /// Its load; empty if it sends it to another collector from now on.
         tally: Tally,
     },
     /// Load from the hosts of one collector, sent between collectors.
@@ -68,6 +68,8 @@
     collectors: HashMap<SocketAddrV4, Sign>,
     /// Addresses that the last sums of this host were sent to; empty if it is not a collector.
     told: Vec<SocketAddrV4>,
+    /// Address of the collector that this host's load was sent to last.
+    collector: Option<SocketAddrV4>,
     /// Load from all hosts.
     total: Option<Sample>,
     /// This host's load as of the last round, which the total includes.
@@ -101,6 +103,7 @@
             sums: HashMap::new(),
             collectors: HashMap::new(),
             told: Vec::new(),
+            collector: None,
             total: None,
             own_sent: Tally::default(),
         }
@@ -141,26 +144,32 @@
         now: Duration,
     ) -> Vec<(SocketAddrV4, Message)> {
         self.own_sent = own.clone();
-        match member::zone_leader(members, &self.zone) {
-            Some(collector) if collector.host != self.host => {
-                self.hosts.clear();
-                self.sums.clear();
-                self.collectors.clear();
-                // The hosts of this one are counted by another collector from now on.
-                let told = core::mem::take(&mut self.told);
-                let ends = told
-                    .into_iter()
-                    .map(|address| (address, self.sum(Tally::default(), Vec::new())));
-                let mut messages: Vec<_> = ends.collect();
-                let message = Message::Host {
-                    host: self.host.clone(),
-                    tally: own,
-                };
-                messages.push((collector.exchange, message));
-                messages
-            }
-            _ => self.collect(own, members, now),
+        let leader = member::zone_leader(members, &self.zone);
+        let collector = leader.filter(|leader| leader.host != self.host);
+        let collector = collector.map(|leader| leader.exchange);
+        let former = core::mem::replace(&mut self.collector, collector);
+        let mut messages = match collector {
+            Some(collector) => self.report(own, collector),
+            None => self.collect(own, members, now),
+        };
+        // The former collector must not count this host beside the next one.
+        if let Some(former) = former.filter(|former| Some(*former) != collector) {
+            messages.push((former, self.load(Tally::default())));
         }
+        messages
+    }
+
+    /// Runs the round of a host that has a collector.
+    fn report(&mut self, own: Tally, collector: SocketAddrV4) -> Vec<(SocketAddrV4, Message)> {
+        self.hosts.clear();
+        self.sums.clear();
+        self.collectors.clear();
+        // The hosts of this one are counted by another collector from now on.
+        let told = core::mem::take(&mut self.told).into_iter();
+        let ends = told.map(|address| (address, self.sum(Tally::default(), Vec::new())));
+        let mut messages: Vec<_> = ends.collect();
+        messages.push((collector, self.load(own)));
+        messages
     }
 
     /// Runs a collector's round: sums the recent load and returns the messages for the other collectors and
@@ -210,6 +219,13 @@
         messages
     }
 
+    fn load(&self, tally: Tally) -> Message {
+        Message::Host {
+            host: self.host.clone(),
+            tally,
+        }
+    }
+
     fn sum(&self, tally: Tally, collectors: Vec<SocketAddrV4>) -> Message {
         Message::Sum {
             collector: self.host.clone(),
--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -120,6 +120,34 @@
     assert_eq!(estimates(&hosts, &server, ROUND * 20), [60; 30]);
 }
 
+/// Guards against sound engines that count as full, and are passed by, while hosts change their collector.
+#[test]
+fn hosts_that_change_their_collector_do_not_count_twice() {
+    let (mut hosts, members) = hosts(30);
+    let server: id::Server = "engine-1".parse().unwrap();
+    for host in &mut hosts {
+        host.load.add(&server, usage(2));
+    }
+    run_rounds(&mut hosts, &members, 0, 4);
+    let has_lost = |address: SocketAddrV4| address.port() < 1_012;
+    let mut others = members.clone();
+    others.retain(|_, member| !has_lost(member.exchange));
+    for round in 4..20 {
+        let is_split = round < 12;
+        let known = |address| {
+            if has_lost(address) || !is_split {
+                &members
+            } else {
+                &others
+            }
+        };
+        run_rounds_with(&mut hosts, known, round, 1);
+        for requests in estimates(&hosts, &server, ROUND * (round + 1)) {
+            assert!(requests <= 60, "{requests} in round {round}");
+        }
+    }
+}
+
 /// Guards against the load of a zone that counts twice after another host has become its collector.
 #[test]
 fn the_load_of_a_former_collector_does_not_count_beside_that_of_the_next() {
