Bound the rounds of a collector, and leave engines alone that ask for it

Cause: each suspicion is news since hosts tell each other of them. A collector sends a total to each host of its zone 20 ms after news: 65 totals of some 2.5 kB in 20 ms are more than a link of 20 Mbit/s carries (computed). Engines that asked a host for no requests were queried when another host named them, which the queries of each second do not do. Change: the delay grows by 1 ms for each message of the last round; such engines are not queried. Figures: rounds_after_news_stay_within_the_link_of_a_small_collector has 8.75 MB/s with the old delay (computed) and 1.9 MB/s now. Conclusion: a bound, no gain that was measured.

--- a/crates/fleet/src/census.rs
+++ b/crates/fleet/src/census.rs
@@ -26,6 +26,13 @@
 /// not vanish when one message is lost.
 const MAX_AGE: Duration = Duration::from_millis(1_200);
 
+/// Delay of a round after news, which combines news that arrives at about the same time.
+const NEWS_DELAY: Duration = Duration::from_millis(20);
+
+/// Addition to the delay of a round after news for each of its messages. A total of some kilobytes for each host of a zone fills
+/// the link of a small collector with more rounds.
+const NEWS_DELAY_PER_MESSAGE: Duration = Duration::from_millis(1);
+
 /// Maximum number of collectors that a message names: several for each zone.
 const MAX_COLLECTORS: usize = 64;
 
@@ -55,6 +62,13 @@
     },
 }
 
+/// Delay of a round after news, for a host whose last round had this many messages.
+#[must_use]
+pub fn news_delay(messages: usize) -> Duration {
+    let messages = u32::try_from(messages).unwrap_or(u32::MAX);
+    NEWS_DELAY + NEWS_DELAY_PER_MESSAGE.saturating_mul(messages)
+}
+
 /// This host's view of the load from all hosts.
 #[derive(Clone, Debug)]
 pub struct Census {
--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -10,6 +10,7 @@
 use agatemill_fleet::Load;
 use agatemill_fleet::Member;
 use agatemill_fleet::Tally;
+use agatemill_fleet::census;
 use agatemill_fleet::load::Usage;
 use agatemill_fleet::tally::Key;
 
@@ -253,3 +254,18 @@
         );
     }
 }
+
+/// Guards against a collector whose totals fill its link while news comes in without a pause, as when a zone is lost.
+#[test]
+fn rounds_after_news_stay_within_the_link_of_a_small_collector() {
+    const HOSTS: u32 = 70;
+    const TOTAL_BYTES: f64 = 2_500.0;
+    const LINK_BYTES_PER_S: f64 = 20e6 / 8.0;
+    let delay = census::news_delay(usize::try_from(HOSTS).unwrap());
+    let sent_per_s = f64::from(HOSTS) * TOTAL_BYTES / delay.as_secs_f64();
+    assert!(sent_per_s < LINK_BYTES_PER_S, "{sent_per_s}");
+    assert!(
+        census::news_delay(1) < Duration::from_millis(25),
+        "other hosts tell their news at once"
+    );
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -27,9 +27,6 @@
 /// stream.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Delay of a round after news, which combines news that arrives at about the same time.
-const NEWS_DELAY: Duration = Duration::from_millis(20);
-
 /// Maximum datagram size in bytes, enough for some 5,000 servers.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
@@ -69,6 +66,7 @@
 /// Sends a gossip round at each interval, and when there is news, until the process ends.
 pub async fn send(state: Arc<State>, socket: UdpSocket) {
     let mut news = state.listen();
+    let mut delay = census::news_delay(0);
     loop {
         let interval = ROUND_INTERVAL.mul_f64(0.9 + 0.2 * fastrand::f64());
         if agatemill_runtime::timeout(interval, &mut news)
@@ -76,12 +74,13 @@
             .is_some()
         {
             news = state.listen();
-            agatemill_runtime::sleep(NEWS_DELAY).await;
+            agatemill_runtime::sleep(delay).await;
         }
         let own = Tally::from(&*state.load());
         let members = state.view().members.clone();
         let now = agatemill_runtime::now();
         let messages = state.census().round(own, &members, now);
+        delay = census::news_delay(messages.len());
         let quarantine = state.quarantine().notice(now);
         let limits = state.throttle().notice(clock::boot_time());
         let listed = state.view().services.values().map(Vec::len).sum();
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -199,7 +199,7 @@
 }
 
 /// Queries the engines at `addresses`, which other servers or hosts name as lost, so that requests avoid those that do not
-/// respond. A caller loses no attempt to another server that has ended, since its port refuses the connection.
+/// respond. One that asked this host for no requests is not queried. A caller loses no attempt to another server that has ended, since its port refuses the connection.
 pub fn check(state: &Arc<State>, addresses: &[SocketAddrV4]) {
     let now = agatemill_runtime::now();
     let addresses = addresses.iter();
@@ -213,8 +213,11 @@
     let engines: Vec<Arc<Server>> = {
         let view = state.view();
         let servers = view.services.values().flatten();
-        let engines =
-            servers.filter(|server| server.accelerator.is_some() && due.contains(&server.address));
+        let engines = servers.filter(|server| {
+            server.accelerator.is_some()
+                && due.contains(&server.address)
+                && backoff::left(state, server).is_none()
+        });
         engines.cloned().collect()
     };
     for engine in engines {
