Bound the number of collectors that a sum is sent to

Cause: while a fleet starts, each host that does not know the others yet is a collector. Since collectors name each other, each would send its sum to all of them: the square of the number of hosts. Change: beside the collectors of its view a host sends its sum to 64 others at most, the same ones at all hosts. Conclusion: a bound, no gain that was measured.

--- a/crates/fleet/src/census.rs
+++ b/crates/fleet/src/census.rs
@@ -33,7 +33,8 @@
 /// the link of a small collector with more rounds.
 const NEWS_DELAY_PER_MESSAGE: Duration = Duration::from_millis(1);
 
-/// Maximum number of collectors that a message names: several for each zone.
+/// Maximum number of collectors beside those of this host's view that messages name and are sent to: several for each zone. While
+/// a fleet starts, each host that does not know the others yet is a collector.
 const MAX_COLLECTORS: usize = 64;
 
 /// Message between hosts about their load on backend servers.
@@ -248,18 +249,19 @@
         }
     }
 
-    /// Addresses of the collectors of the other zones, and of all that have given a sign.
+    /// Addresses of the collectors of the other zones, and of others that have given a sign.
     fn other_collectors(&self, members: &HashMap<id::Host, Member>) -> Vec<SocketAddrV4> {
         let zones = member::other_zones(members, &self.zone).into_iter();
         let leaders = zones.filter_map(|zone| member::zone_leader(members, zone));
-        let leaders = leaders.map(|leader| leader.exchange);
-        let mut others: Vec<SocketAddrV4> =
-            leaders.chain(self.collectors.keys().copied()).collect();
+        let mut addresses: Vec<SocketAddrV4> = leaders.map(|leader| leader.exchange).collect();
         let own = members.get(&self.host).map(|member| member.exchange);
-        others.retain(|address| Some(*address) != own);
+        let others = self.collectors.keys().copied();
+        let others = others.filter(|other| Some(*other) != own && !addresses.contains(other));
+        let mut others: Vec<SocketAddrV4> = others.collect();
         others.sort_unstable();
-        others.dedup();
-        others
+        others.truncate(MAX_COLLECTORS);
+        addresses.extend(others);
+        addresses
     }
 
     /// Estimates the load from all hosts on a server, given this host's own load and the number of hosts.
--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -255,6 +255,30 @@
     }
 }
 
+/// Guards against a number of messages that grows with the square of the number of hosts while a fleet starts, when each host
+/// that knows no other one is a collector.
+#[test]
+fn a_collector_sends_its_sum_to_a_bounded_number_of_others() {
+    const MAX_MESSAGES: usize = 80;
+    let (mut hosts, members) = hosts(300);
+    let known: HashMap<SocketAddrV4, HashMap<id::Host, Member>> = members
+        .values()
+        .map(|own| {
+            // Itself and one host of another zone.
+            let other = |member: &&Member| member.zone != own.zone;
+            let other = members.values().find(other).unwrap();
+            let pair = [own, other].map(|member| (member.host.clone(), member.clone()));
+            (own.exchange, pair.into())
+        })
+        .collect();
+    run_rounds_with(&mut hosts, |address| &known[&address], 0, 6);
+    for host in &mut hosts {
+        let own = Tally::from(&host.load);
+        let sent = host.census.round(own, &known[&host.address], ROUND * 6);
+        assert!(sent.len() <= MAX_MESSAGES, "{}", sent.len());
+    }
+}
+
 /// Guards against a collector whose totals fill its link while news comes in without a pause, as when a zone is lost.
 #[test]
 fn rounds_after_news_stay_within_the_link_of_a_small_collector() {
