--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -254,8 +254,8 @@
     }
 
     /// Whether a server that another server or host names as lost is to be queried now: it is not suspected, and has not been
-    /// queried for that reason within [`CHECK_INTERVAL`]. That others miss it does not show that it is lost, since only their
-    /// links to it may be cut.
+    /// queried for that reason for some time. That others miss it does not show that it is lost, since only their links to it may
+    /// be cut.
     #[must_use]
     pub fn begin_check(&mut self, address: SocketAddrV4, now: Duration) -> bool {
         self.checked.retain(|_, until| *until > now);
