Play the loss of the store once for two tests of the census

Cause: two tests set up the same hosts and views. Change: one function plays them and returns all estimates; both tests assert what they did. Conclusion: as strict, without the copy.

--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -99,51 +99,51 @@
     hosts.iter().map(estimate).collect()
 }
 
-/// Guards against engines that get twice the requests that they take while some hosts have lost the store: these keep their
-/// former view, the others no longer know them, and either side counted only its own load.
-#[test]
-fn hosts_that_lost_the_store_and_the_others_count_each_other() {
-    let (mut hosts, members) = hosts(30);
-    let server: id::Server = "engine-1".parse().unwrap();
-    for host in &mut hosts {
-        host.load.add(&server, usage(2));
-    }
-    run_rounds(&mut hosts, &members, 0, 4);
-    // The first 12 hosts, among them the collectors of all zones, lose the store, and their leases end.
-    let has_lost = |address: SocketAddrV4| address.port() < 1_012;
-    let mut others = members.clone();
-    others.retain(|_, member| !has_lost(member.exchange));
-    let known = |address| if has_lost(address) { &members } else { &others };
-    run_rounds_with(&mut hosts, known, 4, 8);
-    assert_eq!(estimates(&hosts, &server, ROUND * 12), [60; 30]);
-    // They have the store again.
-    run_rounds(&mut hosts, &members, 12, 8);
-    assert_eq!(estimates(&hosts, &server, ROUND * 20), [60; 30]);
+/// Whether a host is among the first 12 of 30, which have the collectors of all zones.
+fn has_lost_store(address: SocketAddrV4) -> bool {
+    address.port() < 1_012
 }
 
-/// Guards against sound engines that count as full, and are passed by, while hosts change their collector.
-#[test]
-fn hosts_that_change_their_collector_do_not_count_twice() {
+/// Plays the loss of the store at some of 30 hosts, which keep their view while the leases by which the others know them end, from
+/// the fourth round until the twelfth. Each host has two requests at an engine; returns what the hosts estimate after each
+/// round up to the twentieth, where the sum is 60.
+fn estimates_around_a_split() -> Vec<Vec<u32>> {
     let (mut hosts, members) = hosts(30);
     let server: id::Server = "engine-1".parse().unwrap();
     for host in &mut hosts {
         host.load.add(&server, usage(2));
     }
-    run_rounds(&mut hosts, &members, 0, 4);
-    let has_lost = |address: SocketAddrV4| address.port() < 1_012;
     let mut others = members.clone();
-    others.retain(|_, member| !has_lost(member.exchange));
-    for round in 4..20 {
-        let is_split = round < 12;
+    others.retain(|_, member| !has_lost_store(member.exchange));
+    let round = |round: u32| {
+        let is_split = (4..12).contains(&round);
         let known = |address| {
-            if has_lost(address) || !is_split {
-                &members
-            } else {
+            if is_split && !has_lost_store(address) {
                 &others
+            } else {
+                &members
             }
         };
         run_rounds_with(&mut hosts, known, round, 1);
-        for requests in estimates(&hosts, &server, ROUND * (round + 1)) {
+        estimates(&hosts, &server, ROUND * (round + 1))
+    };
+    (0..20).map(round).collect()
+}
+
+/// Guards against engines that get twice the requests that they take while some hosts have lost the store: these keep their
+/// former view, the others no longer know them, and either side counted only its own load.
+#[test]
+fn hosts_that_lost_the_store_and_the_others_count_each_other() {
+    let estimates = estimates_around_a_split();
+    assert_eq!(estimates[11], [60; 30], "some hosts are without the store");
+    assert_eq!(estimates[19], [60; 30], "they have the store again");
+}
+
+/// Guards against sound engines that count as full, and are passed by, while hosts change their collector.
+#[test]
+fn hosts_that_change_their_collector_do_not_count_twice() {
+    for (round, estimates) in estimates_around_a_split().into_iter().enumerate().skip(4) {
+        for requests in estimates {
             assert!(requests <= 60, "{requests} in round {round}");
         }
     }
