--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod quantity;
 pub mod reason;
 pub mod refusal;
+pub mod urgency;
 
 pub use cause::Cause;
 pub use digest::Digest;
@@ -22,3 +23,4 @@
 pub use priority::Priority;
 pub use reason::Reason;
 pub use refusal::Refusal;
+pub use urgency::Urgency;
--- a/crates/fleet/src/census.rs
+++ b/crates/fleet/src/census.rs
@@ -15,6 +15,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Demand;
 use crate::Member;
 use crate::Tally;
 use crate::load::Usage;
@@ -26,6 +27,9 @@
 /// not vanish when one message is lost.
 const MAX_AGE: Duration = Duration::from_millis(1_200);
 
+/// Mean time from a request to the total that includes it: half of the round of its host, and half of that of its collector.
+const REPORT_DELAY: Duration = Duration::from_millis(250);
+
 /// Delay of a round after news, which combines news that arrives at about the same time.
 const NEWS_DELAY: Duration = Duration::from_millis(20);
 
@@ -264,12 +268,39 @@
         addresses
     }
 
+    /// Demand from all hosts, with its mean age; `None` without a recent total.
+    #[must_use]
+    pub fn demand(&self, now: Duration) -> Option<(&Demand, Duration)> {
+        let total = self.total.as_ref()?;
+        let age = now.saturating_sub(total.at);
+        (age <= MAX_AGE).then(|| (&total.tally.demand, age + REPORT_DELAY))
+    }
+
+    /// Load of this host's own requests on a server that the total does not include, because they began since the last round.
+    #[must_use]
+    pub fn unreported(&self, server: Key, own: Usage) -> f64 {
+        (own.tokens - f64::from(self.own_sent.of(server).tokens)).max(0.0)
+    }
+
     /// Estimates the load from all hosts on a server, given this host's own load and the number of hosts.
     ///
     /// Without a recent total, every other host is assumed to have the same load as this one, since callers
     /// choose hosts at random.
     #[must_use]
     pub fn estimate(&self, server: Key, own: Usage, hosts: usize, now: Duration) -> Usage {
+        self.estimate_remaining(server, own, hosts, 1.0, now)
+    }
+
+    /// Like [`Census::estimate`], if only the share `remaining` of the load that other hosts reported is left.
+    #[must_use]
+    pub fn estimate_remaining(
+        &self,
+        server: Key,
+        own: Usage,
+        hosts: usize,
+        remaining: f64,
+        now: Duration,
+    ) -> Usage {
         let known = self
             .total
             .as_ref()
@@ -284,9 +315,12 @@
         };
         let all = total.tally.of(server);
         let own_sent = self.own_sent.of(server);
+        // A share of a number of requests is not negative and not greater than it.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let share = |requests: u32| (f64::from(requests) * remaining).round() as u32;
         Usage {
-            requests: own.requests + all.requests.saturating_sub(own_sent.requests),
-            tokens: own.tokens + f64::from(all.tokens.saturating_sub(own_sent.tokens)),
+            requests: own.requests + share(all.requests.saturating_sub(own_sent.requests)),
+            tokens: own.tokens + f64::from(all.tokens.saturating_sub(own_sent.tokens)) * remaining,
             unread: own.unread + f64::from(all.unread.saturating_sub(own_sent.unread)),
         }
     }
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -50,8 +50,8 @@
 pub struct Organisation {
     /// Name sent to backend servers.
     pub name: CompactString,
-    /// Priority of its requests, which overrides that of the route.
-    pub priority: Option<u8>,
+    /// Rank of its requests by urgency, 0 first, which comes before that of the route.
+    pub rank: Option<u8>,
 }
 
 impl Default for Limits {
@@ -84,6 +84,18 @@
         }
     }
 
+    /// Whether requests for a service differ in urgency, by the ranks of their routes.
+    #[must_use]
+    pub fn has_urgencies(&self, service: &id::Service) -> bool {
+        let serves =
+            |route: &&Arc<Route>| route.split.iter().any(|share| &share.service == service);
+        let mut routes = self.routes.values().flatten().filter(serves);
+        let Some(first) = routes.next() else {
+            return false;
+        };
+        routes.any(|route| route.rank != first.rank)
+    }
+
     /// Finds the route with the longest prefix of `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,14 +6,17 @@
 //! ([`census`]), selects the source from which a host receives changes ([`upstream`]) and checks that the view of the
 //! platform is recent enough ([`freshness`]). Nothing here does I/O; times are passed in.
 
+pub mod admission;
 pub mod attempts;
 pub mod backoff;
 pub mod budget;
 pub mod capacity;
 pub mod census;
 pub mod configuration;
+pub mod demand;
 pub mod departure;
 pub mod evidence;
+pub mod forecast;
 pub mod freshness;
 pub mod headcount;
 pub mod history;
@@ -43,8 +46,10 @@
 pub use capacity::Capacity;
 pub use census::Census;
 pub use configuration::Configuration;
+pub use demand::Demand;
 pub use departure::Departures;
 pub use evidence::Evidence;
+pub use forecast::Forecast;
 pub use freshness::Freshness;
 pub use headcount::Headcount;
 pub use history::History;
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -22,6 +22,8 @@
     pub step_request_ms: f64,
     /// Milliseconds that 1,000 tokens of context of a request add to a step.
     pub step_context_ms: f64,
+    /// Tokens that an engine generates for each stream in one pass, which arrive in one event.
+    pub pass_tokens: f64,
     /// Prompt tokens read per millisecond through all layers at a read factor of 1.
     pub read_tokens_per_ms: f64,
     /// Seconds to load the weights of all layers.
--- a/crates/fleet/src/path.rs
+++ b/crates/fleet/src/path.rs
@@ -73,6 +73,8 @@
     pub answer: f64,
     /// Whether the path may pass from one zone to another.
     pub may_cross: bool,
+    /// Share of an engine's memory that the path may fill.
+    pub fill: f64,
     /// The greatest obstacle in spite of which the path may start at an engine.
     pub start: Start,
 }
--- a/crates/fleet/src/path/search.rs
+++ b/crates/fleet/src/path/search.rs
@@ -64,7 +64,8 @@
         candidate.is_usable && !avoid.iter().any(|part| part.server == candidate.server)
     };
     let has_capacity = |candidate: &Candidate| {
-        candidate.usage.tokens + request.prompt + request.answer <= candidate.token_capacity
+        let tokens = candidate.usage.tokens + request.prompt + request.answer;
+        tokens <= candidate.token_capacity * request.fill
     };
     let free: Vec<usize> = (0..candidates.len())
         .filter(|index| is_free(&candidates[*index]))
@@ -75,7 +76,7 @@
         .filter(|index| has_capacity(&candidates[*index]))
         .collect();
     let with_capacity = cheapest_per_group(model, candidates, &with_capacity, request);
-    if let Some(parts) = search(model, candidates, &with_capacity, request, span) {
+    if let Some(parts) = search_zones(model, candidates, &with_capacity, request, span) {
         return Ok(parts);
     }
     let is_closed = !request.may_cross;
@@ -142,7 +143,33 @@
     best
 }
 
-/// Searches the cheapest parts by extending partial paths from layer boundary to layer boundary, keeping the
+/// Searches the cheapest parts. While paths may not cross zones, each zone is searched by itself: the few partial paths that are
+/// kept at a boundary could all be of cheaper zones that lack a later layer.
+fn search_zones(
+    model: &Model,
+    candidates: &[Candidate],
+    usable: &[usize],
+    request: Request<'_>,
+    span: (u32, u32),
+) -> Option<Vec<Part>> {
+    if request.may_cross {
+        return search(model, candidates, usable, request, span).map(|(_, parts)| parts);
+    }
+    let zone = |index: &usize| &candidates[*index].zone;
+    let mut zones: Vec<&id::Zone> = usable.iter().map(zone).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    let in_zone = |wanted: &id::Zone| {
+        let inside = usable.iter().copied().filter(|index| zone(index) == wanted);
+        let inside: Vec<usize> = inside.collect();
+        search(model, candidates, &inside, request, span)
+    };
+    let paths = zones.into_iter().filter_map(in_zone);
+    let cheapest = paths.min_by(|a, b| a.0.total_cmp(&b.0));
+    cheapest.map(|(_, parts)| parts)
+}
+
+/// Searches the cheapest parts, and their cost, by extending partial paths from layer boundary to layer boundary, keeping the
 /// [`MAX_LABELS_PER_BOUNDARY`] cheapest at each.
 fn search(
     model: &Model,
@@ -150,7 +177,7 @@
     usable: &[usize],
     request: Request<'_>,
     (from, to): (u32, u32),
-) -> Option<Vec<Part>> {
+) -> Option<(f64, Vec<Part>)> {
     let mut boundaries: Vec<u32> = usable
         .iter()
         .flat_map(|index| {
@@ -214,7 +241,8 @@
     let cost = |label: &usize| labels[*label].cost;
     let last = labels_at.last()?.iter().copied();
     let best = last.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
-    backtrack(candidates, &labels, best, from)
+    let parts = backtrack(candidates, &labels, best, from)?;
+    Some((cost(&best), parts))
 }
 
 /// Whether a partial path already contains an engine.
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -21,8 +21,8 @@
     pub timeout: Duration,
     /// Target time to the response, or to the first event of a stream.
     pub target_latency: Duration,
-    /// Priority; 0 is the most urgent.
-    pub priority: u8,
+    /// Rank of the requests by urgency, 0 first.
+    pub rank: u8,
     /// Services among which the requests are split. Invariant: not empty, and the weights do not sum to 0.
     pub split: Vec<Share>,
     /// Maximum number of backend servers that may run one attempt of a caller.
--- a/crates/fleet/src/tally.rs
+++ b/crates/fleet/src/tally.rs
@@ -5,12 +5,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Demand;
 use crate::Load;
 use crate::load::Usage;
 use agatemill_core::Digest;
 use agatemill_core::id;
 
-/// Short key of a backend server. Two servers have the same key with a probability of one in 2^32 for each
+/// Short key of a backend server or a service. Two of them have the same key with a probability of one in 2^32 for each
 /// pair; the load of either then counts for both.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Key(u32);
@@ -19,6 +20,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tally {
     rows: BTreeMap<Key, Row>,
+    /// Demand by urgency.
+    pub demand: Demand,
 }
 
 /// Load on one server.
@@ -32,15 +35,27 @@
     pub unread: u32,
 }
 
-impl From<&id::Server> for Key {
-    fn from(server: &id::Server) -> Self {
-        let prefix = Digest::of(server.as_str().as_bytes()).prefix();
+impl Key {
+    fn of(name: &str) -> Self {
+        let prefix = Digest::of(name.as_bytes()).prefix();
         // Any 32 bits of a digest serve equally well.
         #[allow(clippy::cast_possible_truncation)]
         Self((prefix >> 32) as u32)
     }
 }
 
+impl From<&id::Server> for Key {
+    fn from(server: &id::Server) -> Self {
+        Self::of(server.as_str())
+    }
+}
+
+impl From<&id::Service> for Key {
+    fn from(service: &id::Service) -> Self {
+        Self::of(service.as_str())
+    }
+}
+
 impl From<&Load> for Tally {
     fn from(load: &Load) -> Self {
         let mut tally = Self::default();
@@ -71,8 +86,9 @@
         self.rows.get(&key).copied().unwrap_or_default()
     }
 
-    /// Adds the load from other hosts.
+    /// Adds the load and the demand from other hosts.
     pub fn add(&mut self, other: &Self) {
+        self.demand.add(&other.demand);
         for (key, row) in &other.rows {
             let sum = self.rows.entry(*key).or_default();
             sum.requests = sum.requests.saturating_add(row.requests);
--- a/crates/fleet/tests/fleet/mod.rs
+++ b/crates/fleet/tests/fleet/mod.rs
@@ -36,6 +36,7 @@
         step_ms: 1.02,
         step_request_ms: 0.0046,
         step_context_ms: 0.0062,
+        pass_tokens: 4.0,
         read_tokens_per_ms: 164.0,
         load_s: 14.0,
         activation_bytes: 29_500.0,
@@ -102,6 +103,7 @@
         prompt: 775.0,
         answer: 220.0,
         may_cross: true,
+        fill: 1.0,
         start: Start::Allowed,
     }
 }
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -185,7 +185,7 @@
         kind: Kind::NonIdempotent,
         timeout: seconds(1.0),
         target_latency: seconds(0.1),
-        priority: 1,
+        rank: 1,
         split: vec![
             Share {
                 service: "old".parse().unwrap(),
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -474,7 +474,7 @@
         deadline,
         server: &server.id,
         organisation: job.organisation.as_ref().map(|holder| holder.name.as_str()),
-        priority: job.priority(),
+        urgency: job.urgency(),
         path: None,
         last_event: None,
     };
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -1,8 +1,11 @@
 //! Selects the engines of streams from this host's view of the platform.
 
 use core::net::SocketAddrV4;
+use core::time::Duration;
 
 use crate::State;
+use crate::admission;
+use crate::admission::Assessment;
 use crate::clock;
 use crate::exchange::Job;
 use crate::throttle;
@@ -11,6 +14,7 @@
 use agatemill_fleet::Model;
 use agatemill_fleet::Path;
 use agatemill_fleet::Server;
+use agatemill_fleet::admission::Room;
 use agatemill_fleet::link;
 use agatemill_fleet::path::Candidate;
 use agatemill_fleet::path::Missing;
@@ -56,12 +60,23 @@
     }
 }
 
-/// Engines of a model as candidates for path selection. A path may not start at the addresses in `excluded`.
+/// Why there is no path for a request, and what that depended on.
+#[derive(Clone, Debug)]
+pub struct Shortage {
+    /// What is missing.
+    pub missing: Missing,
+    /// Set if requests for the service differ in urgency.
+    pub assessment: Option<Assessment>,
+}
+
+/// Engines of a model as candidates for path selection, while the share `remaining` of the load that other hosts reported is left. A
+/// path may not start at the addresses in `excluded`.
 fn candidates(
     state: &State,
     job: &Job,
     model: &Model,
     excluded: &[SocketAddrV4],
+    remaining: f64,
 ) -> Vec<Candidate> {
     let now = agatemill_runtime::now();
     let view = state.view();
@@ -87,7 +102,8 @@
     let candidates = servers.iter().filter_map(|server| {
         let layers = server.layers.filter(|layers| model.has_layers(*layers))?;
         let accelerator = model.accelerator(server.accelerator.as_deref()?)?;
-        let usage = census.estimate(server.key, load.of(&server.id), hosts, now);
+        let own = load.of(&server.id);
+        let usage = census.estimate_remaining(server.key, own, hosts, remaining, now);
         Some(Candidate {
             server: server.id.clone(),
             address: server.address,
@@ -106,53 +122,108 @@
 }
 
 /// Whether this host's share of the inter-zone bandwidth allows a path that crosses zones.
-fn may_cross(state: &State, job: &Job, model: &Model) -> bool {
-    let view = state.view();
-    let servers = view.servers(&job.service);
-    let mut zones: Vec<&id::Zone> = servers.iter().map(|server| &server.zone).collect();
+fn may_cross(state: &State, model: &Model, candidates: &[Candidate]) -> bool {
+    let hosts = state.view().members.len();
+    let share = link::share(model, zones(candidates).len(), hosts);
+    state.link().is_open(share, agatemill_runtime::now())
+}
+
+/// Zones of the engines.
+fn zones(candidates: &[Candidate]) -> Vec<id::Zone> {
+    let mut zones: Vec<&id::Zone> = candidates.iter().map(|engine| &engine.zone).collect();
     zones.sort_unstable();
     zones.dedup();
-    let share = link::share(model, zones.len(), view.members.len());
-    state.link().is_open(share, agatemill_runtime::now())
+    zones.into_iter().cloned().collect()
+}
+
+/// Tokens of this host's requests that the reported load does not include. Each request passes through all layers once.
+fn unreported(state: &State, model: &Model, candidates: &[Candidate]) -> f64 {
+    let load = state.load();
+    let census = state.census();
+    let of = |engine: &Candidate| {
+        let tokens = census.unreported(Key::from(&engine.server), load.of(&engine.server));
+        tokens * f64::from(engine.layers.count()) / f64::from(model.layers)
+    };
+    candidates.iter().map(of).sum()
 }
 
 /// Chooses the path of a request, takes a credit for its first engine and charges its traffic to the inter-zone links.
-/// The path does not start at the addresses in `excluded`, which run the request already.
+/// The path does not start at the addresses in `excluded`, which run the request already. A request that `is_sent_again` is let in
+/// before new ones.
 ///
 /// # Errors
 ///
-/// [`Missing`] when no path is free, or when the prompts queued at its engines take too long to read.
+/// [`Shortage`] when no path is free, or when the prompts queued at its engines take too long to read.
 pub fn choose(
     state: &State,
     job: &Job,
     model: &Model,
     size: Size,
     excluded: &[SocketAddrV4],
-) -> Result<Path, Missing> {
+    is_sent_again: bool,
+) -> Result<Path, Shortage> {
     let zone = state.settings().zone.clone();
-    let request = Request {
+    let news = admission::news(state, job);
+    let remaining = news.as_ref().map_or(1.0, |news| news.forecast.remaining());
+    let mut candidates = candidates(state, job, model, excluded, remaining);
+    let mut request = Request {
         zone: &zone,
         prompt: size.prompt,
         answer: size.answer,
-        may_cross: may_cross(state, job, model),
+        may_cross: may_cross(state, model, &candidates),
+        fill: 1.0,
         start: Start::Allowed,
     };
-    let candidates = candidates(state, job, model, excluded);
-    let path = Path::choose(model, &candidates, request)?;
-    let limit = job.route.target_latency * MAX_FIRST_EVENT_MULTIPLE;
+    let assessment = news.map(|news| {
+        let zones = zones(&candidates);
+        let zones: Vec<&id::Zone> = zones.iter().collect();
+        let known = unreported(state, model, &candidates);
+        news.forecast
+            .place(model, &mut candidates, &zones, request, known);
+        Assessment::new(news, Room::of(model, &candidates))
+    });
+    if let Some(assessment) = &assessment {
+        request.fill = assessment.fill(job, is_sent_again);
+    }
+    let limit = if assessment.is_some() && !is_sent_again {
+        let waited = agatemill_runtime::now().saturating_sub(job.arrived);
+        job.route.target_latency.saturating_sub(waited)
+    } else {
+        job.route.target_latency * MAX_FIRST_EVENT_MULTIPLE
+    };
+    let path = match Path::choose(model, &candidates, request) {
+        Ok(path) => path,
+        Err(missing) => {
+            return Err(Shortage {
+                missing,
+                assessment,
+            });
+        }
+    };
     let read_ms = path.read_ms(model, &candidates, size.prompt);
-    if read_ms > limit.as_secs_f64() * 1_000.0 {
-        return Err(Missing::Time);
+    let token_ms = path.token_ms(model, &candidates);
+    let gap_ms = job.route.gap_target.unwrap_or(Duration::MAX).as_secs_f64() * 1_000.0;
+    let is_slow = assessment.is_some() && token_ms * model.pass_tokens > gap_ms;
+    if read_ms > limit.as_secs_f64() * 1_000.0 || is_slow {
+        let missing = Missing::Time;
+        return Err(Shortage {
+            missing,
+            assessment,
+        });
     }
     if !throttle::take(state, Key::from(&path.first().server)) {
-        return Err(Missing::Limit);
+        let missing = Missing::Limit;
+        return Err(Shortage {
+            missing,
+            assessment,
+        });
     }
     let crossings = path.crossings(&candidates);
     let tokens = size.prompt + size.answer;
     state.link().charge(model, tokens, crossings);
-    let token_ms = path.token_ms(model, &candidates);
+    let (fill, urgency) = (request.fill, job.urgency());
     log::info!(
-        request:% = job.parameters.attempt, path:% = header::encode_path(path.parts()), token_ms;
+        request:% = job.parameters.attempt, path:% = header::encode_path(path.parts()), token_ms, read_ms, fill, urgency:%;
         "stream: path chosen"
     );
     Ok(path)
@@ -175,15 +246,16 @@
 pub fn repair(state: &State, job: &Job, model: &Model, path: &Path) -> Result<Path, Missing> {
     let zone = state.settings().zone.clone();
     let size = Size::of(job, model);
+    let candidates = candidates(state, job, model, &[], 1.0);
     let request = Request {
         zone: &zone,
         // The new engines read the prompt and the output so far.
         prompt: size.prompt + size.answer / 2.0,
         answer: size.answer / 2.0,
-        may_cross: may_cross(state, job, model),
+        may_cross: may_cross(state, model, &candidates),
+        fill: 1.0,
         start: Start::Allowed,
     };
-    let candidates = candidates(state, job, model, &[]);
     let now = agatemill_runtime::now();
     let suspicion = state.suspicion().clone();
     let is_lost = |part: &Part| suspicion.is_suspected(&part.address, now);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -33,11 +33,13 @@
 use agatemill_core::Phase;
 use agatemill_core::Reason;
 use agatemill_core::Refusal;
+use agatemill_core::Urgency;
 use agatemill_core::id;
 use agatemill_fleet::Configuration;
 use agatemill_fleet::Model;
 use agatemill_fleet::Route;
 use agatemill_fleet::configuration::Organisation;
+use agatemill_fleet::demand::Subject;
 use agatemill_fleet::route;
 
 /// `Retry-After` for callers of a host whose configuration is missing or stale: about the time until a watch of
@@ -80,14 +82,17 @@
 }
 
 impl Job {
-    /// Priority of the organisation, otherwise of the route; 0 is the most urgent.
+    /// Urgency by the ranks of the organisation and the route.
     #[must_use]
-    pub fn priority(&self) -> u8 {
-        let own = self
-            .organisation
-            .as_ref()
-            .and_then(|holder| holder.priority);
-        own.unwrap_or(self.route.priority)
+    pub fn urgency(&self) -> Urgency {
+        let holder = self.organisation.as_ref();
+        Urgency::new(holder.and_then(|holder| holder.rank), self.route.rank)
+    }
+
+    /// What the demand of the request counts for.
+    #[must_use]
+    pub fn subject(&self) -> Subject {
+        Subject::new(&self.service, self.urgency())
     }
 
     /// Time until the deadline.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -76,11 +76,13 @@
             news = state.listen();
             agatemill_runtime::sleep(delay).await;
         }
-        let own = Tally::from(&*state.load());
-        let members = state.view().members.clone();
         let now = agatemill_runtime::now();
+        let mut own = Tally::from(&*state.load());
+        own.demand = state.meter().demand(now);
+        let members = state.view().members.clone();
         let messages = state.census().round(own, &members, now);
         delay = census::news_delay(messages.len());
+        state.turns.wake();
         let quarantine = state.quarantine().notice(now);
         let limits = state.throttle().notice(clock::boot_time());
         let listed = state.view().services.values().map(Vec::len).sum();
@@ -150,6 +152,7 @@
 fn receive_round(state: &Arc<State>, round: Round, host: SocketAddrV4) {
     let now = agatemill_runtime::now();
     state.census().receive(round.census, host, now);
+    state.turns.wake();
     let has_evidence = state.quarantine().receive(round.quarantine, now);
     let has_limits = state.throttle().receive(round.throttle, clock::boot_time());
     stall::check(state, &round.suspicion.servers);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! part in electing the planner that assigns layers to engines. All durable state is in the platform's key-value
 //! store, so a host that starts reads the store and serves.
 
+pub mod admission;
 pub mod backoff;
 pub mod call;
 pub mod choice;
@@ -41,6 +42,7 @@
 pub mod supervise;
 pub mod sync;
 pub mod throttle;
+pub mod turns;
 pub mod view;
 
 pub use counter::Counter;
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -5,6 +5,7 @@
 use crate::State;
 use agatemill_core::id;
 use agatemill_fleet::Path;
+use agatemill_fleet::demand::Subject;
 use agatemill_fleet::load::Usage;
 
 /// Mean share of its output that a request keeps in an engine's memory over its run time: half, plus a margin
@@ -17,12 +18,27 @@
     state: Arc<State>,
     servers: Vec<id::Server>,
     usage: Usage,
+    /// Set for streams, whose demand is counted.
+    run: Option<Run>,
+}
+
+/// A run of a stream whose demand is counted.
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    subject: Subject,
+    tokens: f64,
 }
 
 impl Reservation {
     /// Adds the load of a request to every engine of a path.
     #[must_use]
-    pub fn on_path(state: &Arc<State>, path: &Path, prompt: f64, output: f64) -> Self {
+    pub fn on_path(
+        state: &Arc<State>,
+        path: &Path,
+        subject: Subject,
+        prompt: f64,
+        output: f64,
+    ) -> Self {
         let servers = path
             .parts()
             .iter()
@@ -33,7 +49,13 @@
             tokens: prompt + output * MEAN_OUTPUT_SHARE,
             unread: prompt,
         };
-        Self::begin(state, servers, usage)
+        let tokens = usage.tokens;
+        let run = Run { subject, tokens };
+        let now = agatemill_runtime::now();
+        state.meter().begin_run(subject, tokens, now);
+        let mut reservation = Self::begin(state, servers, usage);
+        reservation.run = Some(run);
+        reservation
     }
 
     /// Adds the load of a call to one server.
@@ -56,6 +78,7 @@
             state: Arc::clone(state),
             servers,
             usage,
+            run: None,
         }
     }
 
@@ -79,5 +102,11 @@
         for server in &self.servers {
             load.remove(server, self.usage);
         }
+        drop(load);
+        if let Some(run) = self.run {
+            let now = agatemill_runtime::now();
+            self.state.meter().end_run(run.subject, run.tokens, now);
+            self.state.turns.wake();
+        }
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -175,7 +175,7 @@
             deadline: left,
             server: &first.server,
             organisation: job.organisation.as_ref().map(|holder| holder.name.as_str()),
-            priority: job.priority(),
+            urgency: job.urgency(),
             path: Some(&path),
             last_event,
         };
@@ -193,7 +193,13 @@
         let instance = server.as_deref().map_or_else(unknown, Instance::from);
         Self {
             instance,
-            reservation: Reservation::on_path(state, &path, size.prompt, size.answer),
+            reservation: Reservation::on_path(
+                state,
+                &path,
+                job.subject(),
+                size.prompt,
+                size.answer,
+            ),
             path,
             head: None,
             is_silent: false,
@@ -475,7 +481,9 @@
             Check::Rerouted(path) => {
                 if matches!(self.phase, Phase::Head(_)) {
                     let (prompt, answer) = (self.size.prompt, self.size.answer);
-                    self.reservation = Reservation::on_path(&self.state, &path, prompt, answer);
+                    let subject = self.job.subject();
+                    self.reservation =
+                        Reservation::on_path(&self.state, &path, subject, prompt, answer);
                 } else {
                     self.watchdog = Timer::after(REPAIR_GRACE);
                 }
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -464,7 +464,7 @@
     fn failure(&self, cause: Cause) -> Refusal {
         if self.attempts.runs() == 0 {
             let refusal = backoff::common_refusal(&self.state, &self.job.service);
-            return refusal.unwrap_or_else(stream::overloaded);
+            return refusal.unwrap_or_else(|| stream::overloaded(&self.state, &self.job));
         }
         let reason = if cause == Cause::DeadlinePassed {
             Reason::DeadlineExceeded
@@ -480,7 +480,7 @@
         if self.attempts.runs() > 0 {
             return self.failure(Cause::Refused);
         }
-        stream::refusal(obstacle)
+        stream::refusal(&self.state, &self.job, obstacle)
     }
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,6 +11,7 @@
 use agatemill_core::quantity::Bandwidth;
 use agatemill_core::quantity::Time;
 use agatemill_fleet::Capacity;
+use agatemill_fleet::admission::Policy;
 use agatemill_fleet::budget::Allowance;
 use agatemill_fleet::upstream::timing;
 use agatemill_fleet::upstream::timing::Timing;
@@ -49,6 +50,40 @@
     pub processors: f64,
     /// Limits set by the operator of the platform.
     pub bounds: Bounds,
+    /// Admission by urgency, where requests for a model differ in it.
+    #[serde(default)]
+    pub admission: Admission,
+}
+
+/// Settings of the admission by urgency. What is not set has the default of [`Policy`].
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Admission {
+    /// Whether it is off even where requests differ in urgency.
+    #[serde(default)]
+    pub disabled: bool,
+    /// Time for whose more urgent requests room stays free, at most 5 s.
+    pub reserve: Option<Time>,
+    /// Share of the memory that requests of each urgency may always use, from 0 to 0.3.
+    pub floor: Option<f64>,
+    /// Share of an engine's memory that requests may fill, from 0.5 to 1.
+    pub fill: Option<f64>,
+    /// Share of the target latency for which a request may wait, from 0 to 1.
+    pub wait: Option<f64>,
+}
+
+impl Admission {
+    /// The policy of these settings.
+    #[must_use]
+    pub fn policy(&self) -> Policy {
+        let default = Policy::default();
+        Policy {
+            reserve: self.reserve.map_or(default.reserve, Time::to_duration),
+            floor: self.floor.unwrap_or(default.floor),
+            fill: self.fill.unwrap_or(default.fill),
+            wait: self.wait.unwrap_or(default.wait),
+        }
+    }
 }
 
 /// Limits set by the operator of the platform.
@@ -76,6 +111,9 @@
     Time::from_millis(2_000)
 }
 
+/// Longest time for which room is reserved: a longer one would keep out all but the most urgent requests.
+const MAX_RESERVE: Duration = Duration::from_secs(5);
+
 /// Maximum bound on learning of a change, as a share of the age at which the view is too old for keys.
 const MAX_FOLLOWING_SHARE: f64 = 0.45;
 
@@ -115,7 +153,28 @@
         let base = bounds.retry_base.is_finite() && bounds.retry_base >= 0.0;
         let processors = self.processors.is_finite() && self.processors >= 0.0;
         let positive = "a time above 0 is expected";
+        let policy = self.admission.policy();
         let checks = [
+            (
+                policy.reserve <= MAX_RESERVE,
+                "admission.reserve",
+                "a time of at most 5 s is expected",
+            ),
+            (
+                (0.0..=0.3).contains(&policy.floor),
+                "admission.floor",
+                "a number from 0 to 0.3 is expected",
+            ),
+            (
+                (0.5..=1.0).contains(&policy.fill),
+                "admission.fill",
+                "a number from 0.5 to 1 is expected",
+            ),
+            (
+                (0.0..=1.0).contains(&policy.wait),
+                "admission.wait",
+                "a number from 0 to 1 is expected",
+            ),
             (processors, "processors", "a number from 0 is expected"),
             (ratio, "bounds.retry_ratio", "a number from 0 is expected"),
             (base, "bounds.retry_base", "a number from 0 is expected"),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,7 @@
 use crate::feed::Feed;
 use crate::gate::Gate;
 use crate::stall;
+use crate::turns::Turns;
 use agatemill_adapter::Store;
 use agatemill_core::id;
 use agatemill_core::number::Era;
@@ -43,9 +44,11 @@
 use agatemill_fleet::Server;
 use agatemill_fleet::Suspicion;
 use agatemill_fleet::Throttle;
+use agatemill_fleet::admission::Returns;
 use agatemill_fleet::budget::Balance;
 use agatemill_fleet::budget::Purpose;
 use agatemill_fleet::configuration::Limits;
+use agatemill_fleet::demand::Meter;
 use agatemill_fleet::evidence;
 use agatemill_fleet::history::Observation;
 use agatemill_fleet::throttle::allocator::Allocator;
@@ -92,6 +95,10 @@
     view: Mutex<View>,
     load: Mutex<Load>,
     census: Mutex<Census>,
+    meter: Mutex<Meter>,
+    returns: Mutex<Returns>,
+    /// Streams that wait for room.
+    pub turns: Turns,
     link: Mutex<Link>,
     suspicion: Mutex<Suspicion>,
     backoff: Mutex<Backoff>,
@@ -137,6 +144,9 @@
             waiting: Event::new(),
             view: Mutex::default(),
             load: Mutex::default(),
+            meter: Mutex::default(),
+            returns: Mutex::default(),
+            turns: Turns::default(),
             link: Mutex::default(),
             suspicion: Mutex::default(),
             backoff: Mutex::default(),
@@ -213,6 +223,16 @@
         lock(&self.census)
     }
 
+    /// Demand at this host.
+    pub fn meter(&self) -> MutexGuard<'_, Meter> {
+        lock(&self.meter)
+    }
+
+    /// Times at which refused callers may return.
+    pub fn returns(&self) -> MutexGuard<'_, Returns> {
+        lock(&self.returns)
+    }
+
     /// This host's share of the inter-zone links.
     pub fn link(&self) -> MutexGuard<'_, Link> {
         lock(&self.link)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -16,8 +16,10 @@
 use log::Level;
 
 use crate::State;
+use crate::admission;
 use crate::backoff;
 use crate::choice;
+use crate::choice::Shortage;
 use crate::choice::Size;
 use crate::counter;
 use crate::exchange::Job;
@@ -32,6 +34,7 @@
 use crate::stall;
 use crate::state::Stage;
 use crate::throttle;
+use crate::turns::Turn;
 use agatemill_adapter::engine;
 use agatemill_adapter::header;
 use agatemill_core::Cause;
@@ -48,6 +51,10 @@
 /// Interval between attempts to find a path while none is free.
 const PATH_RETRY_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Time after which a stream that waits for room looks for a path although it was not told of any: engines that were avoided may be
+/// used again.
+const TURN_RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Share of the target latency that a request may wait for a free path. Waiting longer makes the response late
 /// and delays later requests.
 const PATH_WAIT_SHARE: f64 = 0.5;
@@ -87,6 +94,9 @@
     /// The engines that a run may start at ask for no requests for this time.
     #[display("the engines ask for no requests")]
     Backoff(Duration),
+    /// The engines have no room for requests of this urgency; the caller may return after this time.
+    #[display("no room for requests of this urgency")]
+    Full(Duration),
     /// The retry budget is used up.
     #[display("the retry budget is used up")]
     Budget,
@@ -114,6 +124,11 @@
         .model
         .clone()
         .ok_or_else(|| Refusal::not_run(Reason::NoServer, "the service has no model"))?;
+    let size = Size::of(&job, &model);
+    let now = agatemill_runtime::now();
+    state
+        .meter()
+        .offer(job.subject(), size.prompt + size.answer, now);
     let job = Arc::new(job);
     let mut runs = Runs::new(state, &job, &model);
     match runs.next().await? {
@@ -177,6 +192,14 @@
     throttle::want(&state, &job.service);
     let end = agatemill_runtime::now() + job.route.target_latency.mul_f64(PATH_WAIT_SHARE);
     let attempt = &job.parameters.attempt;
+    let is_sent_again = purpose.is_some();
+    let tokens = size.prompt + size.answer;
+    let mut turn: Option<Turn> = None;
+    if !is_sent_again && state.turns.is_behind(job.urgency()) {
+        let joined = Turn::join(&state, &job, tokens);
+        joined.wait(TURN_RECHECK_INTERVAL).await;
+        turn = Some(joined);
+    }
     let mut previous = None;
     loop {
         let is_last = agatemill_runtime::now() >= end;
@@ -196,9 +219,12 @@
                 continue;
             }
         };
-        let path = match choice::choose(&state, &job, &model, size, &running) {
+        let path = match choice::choose(&state, &job, &model, size, &running, is_sent_again) {
             Ok(path) => path,
-            Err(missing) => {
+            Err(Shortage {
+                missing,
+                assessment,
+            }) => {
                 drop(probe);
                 let before = previous.replace(missing);
                 if missing == Missing::Backoff
@@ -207,6 +233,15 @@
                     wait_for_backoff(&state, &job, wait, end, &running).await?;
                     continue;
                 }
+                if let Some(assessment) = assessment.filter(|_| !is_sent_again)
+                    && matches!(missing, Missing::Room | Missing::Links | Missing::Time)
+                {
+                    let limit = admission::decide(&state, &job, size, &assessment)?;
+                    let waiting = turn.get_or_insert_with(|| Turn::join(&state, &job, tokens));
+                    waiting.pass();
+                    waiting.wait(limit.min(TURN_RECHECK_INTERVAL)).await;
+                    continue;
+                }
                 if is_last || choice::has_gap(&state, &job, &model) {
                     log::warn!(
                         request:% = attempt, missing:?, prompt = size.prompt;
@@ -229,6 +264,9 @@
         if purpose.is_some_and(is_denied) {
             return Err(budget_obstacle(&state, &job));
         }
+        if let Some(turn) = turn {
+            turn.close();
+        }
         return Ok(Start { path, probe });
     }
 }
@@ -280,23 +318,24 @@
 
 /// The refusal of a request that engines rejected.
 #[must_use]
-pub fn overloaded() -> Refusal {
+pub fn overloaded(state: &State, job: &Job) -> Refusal {
     Refusal::not_run(
         Reason::Overloaded,
         "the engines or the links between zones are full",
     )
-    .retry_after(jitter(RETRY_AFTER))
+    .retry_after(admission::promise_after(state, job, jitter(RETRY_AFTER)))
 }
 
 /// The refusal of a request that was not sent.
 #[must_use]
-pub fn refusal(obstacle: &Obstacle) -> Refusal {
+pub fn refusal(state: &State, job: &Job, obstacle: &Obstacle) -> Refusal {
     let (reason, detail) = match obstacle {
         Obstacle::Quarantined(left) => {
             let detail = "engines crash on a part of the prompt";
             return Refusal::not_run(Reason::Quarantined, detail).retry_after(*left);
         }
         Obstacle::Backoff(wait) => return backoff::refusal(*wait),
+        Obstacle::Full(wait) => return admission::refusal(*wait),
         Obstacle::Suspected => {
             let detail = "another request with a suspected part of the prompt comes first";
             (Reason::Quarantined, detail)
@@ -312,7 +351,7 @@
         Obstacle::NoPath(Missing::Room | Missing::Links | Missing::Backoff)
         | Obstacle::Budget
         | Obstacle::Attempts => {
-            return overloaded();
+            return overloaded(state, job);
         }
     };
     Refusal::not_run(reason, detail).retry_after(jitter(RETRY_AFTER))
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -6,10 +6,12 @@
 pub mod breaker;
 pub mod bucket;
 pub mod budget;
+pub mod line;
 pub mod queue;
 pub mod share;
 
 pub use breaker::Breaker;
 pub use bucket::Bucket;
 pub use budget::Budget;
+pub use line::Line;
 pub use queue::Queue;
--- a/crates/limits/tests/limits.rs
+++ b/crates/limits/tests/limits.rs
@@ -24,7 +24,7 @@
     Request {
         organisation: organisation.parse::<id::Organisation>().unwrap(),
         weight,
-        priority,
+        urgency: priority.into(),
         concurrency: 100,
         deadline: Duration::from_hours(1),
     }
--- a/crates/load/src/bound/document.rs
+++ b/crates/load/src/bound/document.rs
@@ -161,6 +161,7 @@
             step_ms: self.model.step_ms,
             step_request_ms: self.model.step_request_ms,
             step_context_ms: self.model.step_context_ms,
+            pass_tokens: 1.0,
             read_tokens_per_ms: self.model.read_tokens_per_ms,
             load_s: 0.0,
             activation_bytes: 0.0,
--- a/crates/load/src/simulation.rs
+++ b/crates/load/src/simulation.rs
@@ -253,7 +253,7 @@
                 .parse()
                 .expect("the name is valid"),
             weight: 1,
-            priority: Priority::Normal,
+            urgency: Priority::Normal.into(),
             concurrency: self.scenario.concurrency,
             deadline: request.arrival + self.scenario.deadline,
         };
--- a/crates/metrics/src/registry.rs
+++ b/crates/metrics/src/registry.rs
@@ -44,6 +44,8 @@
     tokens: Counter<u64>,
     /// Events without a counter of their own, by part and event.
     events: Counter<u64>,
+    /// Decisions on requests for which the servers have no room, by urgency.
+    admissions: Counter<u64>,
     /// Requests in progress.
     in_flight: UpDownCounter<i64>,
     first_token: Histogram<f64>,
@@ -74,6 +76,7 @@
             requests: meter.u64_counter("agatemill_requests").build(),
             tokens: meter.u64_counter("agatemill_tokens").build(),
             events: meter.u64_counter("agatemill_events").build(),
+            admissions: meter.u64_counter("agatemill_admissions").build(),
             in_flight: meter.i64_up_down_counter("agatemill_in_flight").build(),
             first_token: histogram(&meter, "agatemill_first_token_seconds"),
             between_tokens: histogram(&meter, "agatemill_between_tokens_seconds"),
@@ -107,6 +110,15 @@
         );
     }
 
+    /// Counts a decision on a request for which the servers have no room.
+    pub fn count_admission(&self, urgency: agatemill_core::Urgency, decision: &'static str) {
+        let labels = [
+            KeyValue::new("urgency", urgency.to_string()),
+            KeyValue::new("decision", decision),
+        ];
+        self.admissions.add(1, &labels);
+    }
+
     /// Increments the number of requests in progress.
     pub fn start_request(&self) {
         self.in_flight.add(1, &[]);
