--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -5,6 +5,7 @@
 //! the more urgent ones that arrive until the hosts learn of the change, and a request for which no room comes free in time is
 //! refused at once, with the time at which it is expected.
 
+pub mod claim;
 pub mod policy;
 pub mod returns;
 pub mod room;
@@ -14,10 +15,15 @@
 use crate::demand::Demand;
 use crate::demand::Subject;
 
+pub use claim::Claim;
 pub use policy::Policy;
 pub use returns::Returns;
 pub use room::Room;
 
+/// Share of the mean number of arrivals by which there may be more of them within the reserve time: about three standard
+/// deviations of a hundred arrivals.
+const ARRIVAL_MARGIN: f64 = 0.3;
+
 /// What decisions on requests for one service depend on.
 #[derive(Clone, Copy, Debug)]
 pub struct Pressure<'a> {
@@ -36,6 +42,8 @@
     pub subject: Subject,
     /// Tokens that it will hold.
     pub tokens: f64,
+    /// What it may claim.
+    pub claim: Claim,
     /// Time since its arrival.
     pub waited: Duration,
     /// Longest time that it may wait.
@@ -54,17 +62,31 @@
 impl Pressure<'_> {
     /// Share of an engine's memory up to which a request may fill it.
     ///
-    /// Room for the more urgent requests of the policy's reserve time stays free, unless the requests of this urgency hold less
-    /// than their floor.
+    /// Room for the more urgent requests of the policy's reserve time stays free, as far as they need more than what comes free
+    /// meanwhile, and for those that wait, unless the requests of this urgency hold less than their floor. Callers that come back when
+    /// told find a part of that room, so that few are refused twice. Streams in progress may use all memory.
     #[must_use]
-    pub fn fill(&self, subject: Subject) -> f64 {
+    pub fn fill(&self, subject: Subject, claim: Claim) -> f64 {
+        match claim {
+            Claim::InProgress => return 1.0,
+            Claim::Retried => return self.policy.fill,
+            Claim::New | Claim::Returned => {}
+        }
         let held = f64::from(self.demand.of(subject).held);
         if self.room.capacity <= 0.0 || held < self.policy.floor * self.room.capacity {
             return self.policy.fill;
         }
-        let urgent = f64::from(self.demand.before(subject).offered);
-        let reserved = urgent * self.policy.reserve.as_secs_f64() / self.room.capacity;
-        (self.policy.fill - reserved).max(0.0)
+        let before = self.demand.before(subject);
+        let urgent = f64::from(before.offered);
+        let ended = f64::from(self.demand.all(subject.service).ended);
+        let margin = if claim == Claim::Returned {
+            0.0
+        } else {
+            ARRIVAL_MARGIN
+        };
+        let excess = (urgent - ended).max(0.0) + urgent * margin;
+        let reserved = excess * self.policy.reserve.as_secs_f64() + f64::from(before.waiting);
+        (self.policy.fill - reserved / self.room.capacity).max(0.0)
     }
 
     /// Tokens a second that come free for requests of this urgency after the more urgent ones were served.
@@ -76,10 +98,10 @@
 
     /// Time until room for another request of this urgency is expected; `None` if more urgent ones take all that comes free.
     #[must_use]
-    pub fn time_to_room(&self, subject: Subject, tokens: f64) -> Option<Duration> {
-        let before = self.demand.before(subject).waiting;
-        let ahead = f64::from(before.saturating_add(self.demand.of(subject).waiting));
-        let limit = self.fill(subject) * self.room.capacity;
+    pub fn time_to_room(&self, subject: Subject, tokens: f64, claim: Claim) -> Option<Duration> {
+        // Those that are more urgent lower the share that may be filled.
+        let ahead = f64::from(self.demand.of(subject).waiting);
+        let limit = self.fill(subject, claim) * self.room.capacity;
         let missing = self.room.used + ahead + tokens - limit;
         if missing <= 0.0 {
             return Some(Duration::ZERO);
@@ -92,7 +114,7 @@
     #[must_use]
     pub fn decide(&self, case: &Case) -> Decision {
         let left = case.max_wait.saturating_sub(case.waited);
-        let expected = self.time_to_room(case.subject, case.tokens);
+        let expected = self.time_to_room(case.subject, case.tokens, case.claim);
         match expected {
             Some(expected) if expected < left => Decision::Wait(left),
             _ => Decision::Refuse(expected),
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -6,6 +6,13 @@
 
 use agatemill_core::id;
 
+/// Minimum gap of a stream after which callers leave.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Multiples of the target latency and of the longest gap of the target after which callers leave.
+const LATENCY_PATIENCE: u32 = 4;
+const GAP_PATIENCE: u32 = 8;
+
 /// A route: maps requests to services and sets their limits.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -57,6 +64,15 @@
 }
 
 impl Route {
+    /// Longest gap of a stream, also before its first event, after which callers leave.
+    #[must_use]
+    pub fn patience(&self) -> Duration {
+        let gap = self.gap_target.unwrap_or_default();
+        MIN_PATIENCE
+            .max(self.target_latency * LATENCY_PATIENCE)
+            .max(gap * GAP_PATIENCE)
+    }
+
     /// Whether a request may be sent to another server after it may have run.
     #[must_use]
     pub fn is_repeatable(&self) -> bool {
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -11,6 +11,7 @@
 use agatemill_fleet::Demand;
 use agatemill_fleet::Forecast;
 use agatemill_fleet::admission::Case;
+use agatemill_fleet::admission::Claim;
 use agatemill_fleet::admission::Decision;
 use agatemill_fleet::admission::Policy;
 use agatemill_fleet::admission::Pressure;
@@ -96,15 +97,20 @@
         }
     }
 
-    /// Share of an engine's memory up to which the request may fill it. A request that was sent before comes before new ones, so no
-    /// room is kept from it.
+    /// Share of an engine's memory up to which the request may fill it.
     #[must_use]
-    pub fn fill(&self, job: &Job, is_sent_again: bool) -> f64 {
-        if is_sent_again {
-            self.news.policy.fill
+    pub fn fill(&self, job: &Job, claim: Claim) -> f64 {
+        self.pressure().fill(job.subject(), claim)
+    }
+
+    /// Longest time that a request may wait. One whose caller has come back is late in any case, and lost if it is refused again.
+    fn max_wait(&self, job: &Job) -> Duration {
+        let limit = if job.claim() == Claim::Returned {
+            job.route.patience()
         } else {
-            self.pressure().fill(job.subject())
-        }
+            job.route.target_latency
+        };
+        limit.mul_f64(self.news.policy.wait)
     }
 
     /// Decides what happens to a request for which no path has room.
@@ -113,8 +119,9 @@
         let case = Case {
             subject: job.subject(),
             tokens: size.prompt + size.answer,
+            claim: job.claim(),
             waited: agatemill_runtime::now().saturating_sub(job.arrived),
-            max_wait: job.route.target_latency.mul_f64(self.news.policy.wait),
+            max_wait: self.max_wait(job),
         };
         self.pressure().decide(&case)
     }
@@ -123,7 +130,8 @@
     #[must_use]
     pub fn time_to_room(&self, job: &Job, size: Size) -> Option<Duration> {
         let tokens = size.prompt + size.answer;
-        self.pressure().time_to_room(job.subject(), tokens)
+        self.pressure()
+            .time_to_room(job.subject(), tokens, job.claim())
     }
 
     /// Time after which the caller of a refused request may return.
@@ -158,7 +166,7 @@
         log::info!(
             request:% = job.parameters.attempt, decision, urgency:% = subject.urgency, wait_ms = ms(wait),
             tokens = size.prompt + size.answer, used = self.room.used, capacity = self.room.capacity,
-            fill = self.pressure().fill(subject), urgent = before.offered, waiting = before.waiting + own.waiting,
+            fill = self.fill(job, job.claim()), claim:? = job.claim(), urgent = before.offered, waiting = before.waiting + own.waiting,
             held = own.held, ended = self.news.forecast.ended, sent = self.news.forecast.sent, age_ms = ms(self.news.forecast.age);
             "admission: no room"
         );
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -14,6 +14,7 @@
 use agatemill_fleet::Model;
 use agatemill_fleet::Path;
 use agatemill_fleet::Server;
+use agatemill_fleet::admission::Claim;
 use agatemill_fleet::admission::Room;
 use agatemill_fleet::link;
 use agatemill_fleet::path::Candidate;
@@ -148,8 +149,8 @@
 }
 
 /// Chooses the path of a request, takes a credit for its first engine and charges its traffic to the inter-zone links.
-/// The path does not start at the addresses in `excluded`, which run the request already. A request that `is_sent_again` is let in
-/// before new ones.
+/// The path does not start at the addresses in `excluded`, which run the request already. A request with a greater `claim` is
+/// let in before others.
 ///
 /// # Errors
 ///
@@ -160,7 +161,7 @@
     model: &Model,
     size: Size,
     excluded: &[SocketAddrV4],
-    is_sent_again: bool,
+    claim: Claim,
 ) -> Result<Path, Shortage> {
     let zone = state.settings().zone.clone();
     let news = admission::news(state, job);
@@ -183,9 +184,9 @@
         Assessment::new(news, Room::of(model, &candidates))
     });
     if let Some(assessment) = &assessment {
-        request.fill = assessment.fill(job, is_sent_again);
+        request.fill = assessment.fill(job, claim);
     }
-    let limit = if assessment.is_some() && !is_sent_again {
+    let limit = if assessment.is_some() && claim == Claim::New {
         let waited = agatemill_runtime::now().saturating_sub(job.arrived);
         job.route.target_latency.saturating_sub(waited)
     } else {
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -31,15 +31,9 @@
 use agatemill_core::Refusal;
 use agatemill_fleet::Attempts;
 use agatemill_fleet::Model;
+use agatemill_fleet::admission::Claim;
 use agatemill_fleet::budget::Purpose;
 
-/// Minimum gap of a stream after which callers leave.
-const MIN_CALLER_PATIENCE: Duration = Duration::from_secs(2);
-
-/// Multiples of the target latency and of the longest gap of the target after which callers leave.
-const LATENCY_PATIENCE: u32 = 4;
-const GAP_PATIENCE: u32 = 8;
-
 /// Pause between searches for a run that continues a stream. Each search repeats its own attempts.
 const SEARCH_PAUSE: Duration = Duration::from_millis(250);
 
@@ -375,11 +369,7 @@
     /// Whether the stream has begun, so that it can only be cut instead, and its caller has not left yet although no run is in
     /// progress.
     fn is_awaited(&self) -> bool {
-        let route = &self.job.route;
-        let gap = route.gap_target.unwrap_or_default();
-        let patience = MIN_CALLER_PATIENCE
-            .max(route.target_latency * LATENCY_PATIENCE)
-            .max(gap * GAP_PATIENCE);
+        let patience = self.job.route.patience();
         self.has_head && agatemill_runtime::now() < self.ended_at + patience
     }
 
@@ -411,6 +401,13 @@
 
     /// Starts a search for a path after `pause`; its purpose is `None` for the first run.
     fn search(&mut self, purpose: Option<Purpose>, pause: Duration) {
+        let claim = if self.has_head {
+            Claim::InProgress
+        } else if purpose.is_some() {
+            Claim::Retried
+        } else {
+            self.job.claim()
+        };
         let running = self.active.iter().map(|run| run.path.first().address);
         let running = running.collect();
         let state = Arc::clone(&self.state);
@@ -420,7 +417,7 @@
             if !pause.is_zero() {
                 agatemill_runtime::sleep(pause).await;
             }
-            stream::find_start(state, job, model, purpose, running).await
+            stream::find_start(state, job, model, purpose, claim, running).await
         };
         self.search = Some(search.boxed());
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -34,6 +34,7 @@
 use crate::stall;
 use crate::state::Stage;
 use crate::throttle;
+use crate::turns;
 use crate::turns::Turn;
 use agatemill_adapter::engine;
 use agatemill_adapter::header;
@@ -45,6 +46,7 @@
 use agatemill_fleet::Model;
 use agatemill_fleet::Path;
 use agatemill_fleet::Server;
+use agatemill_fleet::admission::Claim;
 use agatemill_fleet::budget::Purpose;
 use agatemill_fleet::path::Missing;
 
@@ -172,7 +174,7 @@
 }
 
 /// Finds a path on which a run of a request may start now, and takes what the run needs. `purpose` says why the request
-/// is sent again, if it is, and the path does not start at the engines in `running`.
+/// is sent again, if it is, `claim` what it may claim, and the path does not start at the engines in `running`.
 ///
 /// # Errors
 ///
@@ -182,6 +184,7 @@
     job: Arc<Job>,
     model: Arc<Model>,
     purpose: Option<Purpose>,
+    claim: Claim,
     running: Vec<SocketAddrV4>,
 ) -> Result<Start, Obstacle> {
     // A path takes credits and a part of the links between zones.
@@ -192,11 +195,10 @@
     throttle::want(&state, &job.service);
     let end = agatemill_runtime::now() + job.route.target_latency.mul_f64(PATH_WAIT_SHARE);
     let attempt = &job.parameters.attempt;
-    let is_sent_again = purpose.is_some();
     let tokens = size.prompt + size.answer;
     let mut turn: Option<Turn> = None;
-    if !is_sent_again && state.turns.is_behind(job.urgency()) {
-        let joined = Turn::join(&state, &job, tokens);
+    if state.turns.is_behind(turns::urgency(&job, claim)) {
+        let joined = Turn::join(&state, &job, claim, tokens);
         joined.wait(TURN_RECHECK_INTERVAL).await;
         turn = Some(joined);
     }
@@ -219,7 +221,7 @@
                 continue;
             }
         };
-        let path = match choice::choose(&state, &job, &model, size, &running, is_sent_again) {
+        let path = match choice::choose(&state, &job, &model, size, &running, claim) {
             Ok(path) => path,
             Err(Shortage {
                 missing,
@@ -233,11 +235,20 @@
                     wait_for_backoff(&state, &job, wait, end, &running).await?;
                     continue;
                 }
-                if let Some(assessment) = assessment.filter(|_| !is_sent_again)
+                if let Some(assessment) = assessment
                     && matches!(missing, Missing::Room | Missing::Links | Missing::Time)
+                    && !(is_last && claim >= Claim::Retried)
                 {
-                    let limit = admission::decide(&state, &job, size, &assessment)?;
-                    let waiting = turn.get_or_insert_with(|| Turn::join(&state, &job, tokens));
+                    let limit = match claim {
+                        Claim::New | Claim::Returned => {
+                            admission::decide(&state, &job, size, &assessment)?
+                        }
+                        Claim::Retried | Claim::InProgress => {
+                            end.saturating_sub(agatemill_runtime::now())
+                        }
+                    };
+                    let join = || Turn::join(&state, &job, claim, tokens);
+                    let waiting = turn.get_or_insert_with(join);
                     waiting.pass();
                     waiting.wait(limit.min(TURN_RECHECK_INTERVAL)).await;
                     continue;
--- a/crates/gateway/src/turns.rs
+++ b/crates/gateway/src/turns.rs
@@ -15,6 +15,7 @@
 use crate::exchange::Job;
 use agatemill_core::Urgency;
 use agatemill_core::id;
+use agatemill_fleet::admission::Claim;
 use agatemill_fleet::demand::Subject;
 use agatemill_limits::Line;
 use agatemill_limits::line::Ticket;
@@ -74,23 +75,34 @@
     }
 }
 
+/// Urgency of a request that waits.
+#[must_use]
+pub fn urgency(job: &Job, claim: Claim) -> Urgency {
+    if claim == Claim::InProgress {
+        Urgency::IN_PROGRESS
+    } else {
+        job.urgency()
+    }
+}
+
 impl Turn {
     /// Joins the line.
     #[must_use]
-    pub fn join(state: &Arc<State>, job: &Job, tokens: f64) -> Self {
+    pub fn join(state: &Arc<State>, job: &Job, claim: Claim, tokens: f64) -> Self {
+        let urgency = urgency(job, claim);
         let (waker, woken) = channel::bounded(1);
         let holder = job.organisation.as_ref();
         let waiter = Waiter {
             organisation: holder.and_then(|holder| holder.name.parse::<id::Organisation>().ok()),
             weight: 1,
-            urgency: job.urgency(),
+            urgency,
             deadline: job.deadline,
         };
         let mut turns = state.turns.lock();
         let ticket = turns.line.join(waiter);
         turns.wakers.insert(ticket, waker);
         drop(turns);
-        let subject = job.subject();
+        let subject = Subject::new(&job.service, urgency);
         state.meter().begin_wait(subject, tokens);
         Self {
             state: Arc::clone(state),
