--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -67,7 +67,7 @@
         let request = Request {
             organisation: organisation.name.clone(),
             weight: organisation.weight,
-            priority: organisation.priority,
+            urgency: organisation.priority.into(),
             concurrency: share::concurrency(organisation.concurrency, hosts),
             deadline,
         };
--- a/crates/entry/tests/gate.rs
+++ b/crates/entry/tests/gate.rs
@@ -15,7 +15,7 @@
     Request {
         organisation: "o".parse().unwrap(),
         weight: 1,
-        priority: Priority::Normal,
+        urgency: Priority::Normal.into(),
         concurrency: 10,
         deadline: agatemill_runtime::now() + wait,
     }
--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -20,10 +20,6 @@
 pub use returns::Returns;
 pub use room::Room;
 
-/// Share of the mean number of arrivals by which there may be more of them within the reserve time: about three standard
-/// deviations of a hundred arrivals.
-const ARRIVAL_MARGIN: f64 = 0.3;
-
 /// What decisions on requests for one service depend on.
 #[derive(Clone, Copy, Debug)]
 pub struct Pressure<'a> {
@@ -42,8 +38,6 @@
     pub subject: Subject,
     /// Tokens that it will hold.
     pub tokens: f64,
-    /// What it may claim.
-    pub claim: Claim,
     /// Time since its arrival.
     pub waited: Duration,
     /// Longest time that it may wait.
@@ -62,30 +56,22 @@
 impl Pressure<'_> {
     /// Share of an engine's memory up to which a request may fill it.
     ///
-    /// Room for the more urgent requests of the policy's reserve time stays free, as far as they need more than what comes free
-    /// meanwhile, and for those that wait, unless the requests of this urgency hold less than their floor. Callers that come back when
-    /// told find a part of that room, so that few are refused twice. Streams in progress may use all memory.
+    /// Room for the more urgent requests that wait, and for those that arrive within the policy's reserve time, stays free, unless the
+    /// requests of this urgency hold less than their floor. Streams in progress may use all memory.
     #[must_use]
     pub fn fill(&self, subject: Subject, claim: Claim) -> f64 {
         match claim {
             Claim::InProgress => return 1.0,
             Claim::Retried => return self.policy.fill,
-            Claim::New | Claim::Returned => {}
+            Claim::New => {}
         }
         let held = f64::from(self.demand.of(subject).held);
         if self.room.capacity <= 0.0 || held < self.policy.floor * self.room.capacity {
             return self.policy.fill;
         }
-        let before = self.demand.before(subject);
-        let urgent = f64::from(before.offered);
-        let ended = f64::from(self.demand.all(subject.service).ended);
-        let margin = if claim == Claim::Returned {
-            0.0
-        } else {
-            ARRIVAL_MARGIN
-        };
-        let excess = (urgent - ended).max(0.0) + urgent * margin;
-        let reserved = excess * self.policy.reserve.as_secs_f64() + f64::from(before.waiting);
+        let urgent = self.demand.before(subject);
+        let arriving = f64::from(urgent.offered) * self.policy.reserve.as_secs_f64();
+        let reserved = arriving + f64::from(urgent.waiting);
         (self.policy.fill - reserved / self.room.capacity).max(0.0)
     }
 
@@ -98,10 +84,10 @@
 
     /// Time until room for another request of this urgency is expected; `None` if more urgent ones take all that comes free.
     #[must_use]
-    pub fn time_to_room(&self, subject: Subject, tokens: f64, claim: Claim) -> Option<Duration> {
-        // Those that are more urgent lower the share that may be filled.
+    pub fn time_to_room(&self, subject: Subject, tokens: f64) -> Option<Duration> {
+        // The more urgent ones that wait lower the share that may be filled.
         let ahead = f64::from(self.demand.of(subject).waiting);
-        let limit = self.fill(subject, claim) * self.room.capacity;
+        let limit = self.fill(subject, Claim::New) * self.room.capacity;
         let missing = self.room.used + ahead + tokens - limit;
         if missing <= 0.0 {
             return Some(Duration::ZERO);
@@ -114,7 +100,7 @@
     #[must_use]
     pub fn decide(&self, case: &Case) -> Decision {
         let left = case.max_wait.saturating_sub(case.waited);
-        let expected = self.time_to_room(case.subject, case.tokens, case.claim);
+        let expected = self.time_to_room(case.subject, case.tokens);
         match expected {
             Some(expected) if expected < left => Decision::Wait(left),
             _ => Decision::Refuse(expected),
--- a/crates/fleet/src/admission/claim.rs
+++ b/crates/fleet/src/admission/claim.rs
@@ -5,8 +5,6 @@
 pub enum Claim {
     /// A new request.
     New,
-    /// Its caller has come back after a refusal, when it was told to.
-    Returned,
     /// Servers have rejected it; its caller still waits.
     Retried,
     /// A part of its response was delivered.
--- a/crates/fleet/src/admission/returns.rs
+++ b/crates/fleet/src/admission/returns.rs
@@ -6,7 +6,7 @@
 use agatemill_core::Urgency;
 
 /// Earliest return: the time until news of freed memory reaches all hosts.
-pub const MIN_WAIT: Duration = Duration::from_millis(500);
+const MIN_WAIT: Duration = Duration::from_millis(500);
 
 /// Times at which the callers that this host refused may return.
 ///
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -103,25 +103,14 @@
         self.pressure().fill(job.subject(), claim)
     }
 
-    /// Longest time that a request may wait. One whose caller has come back is late in any case, and lost if it is refused again.
-    fn max_wait(&self, job: &Job) -> Duration {
-        let limit = if job.claim() == Claim::Returned {
-            job.route.patience()
-        } else {
-            job.route.target_latency
-        };
-        limit.mul_f64(self.news.policy.wait)
-    }
-
     /// Decides what happens to a request for which no path has room.
     #[must_use]
     pub fn decide(&self, job: &Job, size: Size) -> Decision {
         let case = Case {
             subject: job.subject(),
             tokens: size.prompt + size.answer,
-            claim: job.claim(),
             waited: agatemill_runtime::now().saturating_sub(job.arrived),
-            max_wait: self.max_wait(job),
+            max_wait: job.route.target_latency.mul_f64(self.news.policy.wait),
         };
         self.pressure().decide(&case)
     }
@@ -130,8 +119,7 @@
     #[must_use]
     pub fn time_to_room(&self, job: &Job, size: Size) -> Option<Duration> {
         let tokens = size.prompt + size.answer;
-        self.pressure()
-            .time_to_room(job.subject(), tokens, job.claim())
+        self.pressure().time_to_room(job.subject(), tokens)
     }
 
     /// Time after which the caller of a refused request may return.
@@ -166,7 +154,7 @@
         log::info!(
             request:% = job.parameters.attempt, decision, urgency:% = subject.urgency, wait_ms = ms(wait),
             tokens = size.prompt + size.answer, used = self.room.used, capacity = self.room.capacity,
-            fill = self.fill(job, job.claim()), claim:? = job.claim(), urgent = before.offered, waiting = before.waiting + own.waiting,
+            fill = self.fill(job, Claim::New), urgent = before.offered, waiting = before.waiting + own.waiting,
             held = own.held, ended = self.news.forecast.ended, sent = self.news.forecast.sent, age_ms = ms(self.news.forecast.age);
             "admission: no room"
         );
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -67,7 +67,7 @@
     /// What is missing.
     pub missing: Missing,
     /// Set if requests for the service differ in urgency.
-    pub assessment: Option<Assessment>,
+    pub assessment: Option<Box<Assessment>>,
 }
 
 /// Engines of a model as candidates for path selection, while the share `remaining` of the load that other hosts reported is left. A
@@ -181,7 +181,7 @@
         let known = unreported(state, model, &candidates);
         news.forecast
             .place(model, &mut candidates, &zones, request, known);
-        Assessment::new(news, Room::of(model, &candidates))
+        Box::new(Assessment::new(news, Room::of(model, &candidates)))
     });
     if let Some(assessment) = &assessment {
         request.fill = assessment.fill(job, claim);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -38,8 +38,6 @@
 use agatemill_fleet::Configuration;
 use agatemill_fleet::Model;
 use agatemill_fleet::Route;
-use agatemill_fleet::admission::Claim;
-use agatemill_fleet::admission::returns;
 use agatemill_fleet::configuration::Organisation;
 use agatemill_fleet::demand::Subject;
 use agatemill_fleet::route;
@@ -97,18 +95,6 @@
         Subject::new(&self.service, self.urgency())
     }
 
-    /// What the request may claim before it is sent first. Its caller has come back after a refusal if it has less time left than
-    /// the route allows; one that came back sooner than any is told to counts as a new one.
-    #[must_use]
-    pub fn claim(&self) -> Claim {
-        let left = self.deadline.saturating_sub(self.arrived);
-        if left + returns::MIN_WAIT <= self.route.timeout {
-            Claim::Returned
-        } else {
-            Claim::New
-        }
-    }
-
     /// Time until the deadline.
     #[must_use]
     pub fn time_left(&self, now: Duration) -> Duration {
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -406,7 +406,7 @@
         } else if purpose.is_some() {
             Claim::Retried
         } else {
-            self.job.claim()
+            Claim::New
         };
         let running = self.active.iter().map(|run| run.path.first().address);
         let running = running.collect();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -197,7 +197,7 @@
     let attempt = &job.parameters.attempt;
     let tokens = size.prompt + size.answer;
     let mut turn: Option<Turn> = None;
-    if state.turns.is_behind(turns::urgency(&job, claim)) {
+    if state.turns.is_behind(turns::order(&job, claim)) {
         let joined = Turn::join(&state, &job, claim, tokens);
         joined.wait(TURN_RECHECK_INTERVAL).await;
         turn = Some(joined);
@@ -240,9 +240,7 @@
                     && !(is_last && claim >= Claim::Retried)
                 {
                     let limit = match claim {
-                        Claim::New | Claim::Returned => {
-                            admission::decide(&state, &job, size, &assessment)?
-                        }
+                        Claim::New => admission::decide(&state, &job, size, &assessment)?,
                         Claim::Retried | Claim::InProgress => {
                             end.saturating_sub(agatemill_runtime::now())
                         }
--- a/crates/gateway/src/turns.rs
+++ b/crates/gateway/src/turns.rs
@@ -75,9 +75,9 @@
     }
 }
 
-/// Urgency of a request that waits.
+/// Urgency by which a stream takes its turn: streams in progress come first.
 #[must_use]
-pub fn urgency(job: &Job, claim: Claim) -> Urgency {
+pub fn order(job: &Job, claim: Claim) -> Urgency {
     if claim == Claim::InProgress {
         Urgency::IN_PROGRESS
     } else {
@@ -89,7 +89,7 @@
     /// Joins the line.
     #[must_use]
     pub fn join(state: &Arc<State>, job: &Job, claim: Claim, tokens: f64) -> Self {
-        let urgency = urgency(job, claim);
+        let urgency = order(job, claim);
         let (waker, woken) = channel::bounded(1);
         let holder = job.organisation.as_ref();
         let waiter = Waiter {
@@ -102,7 +102,9 @@
         let ticket = turns.line.join(waiter);
         turns.wakers.insert(ticket, waker);
         drop(turns);
-        let subject = Subject::new(&job.service, urgency);
+        // Hosts keep room for new requests that wait. Streams in progress may use the room that is kept from those.
+        let tokens = if claim == Claim::New { tokens } else { 0.0 };
+        let subject = job.subject();
         state.meter().begin_wait(subject, tokens);
         Self {
             state: Arc::clone(state),
--- a/crates/gateway/tests/all/silence.rs
+++ b/crates/gateway/tests/all/silence.rs
@@ -5,6 +5,7 @@
 use crate::complete_stream;
 use crate::run_test;
 use crate::system::System;
+use agatemill_core::id;
 use agatemill_fleet::budget::Purpose;
 use agatemill_fleet::prompt::Prompt;
 use agatemill_fleet::tally::Key;
@@ -240,7 +241,7 @@
             shared: vec!["5eed0001".parse().unwrap()],
             own: Some("1".parse().unwrap()),
         };
-        let crashed = Key::from(&"e9".parse().unwrap());
+        let crashed = Key::from(&"e9".parse::<id::Server>().unwrap());
         let now = agatemill_runtime::now();
         let state = system.process.state();
         state.quarantine().record_crash(&prompt, crashed, now);
--- a/crates/limits/src/line.rs
+++ b/crates/limits/src/line.rs
@@ -133,14 +133,14 @@
     pub fn serve(&mut self, ticket: Ticket) -> Option<Waiter> {
         let (waiter, rank) = self.remove(ticket)?;
         self.virtual_time = self.virtual_time.max(rank.start);
-        self.forget_idle(&waiter.organisation);
+        self.forget_idle(&waiter);
         Some(waiter)
     }
 
     /// Removes a request whose caller left or whose deadline passed; `None` if it does not wait.
     pub fn leave(&mut self, ticket: Ticket) -> Option<Waiter> {
         let (waiter, _) = self.remove(ticket)?;
-        self.forget_idle(&waiter.organisation);
+        self.forget_idle(&waiter);
         Some(waiter)
     }
 
@@ -155,7 +155,8 @@
 
     /// Drops the state of an organisation without waiting requests or virtual finish time in the future, so that memory
     /// use is proportional to the number of active organisations.
-    fn forget_idle(&mut self, organisation: &Option<id::Organisation>) {
+    fn forget_idle(&mut self, waiter: &Waiter) {
+        let organisation = &waiter.organisation;
         let is_idle = |flow: &Flow| flow.waiting == 0 && flow.finish <= self.virtual_time;
         if self.flows.get(organisation).is_some_and(is_idle) {
             self.flows.remove(organisation);
