--- a/crates/fleet/tests/suspicion.rs
+++ b/crates/fleet/tests/suspicion.rs
@@ -44,6 +44,7 @@
         prompt: 800.0,
         answer: 200.0,
         may_cross: true,
+        fill: 1.0,
         start: Start::Allowed,
     };
     let path = Path::choose(&model, &candidates, request).unwrap();
