--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -4,13 +4,17 @@
 use core::time::Duration;
 use std::collections::HashMap;
 
+use agatemill_core::Urgency;
 use agatemill_core::id;
 use agatemill_fleet::Capacity;
 use agatemill_fleet::Census;
+use agatemill_fleet::Demand;
 use agatemill_fleet::Load;
 use agatemill_fleet::Member;
 use agatemill_fleet::Tally;
 use agatemill_fleet::census;
+use agatemill_fleet::demand::Row;
+use agatemill_fleet::demand::Subject;
 use agatemill_fleet::load::Usage;
 use agatemill_fleet::tally::Key;
 
@@ -20,6 +24,7 @@
     address: SocketAddrV4,
     census: Census,
     load: Load,
+    demand: Demand,
 }
 
 /// Creates hosts `0..count`, assigned to three zones in turn.
@@ -44,6 +49,7 @@
             address: exchange,
             census: Census::new(host, zone),
             load: Load::default(),
+            demand: Demand::default(),
         });
     }
     (hosts, members)
@@ -66,19 +72,35 @@
     members: impl Fn(SocketAddrV4) -> &'a HashMap<id::Host, Member>,
     from: u32,
     rounds: u32,
+) -> usize {
+    run_linked_rounds(hosts, members, |_, _| true, from, rounds)
+}
+
+/// Like [`run_rounds_with`], with only the messages between addresses for which `is_linked` returns true.
+fn run_linked_rounds<'a>(
+    hosts: &mut [Host],
+    members: impl Fn(SocketAddrV4) -> &'a HashMap<id::Host, Member>,
+    is_linked: impl Fn(SocketAddrV4, SocketAddrV4) -> bool,
+    from: u32,
+    rounds: u32,
 ) -> usize {
     let mut sent = 0;
     for round in from..from + rounds {
         let now = ROUND * round;
         let messages = hosts.iter_mut().flat_map(|host| {
             let (sender, members) = (host.address, members(host.address));
-            let messages = host.census.round(Tally::from(&host.load), members, now);
+            let mut own = Tally::from(&host.load);
+            own.demand = host.demand.clone();
+            let messages = host.census.round(own, members, now);
             let messages = messages.into_iter();
             messages.map(move |(address, message)| (sender, address, message))
         });
         let messages: Vec<_> = messages.collect();
         sent = messages.len();
         for (sender, address, message) in messages {
+            if !is_linked(sender, address) {
+                continue;
+            }
             if let Some(host) = hosts.iter_mut().find(|host| host.address == address) {
                 host.census.receive(message, sender, now);
             }
@@ -293,3 +315,117 @@
         "other hosts tell their news at once"
     );
 }
+
+fn subject(urgency: u8) -> Subject {
+    Subject::new(&"model".parse().unwrap(), Urgency::new(None, urgency))
+}
+
+/// Hosts that each offer 100 tokens a second of one urgency.
+fn hosts_with_demand(count: u16) -> (Vec<Host>, HashMap<id::Host, Member>) {
+    let (mut hosts, members) = hosts(count);
+    for host in &mut hosts {
+        let row = Row {
+            offered: 100,
+            ..Row::default()
+        };
+        host.demand.set(subject(1), row);
+    }
+    (hosts, members)
+}
+
+/// The offered rate that each host knows; `None` without a recent total.
+fn offered(hosts: &[Host], now: Duration) -> Vec<Option<u32>> {
+    let known = |host: &Host| Some(host.census.demand(now)?.0.of(subject(1)).offered);
+    hosts.iter().map(known).collect()
+}
+
+/// Guards against demand that is lost or counted twice between host, collector and the other collectors, and against a host
+/// whose messages state none that changes the sum.
+#[test]
+fn every_host_receives_the_total_demand() {
+    for count in [8_u16, 80, 300] {
+        let (mut hosts, members) = hosts_with_demand(count);
+        hosts[5].demand = Demand::default();
+        run_rounds(&mut hosts, &members, 0, 4);
+        let sum = 100 * (u32::from(count) - 1);
+        assert_eq!(
+            offered(&hosts, ROUND * 4),
+            vec![Some(sum); usize::from(count)]
+        );
+    }
+}
+
+/// Guards against admission by the demand of a total that is missing or too old, and against an age that leaves out the time
+/// until a request is in the total.
+#[test]
+fn demand_is_known_only_from_a_recent_total() {
+    let (mut hosts, members) = hosts_with_demand(8);
+    assert_eq!(offered(&hosts, ROUND), [None; 8], "before the first round");
+    run_rounds(&mut hosts, &members, 0, 4);
+    let received = ROUND * 3;
+    let (_, age) = hosts[4].census.demand(received).unwrap();
+    assert!((ROUND / 2..=ROUND * 2).contains(&age), "{age:?}");
+    let limit = Duration::from_millis(1_200);
+    assert!(hosts[4].census.demand(received + limit).is_some());
+    let late = received + limit + Duration::from_millis(1);
+    assert_eq!(offered(&hosts, late), [None; 8]);
+}
+
+/// Guards against a host that starts, and takes the demand that it sees itself for that of all hosts.
+#[test]
+fn a_host_that_starts_knows_no_demand_until_a_total_arrives() {
+    let (mut hosts, members) = hosts_with_demand(8);
+    let started = hosts.split_off(7);
+    run_rounds(&mut hosts, &members, 0, 4);
+    hosts.extend(started);
+    assert_eq!(offered(&hosts[7..], ROUND * 4), [None]);
+    run_rounds(&mut hosts, &members, 4, 2);
+    assert_eq!(offered(&hosts[7..], ROUND * 6), [Some(800)]);
+}
+
+/// Guards against demand that stays known, or counts twice, after the collector of a zone was killed.
+#[test]
+fn demand_expires_with_a_killed_collector_and_returns_with_the_next() {
+    let (mut hosts, mut members) = hosts_with_demand(9);
+    run_rounds(&mut hosts, &members, 0, 4);
+    let leader: id::Host = "h000".parse().unwrap();
+    let collector = members[&leader].exchange;
+    hosts.retain(|host| host.address != collector);
+    run_rounds(&mut hosts, &members, 4, 6);
+    // Of the hosts left, the third and sixth are of the zone without a collector.
+    let known = offered(&hosts, ROUND * 10);
+    assert_eq!(known[2..=2], [None]);
+    assert_eq!(known[5..=5], [None]);
+    let in_zones_left = [0, 1, 3, 4, 6, 7].map(|index| known[index]);
+    assert_eq!(in_zones_left, [Some(600); 6], "the zones that are left");
+    members.remove(&leader);
+    for round in 10..20 {
+        run_rounds(&mut hosts, &members, round, 1);
+        for known in offered(&hosts, ROUND * (round + 1)).into_iter().flatten() {
+            assert!(known <= 800, "{known} in round {round}");
+        }
+    }
+    assert_eq!(offered(&hosts, ROUND * 20), [Some(800); 8]);
+}
+
+/// Guards against hosts on either side of a network partition that have no total, or keep the demand of the other side, and
+/// against demand that counts twice when the sides meet again.
+#[test]
+fn each_side_of_a_partition_knows_its_own_demand() {
+    let (mut hosts, members) = hosts_with_demand(9);
+    let is_cut = |address: SocketAddrV4| address.port() % 3 == 0;
+    let is_linked = |from, to| is_cut(from) == is_cut(to);
+    run_rounds(&mut hosts, &members, 0, 4);
+    run_linked_rounds(&mut hosts, |_| &members, is_linked, 4, 8);
+    for (host, known) in hosts.iter().zip(offered(&hosts, ROUND * 12)) {
+        let expected = if is_cut(host.address) { 300 } else { 600 };
+        assert_eq!(known, Some(expected), "{}", host.address);
+    }
+    for round in 12..20 {
+        run_rounds(&mut hosts, &members, round, 1);
+        for known in offered(&hosts, ROUND * (round + 1)) {
+            assert!(known.is_some_and(|known| known <= 900), "{known:?}");
+        }
+    }
+    assert_eq!(offered(&hosts, ROUND * 20), [Some(900); 9]);
+}
