--- a/crates/fleet/tests/fleet/mod.rs
+++ b/crates/fleet/tests/fleet/mod.rs
@@ -72,6 +72,7 @@
 }
 
 /// Three zones, each with enough cards for more than one copy of the model.
+#[allow(dead_code)] // Not every test binary uses it.
 pub fn usual_cards() -> Vec<Card> {
     cards(&[("a", [2, 4, 4]), ("b", [1, 6, 6]), ("c", [1, 10, 4])])
 }
