Keep retries for urgent requests, and record what the admission decides

Cause: retries went to requests in the order of their failures, and operators saw no waits or shares of the admission. Change: a less urgent request without a response uses three quarters of the retries; metrics of decisions, waits and shares; one log line for a wait and one for a refusal.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -13,7 +13,8 @@
 /// retries in the window, and changes of the rate of requests.
 const USED_SHARE: f64 = 0.5;
 
-/// Share of the retries that are kept for requests whose runs have ended. A silent rack may have hundreds of streams.
+/// Share of the retries that are kept for requests whose runs have ended, the most urgent ones if they differ in urgency. A silent
+/// rack may have hundreds of streams.
 const RESERVED_SHARE: f64 = 0.25;
 
 /// Minimum number of hosts assumed to share the free retries, in the first window of a process.
@@ -61,6 +62,8 @@
     Retry,
     /// The server of a run is silent; the run may still continue.
     Backup,
+    /// No run of the request is in progress, and there are more urgent requests for the service.
+    LessUrgent,
 }
 
 /// The inputs of a decision on a retry.
@@ -84,7 +87,7 @@
     pub fn allows(&self, purpose: Purpose) -> bool {
         let allowed = match purpose {
             Purpose::Retry => self.allowed,
-            Purpose::Backup => self.allowed * (1.0 - RESERVED_SHARE),
+            Purpose::Backup | Purpose::LessUrgent => self.allowed * (1.0 - RESERVED_SHARE),
         };
         f64::from(self.retries) + 1.0 <= allowed + self.offset
     }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -161,7 +161,13 @@
     }
 }
 
-/// Decides how long a request for which no path has room waits, counts and logs that.
+/// Whether there is demand for the service of a request that is more urgent.
+#[must_use]
+pub fn is_less_urgent(state: &State, job: &Job) -> bool {
+    news(state, job).is_some_and(|news| news.demand.before(job.subject()).offered > 0)
+}
+
+/// Decides how long a request for which no path has room waits, and counts and logs that if it `is_first` or the last decision.
 ///
 /// # Errors
 ///
@@ -171,12 +177,15 @@
     job: &Job,
     size: Size,
     assessment: &Assessment,
+    is_first: bool,
 ) -> Result<Duration, Obstacle> {
     let urgency = job.urgency();
     match assessment.decide(job, size) {
         Decision::Wait(limit) => {
-            assessment.log(job, size, "wait", limit);
-            state.metrics.count_admission(urgency, "waits");
+            if is_first {
+                assessment.log(job, size, "wait", limit);
+                state.metrics.count_admission(urgency, "waits");
+            }
             Ok(limit)
         }
         Decision::Refuse(_) => {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -201,7 +201,9 @@
     // Nothing may delay the response of a server that runs the call.
     let wait = match purpose {
         Some(Purpose::Backup) => Duration::ZERO,
-        None | Some(Purpose::Retry) => job.route.target_latency.mul_f64(LIMIT_WAIT_SHARE),
+        None | Some(Purpose::Retry | Purpose::LessUrgent) => {
+            job.route.target_latency.mul_f64(LIMIT_WAIT_SHARE)
+        }
     };
     if purpose.is_some_and(|purpose| !state.has_retry(&job.service, purpose)) {
         let balance = state.retry_balance(&job.service);
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -223,6 +223,10 @@
     let tokens = size.prompt + size.answer;
     state.link().charge(model, tokens, crossings);
     let (fill, urgency) = (request.fill, job.urgency());
+    if assessment.is_some() && claim == Claim::New {
+        let waited = agatemill_runtime::now().saturating_sub(job.arrived);
+        state.metrics.record_admission(urgency, fill, waited);
+    }
     log::info!(
         request:% = job.parameters.attempt, path:% = header::encode_path(path.parts()), token_ms, read_ms, fill, urgency:%;
         "stream: path chosen"
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -187,6 +187,11 @@
     claim: Claim,
     running: Vec<SocketAddrV4>,
 ) -> Result<Start, Obstacle> {
+    let is_less_urgent = claim == Claim::Retried && admission::is_less_urgent(&state, &job);
+    let purpose = purpose.map(|purpose| match purpose {
+        Purpose::Retry if is_less_urgent => Purpose::LessUrgent,
+        other => other,
+    });
     // A path takes credits and a part of the links between zones.
     if purpose.is_some_and(|purpose| !state.has_retry(&job.service, purpose)) {
         return Err(budget_obstacle(&state, &job));
@@ -239,8 +244,9 @@
                     && matches!(missing, Missing::Room | Missing::Links | Missing::Time)
                     && !(is_last && claim >= Claim::Retried)
                 {
+                    let is_first = turn.is_none();
                     let limit = match claim {
-                        Claim::New => admission::decide(&state, &job, size, &assessment)?,
+                        Claim::New => admission::decide(&state, &job, size, &assessment, is_first)?,
                         Claim::Retried | Claim::InProgress => {
                             end.saturating_sub(agatemill_runtime::now())
                         }
--- a/crates/metrics/src/registry.rs
+++ b/crates/metrics/src/registry.rs
@@ -6,6 +6,7 @@
 use derive_more::Error;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::Meter;
 use opentelemetry::metrics::MeterProvider;
@@ -44,8 +45,12 @@
     tokens: Counter<u64>,
     /// Events without a counter of their own, by part and event.
     events: Counter<u64>,
-    /// Decisions on requests for which the servers have no room, by urgency.
+    /// Decisions of the admission, by urgency.
     admissions: Counter<u64>,
+    /// Time from the arrival of a request to its admission, by urgency.
+    admission_wait: Histogram<f64>,
+    /// Share of a server's memory that the last admitted request might fill, by urgency.
+    admission_fill: Gauge<f64>,
     /// Requests in progress.
     in_flight: UpDownCounter<i64>,
     first_token: Histogram<f64>,
@@ -77,6 +82,8 @@
             tokens: meter.u64_counter("agatemill_tokens").build(),
             events: meter.u64_counter("agatemill_events").build(),
             admissions: meter.u64_counter("agatemill_admissions").build(),
+            admission_wait: histogram(&meter, "agatemill_admission_wait_seconds"),
+            admission_fill: meter.f64_gauge("agatemill_admission_fill").build(),
             in_flight: meter.i64_up_down_counter("agatemill_in_flight").build(),
             first_token: histogram(&meter, "agatemill_first_token_seconds"),
             between_tokens: histogram(&meter, "agatemill_between_tokens_seconds"),
@@ -110,7 +117,7 @@
         );
     }
 
-    /// Counts a decision on a request for which the servers have no room.
+    /// Counts a decision of the admission: `admitted`, `waits` or `refused`.
     pub fn count_admission(&self, urgency: agatemill_core::Urgency, decision: &'static str) {
         let labels = [
             KeyValue::new("urgency", urgency.to_string()),
@@ -119,6 +126,14 @@
         self.admissions.add(1, &labels);
     }
 
+    /// Records a request that was admitted `wait` after its arrival and might fill the share `fill` of a server's memory.
+    pub fn record_admission(&self, urgency: agatemill_core::Urgency, fill: f64, wait: Duration) {
+        self.count_admission(urgency, "admitted");
+        let labels = [KeyValue::new("urgency", urgency.to_string())];
+        self.admission_wait.record(wait.as_secs_f64(), &labels);
+        self.admission_fill.record(fill, &labels);
+    }
+
     /// Increments the number of requests in progress.
     pub fn start_request(&self) {
         self.in_flight.add(1, &[]);
