Pass on no response that is none in the protocol

Cause: the HTTP library refuses heads that it cannot read, such as status 000, but passes on 101 and 600 to 999, and skips interim responses without end. The gateway passed 101 and 600 to 999 on to callers if they had the seal and the attempt, believed their statement that a request did not run, and used their connections again. The client of the store took their era for that of the store and ended leases; reports with them counted as responses. Change: the HTTP client returns Error::Invalid for these, and closes the connection also if the pool holds it. After 64 interim responses it closes the connection too. The outcome of the request is unknown: it goes elsewhere only if it may be repeated. An engine that sends such a response is avoided for a moment, since the next run would begin there again. Each is counted by reason and one a second is logged. The entry, the engine client, the control and the etcd client use the same client. The test of abandoned interim responses expects Error::Invalid instead of a timeout after 0.5 s: the request now ends at the 65th. The check that all connections are closed is unchanged.

--- a/crates/entry/src/at_most_once.rs
+++ b/crates/entry/src/at_most_once.rs
@@ -198,7 +198,7 @@
         // No part of the request has left the process.
         Error::Connect(_) => (Reason::BackendFailed, Phase::Admitted, Cause::ConnectFailed),
         Error::TimedOut => (Reason::DeadlineExceeded, Phase::Sent, Cause::DeadlinePassed),
-        Error::Lost(_) | Error::TooLarge { .. } | Error::BuffersFull { .. } => {
+        Error::Lost(_) | Error::Invalid(_) | Error::TooLarge { .. } | Error::BuffersFull { .. } => {
             (Reason::BackendFailed, Phase::Sent, Cause::ConnectionLost)
         }
     };
--- a/crates/entry/tests/services.rs
+++ b/crates/entry/tests/services.rs
@@ -204,6 +204,46 @@
     assert!(system.metrics().contains("service_lost"));
 }
 
+/// Guards against payments and lookups that get what is no response in the protocol, or are recorded with it, and against
+/// payments that are sent again after it.
+#[test]
+fn a_status_that_is_not_final_is_no_response() {
+    for status in [101, 600, 999] {
+        let system = System::start();
+        system
+            .service
+            .update_faults(|faults| faults.answer = Some(status));
+        for _ in 0..4 {
+            let answer = fetch(&system, "/v1/services/filing/cases/7");
+            assert_eq!(
+                (answer.status, answer.outcome.as_str()),
+                (200, "complete"),
+                "{status}: {}",
+                answer.body
+            );
+        }
+        let before = system.executions();
+        system
+            .spare
+            .update_faults(|faults| faults.answer = Some(status));
+        let lost = pay(&system, Some("k1"), "100");
+        assert_eq!(
+            (lost.status, lost.outcome.as_str()),
+            (502, "unknown"),
+            "{status}: {}",
+            lost.body
+        );
+        let repeat = pay(&system, Some("k1"), "100");
+        assert_eq!(
+            (repeat.status, repeat.outcome.as_str()),
+            (409, "unknown"),
+            "{status}: {}",
+            repeat.body
+        );
+        assert_eq!(system.executions(), before + 1);
+    }
+}
+
 /// Guards against calls without a contract, and against paths that a server could normalise to the path of
 /// another contract.
 #[test]
--- a/crates/fake/src/service.rs
+++ b/crates/fake/src/service.rs
@@ -94,20 +94,21 @@
     }
     let before = lock(&state).faults.before_ms;
     agatemill_runtime::sleep(Duration::from_millis(before)).await;
-    let (echo, cut, after) = {
+    let (echo, cut, after, status) = {
         let mut state = lock(&state);
         if let Some(status) = state.faults.consume_refusal() {
             return Some(json(status, &"refused"));
         }
         let echo = state.execute(&request);
         let cut = state.faults.consume_cut();
-        (echo, cut, state.faults.after_ms)
+        let status = state.faults.answer.unwrap_or(200);
+        (echo, cut, state.faults.after_ms, status)
     };
     if cut {
         return None;
     }
     agatemill_runtime::sleep(Duration::from_millis(after)).await;
-    Some(json(200, &echo))
+    Some(json(status, &echo))
 }
 
 fn set_faults(body: &[u8], state: &Shared) -> hyper::Response<crate::server::Body> {
--- a/crates/fake/src/service/faults.rs
+++ b/crates/fake/src/service/faults.rs
@@ -17,6 +17,8 @@
     pub refuse: u32,
     /// HTTP status of rejected calls.
     pub status: u16,
+    /// HTTP status of calls that run, if it is not 200.
+    pub answer: Option<u16>,
 }
 
 impl Faults {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -343,8 +343,7 @@
                 }
                 return Step::NotRun(Cause::ConnectFailed);
             }
-            Err(agatemill_http::Error::TimedOut) => return Step::Unknown(Cause::DeadlinePassed),
-            Err(_) => return Step::Unknown(Cause::ConnectionLost),
+            Err(error) => return Step::Unknown(reply::cause(&self.state, first.address, &error)),
         };
         throttle::observe(
             &self.state,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -119,13 +119,15 @@
     #[must_use]
     pub fn new(settings: Settings, metrics: Registry) -> Self {
         let buffers = Buffers::new(MAX_BUFFERED_BYTES);
-        let pooled = agatemill_http::Client::new(CONNECT_TIMEOUT);
-        let unpooled = agatemill_http::Client::without_reuse(CONNECT_TIMEOUT);
+        let faults = crate::reply::Faults::new(&metrics);
+        let pooled = faults.watch(agatemill_http::Client::new(CONNECT_TIMEOUT));
+        let unpooled = faults.watch(agatemill_http::Client::without_reuse(CONNECT_TIMEOUT));
         let restored = Arc::new(Event::new());
         Self {
             census: Mutex::new(Census::new(settings.host.clone(), settings.zone.clone())),
             store: Store::new(settings.store, STORE_TIMEOUT)
-                .with_observer(store_observer(&metrics, &restored)),
+                .with_observer(store_observer(&metrics, &restored))
+                .with_client(faults.watch(agatemill_http::Client::new(STORE_TIMEOUT))),
             restored,
             settings: Mutex::new(Arc::new(settings)),
             metrics,
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod foreign;
 mod full;
 mod hosts;
+mod invalid;
 mod leaving;
 mod lost;
 mod outage;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,7 +1,11 @@
 //! HTTP client with a connection pool.
 
+use core::fmt;
+use core::sync::atomic::AtomicU32;
+use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::io;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -9,13 +13,19 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::http::Extensions;
 use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::CaptureConnection;
+use hyper_util::client::legacy::connect::capture_connection;
 
 use crate::Buffers;
 use crate::Error;
+use crate::Invalid;
 use crate::Pace;
 use crate::buffers::Buffer;
+use crate::closer::Closer;
 use crate::connector::Connector;
+use crate::invalid;
 use crate::spawner::Spawner;
 
 /// How long an idle connection stays in the pool.
@@ -24,12 +34,36 @@
 /// Maximum size of the head of a response, in bytes. Each connection may buffer this much.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Maximum number of interim responses to a request: far more than servers send to show progress. The HTTP library skips
+/// any number of them.
+const MAX_INTERIM_RESPONSES: u32 = 64;
+
 /// HTTP/1.1 client with a connection pool. Clones share the pool.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Client {
     inner: legacy::Client<Connector, Full<Bytes>>,
     /// Memory for the responses that are read whole.
     buffers: Buffers,
+    /// Called for each request whose response is none.
+    observer: Observer,
+}
+
+/// Receives the authority of the server and what it sent in place of a response.
+type Observer = Arc<dyn Fn(&str, &Invalid) + Send + Sync>;
+
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut text = f.debug_struct("Client");
+        text.field("buffers", &self.buffers).finish_non_exhaustive()
+    }
+}
+
+/// Interim responses to one request.
+#[derive(Debug)]
+struct Interim {
+    count: AtomicU32,
+    /// The connection of the request.
+    connection: CaptureConnection,
 }
 
 impl Client {
@@ -56,6 +90,16 @@
         Self {
             inner,
             buffers: Buffers::new(usize::MAX),
+            observer: Arc::new(|_, _| {}),
+        }
+    }
+
+    /// Calls `observer` with the authority of the server and the fault, for each request whose response is none.
+    #[must_use]
+    pub fn with_observer(self, observer: impl Fn(&str, &Invalid) + Send + Sync + 'static) -> Self {
+        Self {
+            observer: Arc::new(observer),
+            ..self
         }
     }
 
@@ -66,25 +110,37 @@
         Self { buffers, ..self }
     }
 
-    /// Sends a request and waits for the head of the response for at most `limit`.
+    /// Sends a request and waits for the head of the response for at most `limit`. Its status is final.
     ///
     /// The authority of the URI must be an IP address with a port.
     ///
     /// # Errors
     ///
-    /// [`Error::Connect`] when the server cannot have received the request, otherwise [`Error::Lost`] or
+    /// [`Error::Connect`] when the server cannot have received the request, otherwise [`Error::Invalid`], [`Error::Lost`] or
     /// [`Error::TimedOut`].
     pub async fn send(
         &self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<Response<Incoming>, Error> {
-        match agatemill_runtime::timeout(limit, self.inner.request(request)).await {
-            Some(Ok(response)) => Ok(response),
-            Some(Err(error)) if error.is_connect() => Err(Error::Connect(connect_error(&error))),
-            Some(Err(error)) => Err(Error::Lost(describe(&error))),
+        let authority = request.uri().authority().cloned();
+        let interim = Arc::new(Interim {
+            count: AtomicU32::new(0),
+            connection: capture_connection(&mut request),
+        });
+        let counted = Arc::clone(&interim);
+        hyper::ext::on_informational(&mut request, move |_| counted.record());
+        let result = match agatemill_runtime::timeout(limit, self.inner.request(request)).await {
+            Some(result) => check(result, &interim),
             None => Err(Error::TimedOut),
+        };
+        if let Err(Error::Invalid(fault)) = &result {
+            let server = authority
+                .as_ref()
+                .map_or("", |authority| authority.as_str());
+            (self.observer)(server, fault);
         }
+        result
     }
 
     /// Sends a request and reads the complete response, with a body of at most `max_bytes`, within `limit`.
@@ -149,6 +205,57 @@
     }
 }
 
+impl Interim {
+    /// Counts one, and closes the connection after the maximum.
+    fn record(&self) {
+        if self.count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_RESPONSES {
+            self.close_connection();
+        }
+    }
+
+    fn count(&self) -> u32 {
+        self.count.load(Ordering::Relaxed)
+    }
+
+    fn close_connection(&self) {
+        let mut extras = Extensions::new();
+        if let Some(connection) = self.connection.connection_metadata().as_ref() {
+            connection.get_extras(&mut extras);
+        }
+        if let Some(closer) = extras.remove::<Closer>() {
+            closer.close();
+        }
+    }
+}
+
+/// Passes on a response whose status is final, and closes the connection of another one.
+fn check(
+    result: Result<Response<Incoming>, legacy::Error>,
+    interim: &Interim,
+) -> Result<Response<Incoming>, Error> {
+    match result {
+        Ok(mut response) => {
+            response.extensions_mut().remove::<Closer>();
+            if invalid::is_final(response.status()) {
+                return Ok(response);
+            }
+            interim.close_connection();
+            Err(Error::Invalid(Invalid::Status(response.status().as_u16())))
+        }
+        Err(error) if error.is_connect() => Err(Error::Connect(connect_error(&error))),
+        Err(error) if is_unreadable(&error) => Err(Error::Invalid(Invalid::Head(describe(&error)))),
+        Err(_) if interim.count() > 0 => Err(Error::Invalid(Invalid::Interim(interim.count()))),
+        Err(error) => Err(Error::Lost(describe(&error))),
+    }
+}
+
+/// Whether a request failed because the head of its response cannot be read.
+fn is_unreadable(error: &legacy::Error) -> bool {
+    let source = core::error::Error::source(error);
+    let source = source.and_then(|source| source.downcast_ref::<hyper::Error>());
+    source.is_some_and(hyper::Error::is_parse)
+}
+
 /// Reads a complete body of at most `max_bytes`, for clients of connections without a pool.
 ///
 /// # Errors
--- a/crates/http/src/connector.rs
+++ b/crates/http/src/connector.rs
@@ -18,6 +18,7 @@
 use smol_hyper::rt::FuturesIo;
 use tower_service::Service;
 
+use crate::closer::Closer;
 use agatemill_runtime::traffic::Meter;
 
 /// Reads in a row after which a connection yields to other tasks. The HTTP library reads interim responses for as long
@@ -38,6 +39,8 @@
     io: FuturesIo<Meter<TcpStream>>,
     /// Reads since the last one that had to wait.
     reads_in_a_row: u32,
+    /// Given to each response on the connection.
+    closer: Closer,
 }
 
 impl Service<Uri> for Connector {
@@ -59,6 +62,7 @@
             Ok(Stream {
                 io: FuturesIo::new(Meter(stream)),
                 reads_in_a_row: 0,
+                closer: Closer::default(),
             })
         })
     }
@@ -74,7 +78,7 @@
 
 impl Connection for Stream {
     fn connected(&self) -> Connected {
-        Connected::new()
+        Connected::new().extra(self.closer.clone())
     }
 }
 
@@ -84,6 +88,7 @@
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        self.closer.poll_open(cx)?;
         if self.reads_in_a_row >= MAX_READS_IN_A_ROW {
             self.reads_in_a_row = 0;
             cx.waker().wake_by_ref();
@@ -105,6 +110,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.closer.check_open()?;
         Pin::new(&mut self.io).poll_write(cx, buf)
     }
 
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -5,6 +5,8 @@
 use derive_more::Display;
 use derive_more::Error;
 
+use crate::Invalid;
+
 /// Error of a request without a complete response.
 #[derive(Debug, Display, Error)]
 pub enum Error {
@@ -17,6 +19,9 @@
     /// The response did not arrive in time; the server may have received the request.
     #[display("no answer in time")]
     TimedOut,
+    /// The server sent what is no response; it may have received the request. The connection is closed.
+    #[display("not a response: {_0}")]
+    Invalid(#[error(not(source))] Invalid),
     /// The body of the response exceeds the limit that the caller set.
     #[display("the answer is over the limit of {limit} bytes")]
     TooLarge {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,12 +4,15 @@
 
 pub mod buffers;
 pub mod client;
+pub mod closer;
 pub mod connector;
 pub mod error;
+pub mod invalid;
 pub mod pace;
 pub mod spawner;
 
 pub use buffers::Buffers;
 pub use client::Client;
 pub use error::Error;
+pub use invalid::Invalid;
 pub use pace::Pace;
--- a/crates/http/tests/endless.rs
+++ b/crates/http/tests/endless.rs
@@ -14,6 +14,7 @@
 
 use agatemill_http::Client;
 use agatemill_http::Error;
+use agatemill_http::Invalid;
 
 const CONNECTIONS: usize = 8;
 
@@ -63,7 +64,10 @@
         .recv_timeout(CLOSE_TIMEOUT)
         .expect("the requests end");
     for result in results {
-        assert!(matches!(result, Err(Error::TimedOut)), "{result:?}");
+        assert!(
+            matches!(result, Err(Error::Invalid(Invalid::Interim(_)))),
+            "{result:?}"
+        );
     }
     for number in 0..CONNECTIONS {
         let result = closed.recv_timeout(CLOSE_TIMEOUT);
