Read the limits of the machine on memory and descriptors

The gateway did not know the memory and the number of descriptors of its machine, so that no limit could be derived from them.

Sizes may be written in MB, the unit of the platform, and with a decimal point and zeros, since the platform renders numbers of the template that way.

--- a/crates/core/src/quantity/size.rs
+++ b/crates/core/src/quantity/size.rs
@@ -10,14 +10,15 @@
 use serde::Serialize;
 
 /// Units with their sizes in bytes, largest first.
-const UNITS: [(&str, u64); 4] = [
+const UNITS: [(&str, u64); 5] = [
     ("GiB", 1 << 30),
     ("MiB", 1 << 20),
+    ("MB", 1_000_000),
     ("KiB", 1 << 10),
     ("B", 1),
 ];
 
-/// A number of bytes, written with a binary unit, such as `64KiB`.
+/// A number of bytes, written with a binary unit or in `MB` of a million bytes, such as `64KiB`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "CompactString", into = "CompactString")]
 pub struct Size(pub u64);
@@ -25,7 +26,7 @@
 /// Error for a text that is not a size.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[display(
-    "a size is a whole number followed by B, KiB, MiB or GiB, such as 64KiB, found {found:?}"
+    "a size is a whole number followed by B, KiB, MB, MiB or GiB, such as 64KiB, found {found:?}"
 )]
 pub struct Invalid {
     /// The rejected text.
@@ -57,7 +58,10 @@
         };
         let suffix = |(unit, bytes): &(&str, u64)| Some((text.strip_suffix(unit)?, *bytes));
         let (number, bytes) = UNITS.iter().find_map(suffix).ok_or_else(invalid)?;
-        let count: u64 = number.trim().parse().map_err(|_| invalid())?;
+        let number = number.trim();
+        // Platforms render a size such as 160 also as 160.0.
+        let whole = number.trim_end_matches('0').strip_suffix('.');
+        let count: u64 = whole.unwrap_or(number).parse().map_err(|_| invalid())?;
         count.checked_mul(bytes).map(Self).ok_or_else(invalid)
     }
 }
--- a/crates/core/tests/quantity.rs
+++ b/crates/core/tests/quantity.rs
@@ -1,6 +1,7 @@
 //! Text forms of quantities.
 
 use agatemill_core::quantity::Bandwidth;
+use agatemill_core::quantity::Size;
 
 /// Guards against a link that is read in another unit than it is written in.
 #[test]
@@ -33,3 +34,25 @@
         assert!(text.parse::<Bandwidth>().is_err(), "{text}");
     }
 }
+
+/// Guards against a size that is read in another unit than it is written in, and against a process that does not start because
+/// its platform renders whole sizes with a decimal point.
+#[test]
+fn sizes_are_read_back() {
+    for (text, bytes, written) in [
+        ("160MB", 160_000_000, "160MB"),
+        ("160.0MB", 160_000_000, "160MB"),
+        ("160MiB", 160 << 20, "160MiB"),
+        ("64KiB", 64 << 10, "64KiB"),
+        ("100B", 100, "100B"),
+        ("0B", 0, "0B"),
+    ] {
+        let size: Size = text.parse().unwrap();
+        assert_eq!(size, Size(bytes));
+        assert_eq!(size.to_string(), written);
+        assert_eq!(written.parse(), Ok(size));
+    }
+    for text in ["", "MB", "160", "-1MB", "1.5MB", ".0MB", "160M"] {
+        assert!(text.parse::<Size>().is_err(), "{text}");
+    }
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the gateway.
 
 use core::net::SocketAddrV4;
+use core::ops::RangeInclusive;
 use core::time::Duration;
 use std::path::Path;
 
@@ -9,6 +10,7 @@
 use crate::Error;
 use agatemill_core::id;
 use agatemill_core::quantity::Bandwidth;
+use agatemill_core::quantity::Size;
 use agatemill_core::quantity::Time;
 use agatemill_fleet::Capacity;
 use agatemill_fleet::budget::Allowance;
@@ -47,6 +49,11 @@
     /// Processors that this process may use, such as 0.25; zero if unknown.
     #[serde(default)]
     pub processors: f64,
+    /// Memory of the machine or container; a process that exceeds it is killed. Without it, that of the smallest machine
+    /// is assumed.
+    pub memory: Option<Size>,
+    /// Maximum number of descriptors that this process may have open, including those of files.
+    pub descriptors: Option<u32>,
     /// Limits set by the operator of the platform.
     pub bounds: Bounds,
 }
@@ -70,6 +77,12 @@
     pub grace: Time,
 }
 
+/// Range of [`Settings::memory`]. The program and the view alone take more than half of the lower bound.
+const MEMORY_RANGE: RangeInclusive<Size> = Size(64_000_000)..=Size(1 << 40);
+
+/// Range of [`Settings::descriptors`]. The listeners, the log and the connections to the store take some dozens.
+const DESCRIPTOR_RANGE: RangeInclusive<u32> = 64..=1 << 20;
+
 /// Default of [`Settings::directory_lifetime`]: short, since callers use the address of a dead host until it
 /// expires.
 fn directory_lifetime() -> Time {
@@ -114,9 +127,21 @@
         let ratio = bounds.retry_ratio.is_finite() && bounds.retry_ratio >= 0.0;
         let base = bounds.retry_base.is_finite() && bounds.retry_base >= 0.0;
         let processors = self.processors.is_finite() && self.processors >= 0.0;
+        let memory = self
+            .memory
+            .is_none_or(|memory| MEMORY_RANGE.contains(&memory));
+        let descriptors = self
+            .descriptors
+            .is_none_or(|number| DESCRIPTOR_RANGE.contains(&number));
         let positive = "a time above 0 is expected";
         let checks = [
             (processors, "processors", "a number from 0 is expected"),
+            (memory, "memory", "a size from 64MB to 1024GiB is expected"),
+            (
+                descriptors,
+                "descriptors",
+                "a number from 64 to 1048576 is expected",
+            ),
             (ratio, "bounds.retry_ratio", "a number from 0 is expected"),
             (base, "bounds.retry_base", "a number from 0 is expected"),
             (
--- a/crates/gateway/tests/all/hosts.rs
+++ b/crates/gateway/tests/all/hosts.rs
@@ -103,8 +103,25 @@
     std::fs::write(file.path(), text).unwrap();
     let error = agatemill_gateway::Settings::load(file.path()).unwrap_err();
     assert!(error.to_string().contains("bounds.retry_ratio"), "{error}");
-    std::fs::write(file.path(), text.replace("-1.0", "0.2")).unwrap();
+    let text = text.replace("-1.0", "0.2");
+    std::fs::write(file.path(), &text).unwrap();
     assert!(agatemill_gateway::Settings::load(file.path()).is_ok());
+    for (line, key) in [
+        ("memory = \"63MB\"", "memory"),
+        ("descriptors = 63", "descriptors"),
+    ] {
+        std::fs::write(file.path(), format!("{line}\n{text}")).unwrap();
+        let error = agatemill_gateway::Settings::load(file.path()).unwrap_err();
+        assert!(
+            error.to_string().contains(&format!("setting {key}")),
+            "{error}"
+        );
+    }
+    let limits = "memory = \"160.0MB\"\ndescriptors = 4100\n";
+    std::fs::write(file.path(), format!("{limits}{text}")).unwrap();
+    let settings = agatemill_gateway::Settings::load(file.path()).unwrap();
+    assert_eq!(settings.memory.unwrap().0, 160_000_000);
+    assert_eq!(settings.descriptors, Some(4_100));
 }
 
 /// Guards against views that are nearly too old for keys while the store responds, so that a short outage stops requests.
