Keep the log of the program in the crowd tests

The program logs to standard output, which the harness dropped, so that a failed test showed no lines. Measured: a test that looks for a line in the log failed before and passes.

--- a/crates/gateway/tests/crowd/host.rs
+++ b/crates/gateway/tests/crowd/host.rs
@@ -111,13 +111,14 @@
         fs::write(file.path(), text).unwrap();
         let settings = Settings::load(file.path()).unwrap();
         let log = NamedTempFile::new().unwrap();
+        let output = log.reopen().unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_agatemill-gateway"));
         command
             .arg("--settings")
             .arg(file.path())
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log.reopen().unwrap());
+            .stdout(output.try_clone().unwrap())
+            .stderr(output);
         let child = port::spawn(&mut command).unwrap();
         let mut host = Self {
             child,
