Send requests without copying their bodies

The HTTP library copied each request into a contiguous buffer before sending it, so that a body took its size twice, and the connection kept the buffer while it was idle in the pool. Write vectored instead, for which the counting of traffic passes vectored writes on.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -52,6 +52,8 @@
             .pool_max_idle_per_host(max_idle)
             .retry_canceled_requests(max_idle > 0)
             .http1_max_buf_size(MAX_HEAD_BYTES)
+            // Otherwise a request is copied into a buffer that its connection keeps while it is idle.
+            .http1_writev(true)
             .build(Connector { timeout });
         Self {
             inner,
--- a/crates/http/src/connector.rs
+++ b/crates/http/src/connector.rs
@@ -7,6 +7,7 @@
 use core::task::Poll;
 use core::time::Duration;
 use std::io;
+use std::io::IoSlice;
 
 use hyper::Uri;
 use hyper::rt::Read;
@@ -108,6 +109,18 @@
         Pin::new(&mut self.io).poll_write(cx, buf)
     }
 
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.io).poll_flush(cx)
     }
--- a/crates/runtime/src/traffic.rs
+++ b/crates/runtime/src/traffic.rs
@@ -9,6 +9,7 @@
 use core::task::Context;
 use core::task::Poll;
 use std::io;
+use std::io::IoSlice;
 
 use smol::io::AsyncRead;
 use smol::io::AsyncWrite;
@@ -75,6 +76,18 @@
         polled
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.0).poll_write_vectored(context, buffers);
+        if let Poll::Ready(Ok(bytes)) = polled {
+            record_sent(bytes);
+        }
+        polled
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.0).poll_flush(context)
     }
