Read request bodies within the account of memory

A crowd of large bodies exceeded the memory of a host, which ended the process. The gateway now takes a share for each body before it reads it; beyond the account the request is refused with 503 and Retry-After and has not run. A body over the limit is refused before it is read if its length is stated, and one that arrives too slowly with 408. Bodies are read into one buffer instead of a list of chunks and a copy. Responses to callers are written without a copy that their connection keeps (not measured on its own). Responses that are read whole get a fifth of the memory, which is the former 32 MB on 160 MB. The metric agatemill_held_bytes gives the bytes by purpose, agatemill_events_total{part="memory"} the refusals by reason.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -22,6 +21,7 @@
 use crate::State;
 use crate::call;
 use crate::counter;
+use crate::intake;
 use crate::response;
 use crate::response::Body;
 use crate::state::Stage;
@@ -39,6 +39,7 @@
 use agatemill_fleet::Route;
 use agatemill_fleet::configuration::Organisation;
 use agatemill_fleet::route;
+use agatemill_limits::account::Owner;
 
 /// `Retry-After` for callers of a host whose configuration is missing or stale: about the time until a watch of
 /// the store responds again.
@@ -50,6 +51,13 @@
 /// Time for which the rest of the body of a refused request is awaited: some round trips, since the refusal waits too.
 const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The same for a request that was refused for overload, which must not take much time of the process: the rest is awaited only if
+/// it is on the way already.
+const OVERLOADED_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Maximum size of the rest of the body of a request that was refused for overload, in bytes.
+const OVERLOADED_BODY_BYTES: usize = 64 << 10;
+
 /// An admitted request with everything that is needed to serve it.
 #[derive(Debug)]
 pub struct Job {
@@ -125,7 +133,12 @@
             );
             let mut response = response::from_refusal(&refusal);
             let is_late = refusal.reason == Reason::RequestTimeout;
-            if is_late || !drain(state, body).await {
+            let (bytes, time) = if refusal.reason == Reason::Overloaded {
+                (OVERLOADED_BODY_BYTES, OVERLOADED_BODY_TIMEOUT)
+            } else {
+                (state.limits().body_bytes, REFUSED_BODY_TIMEOUT)
+            };
+            if is_late || !drain(body, bytes, time).await {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -164,8 +177,8 @@
 
 /// Reads and drops the rest of the body of a refused request; returns whether it is complete. Otherwise the connection has
 /// to be closed: the next request follows the body, and a caller that is still sending may not read the response.
-async fn drain(state: &State, body: Incoming) -> bool {
-    let mut body = Limited::new(body, state.limits().body_bytes);
+async fn drain(body: Incoming, max_bytes: usize, time: Duration) -> bool {
+    let mut body = Limited::new(body, max_bytes);
     let read = async {
         while let Some(frame) = body.frame().await {
             if frame.is_err() {
@@ -174,7 +187,7 @@
         }
         true
     };
-    agatemill_runtime::timeout(REFUSED_BODY_TIMEOUT, read)
+    agatemill_runtime::timeout(time, read)
         .await
         .unwrap_or(false)
 }
@@ -253,7 +266,9 @@
         .deadline
         .unwrap_or(route.timeout)
         .min(route.timeout);
-    let body = agatemill_runtime::timeout(wait, read_body(body, limits.body_bytes)).await;
+    let owners = owners(&head, organisation.as_deref());
+    let read = state.intake.read(body, limits.body_bytes, owners);
+    let body = agatemill_runtime::timeout(wait, read).await;
     let body = body.ok_or_else(|| {
         let detail = "the body did not arrive in time";
         Refusal::not_run(Reason::RequestTimeout, detail)
@@ -324,13 +339,10 @@
     Ok((Arc::clone(route), Some(Arc::clone(organisation))))
 }
 
-async fn read_body(body: &mut Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::not_run(
-            Reason::BodyTooLarge,
-            "the body is over the limit",
-        )),
-        Err(_) => Err(Refusal::not_run(Reason::BadRequest, "the body broke off")),
-    }
+/// Whom the body of a request is held for.
+fn owners(head: &request::Parts, organisation: Option<&Organisation>) -> Vec<Owner> {
+    let peer = head.extensions.get::<intake::Peer>();
+    let address = peer.map(|peer| Owner::Address(peer.0));
+    let organisation = organisation.map(|holder| Owner::Organisation(holder.name.clone()));
+    address.into_iter().chain(organisation).collect()
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod gate;
 pub mod gossip;
 pub mod idle;
+pub mod intake;
 pub mod log_output;
 pub mod planner;
 pub mod process;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -28,6 +28,7 @@
 use crate::directory;
 use crate::exchange;
 use crate::idle;
+use crate::intake;
 use crate::response;
 use crate::response::Body;
 use crate::state::Stage;
@@ -150,7 +151,11 @@
     // Events are small writes that must be sent at once. Setting the option fails only on a closed connection.
     let _ = stream.set_nodelay(true);
     let limits = state.limits();
-    let service = service_fn(|request| {
+    let peer = stream.peer_addr().ok().map(|address| address.ip());
+    let service = service_fn(|mut request: Request<Incoming>| {
+        if let Some(peer) = peer {
+            request.extensions_mut().insert(intake::Peer(peer));
+        }
         let response = respond(Arc::clone(&state), request);
         async { Ok::<_, Infallible>(response.await) }
     });
@@ -158,6 +163,8 @@
     let connection = http1::Builder::new()
         .timer(idle::Timer::new(&state))
         .header_read_timeout(limits.idle)
+        // Otherwise a response is copied into a buffer that the connection keeps.
+        .writev(true)
         .max_buf_size(limits.header_bytes.max(READ_HEAD_BYTES))
         .serve_connection(FuturesIo::new(stream), service);
     let connection = pin!(connection);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -16,6 +16,8 @@
 use agatemill_fleet::budget::Allowance;
 use agatemill_fleet::upstream::timing;
 use agatemill_fleet::upstream::timing::Timing;
+use agatemill_limits::account::Plan;
+use agatemill_limits::account::plan;
 
 /// Settings of the gateway, read from a TOML file.
 #[derive(Clone, Debug, Deserialize)]
@@ -122,6 +124,12 @@
         }
     }
 
+    /// How the memory of this host is divided.
+    #[must_use]
+    pub fn plan(&self) -> Plan {
+        Plan::from(self.memory.unwrap_or(plan::SMALLEST_MEMORY))
+    }
+
     fn check(&self) -> Result<(), Error> {
         let bounds = &self.bounds;
         let ratio = bounds.retry_ratio.is_finite() && bounds.retry_ratio >= 0.0;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,6 +24,7 @@
 use crate::counter;
 use crate::feed::Feed;
 use crate::gate::Gate;
+use crate::intake::Intake;
 use crate::stall;
 use agatemill_adapter::Store;
 use agatemill_core::id;
@@ -62,10 +63,6 @@
 /// call is probably on a dead connection.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Maximum size of all responses of backend servers that are buffered at once, in bytes. Small hosts have 160 MB
-/// for everything.
-const MAX_BUFFERED_BYTES: usize = 32 << 20;
-
 /// Shared state of the process.
 #[derive(Debug)]
 pub struct State {
@@ -101,6 +98,8 @@
     budgets: Mutex<HashMap<id::Service, Budget>>,
     throttle: Mutex<Throttle>,
     allocator: Mutex<Allocator>,
+    /// Reads bodies of requests.
+    pub intake: Intake,
     /// Keeps requests until the host is ready for the first time.
     pub gate: Gate,
     stage: AtomicU8,
@@ -118,7 +117,8 @@
     /// Creates the initial state, with an empty view.
     #[must_use]
     pub fn new(settings: Settings, metrics: Registry) -> Self {
-        let buffers = Buffers::new(MAX_BUFFERED_BYTES);
+        let buffers = Buffers::new(settings.plan().responses);
+        let intake = Intake::new(settings.plan(), &metrics, buffers.clone());
         let pooled = agatemill_http::Client::new(CONNECT_TIMEOUT);
         let unpooled = agatemill_http::Client::without_reuse(CONNECT_TIMEOUT);
         let restored = Arc::new(Event::new());
@@ -128,6 +128,7 @@
                 .with_observer(store_observer(&metrics, &restored)),
             restored,
             settings: Mutex::new(Arc::new(settings)),
+            intake,
             metrics,
             pooled: pooled.with_buffers(buffers.clone()),
             unpooled: unpooled.with_buffers(buffers),
@@ -175,6 +176,7 @@
     /// Replaces the settings.
     pub fn set_settings(&self, settings: Settings) {
         let allowance = settings.bounds.allowance();
+        self.intake.set_plan(settings.plan());
         *lock(&self.settings) = Arc::new(settings);
         let now = agatemill_runtime::now();
         for budget in lock(&self.budgets).values_mut() {
--- a/crates/gateway/tests/crowd/main.rs
+++ b/crates/gateway/tests/crowd/main.rs
@@ -5,3 +5,4 @@
 
 mod bodies;
 mod host;
+mod memory;
--- a/crates/metrics/src/registry.rs
+++ b/crates/metrics/src/registry.rs
@@ -107,6 +107,20 @@
         );
     }
 
+    /// Exposes the bytes that are held for a purpose, which `read` returns, at each export.
+    pub fn observe_held(
+        &self,
+        purpose: &'static str,
+        read: impl Fn() -> u64 + Send + Sync + 'static,
+    ) {
+        let label = [KeyValue::new("purpose", purpose)];
+        self.provider
+            .meter("agatemill")
+            .u64_observable_gauge("agatemill_held_bytes")
+            .with_callback(move |observer| observer.observe(read(), &label))
+            .build();
+    }
+
     /// Increments the number of requests in progress.
     pub fn start_request(&self) {
         self.in_flight.add(1, &[]);
