End the slow bodies of an owner that holds too much

An owner at its share was refused although its own incomplete bodies held the memory, so that callers behind one address waited until those were too slow. The slowest incomplete bodies of that owner are now ended, as they already were for a full account; those of others are not touched.

--- a/crates/gateway/tests/crowd/memory.rs
+++ b/crates/gateway/tests/crowd/memory.rs
@@ -31,6 +31,16 @@
     stream
 }
 
+/// Sends as many bodies as fit, up to a number of bytes of each.
+fn send_bodies(host: &Host, bytes: usize) -> Vec<TcpStream> {
+    let send = |number| {
+        let mut stream = send_head(host, &format!("held-{number}"));
+        stream.write_all(&vec![b'x'; bytes]).unwrap();
+        stream
+    };
+    (0..FITTING).map(send).collect()
+}
+
 /// Guards against a refusal that comes late, does not say when to come back, or is followed by a run, and against bytes that
 /// stay taken after the requests have ended.
 #[test]
@@ -42,12 +52,7 @@
     for server in &host.services {
         server.pause(Duration::from_secs(4));
     }
-    let mut held_streams = Vec::new();
-    for number in 0..FITTING {
-        let mut stream = send_head(&host, &format!("held-{number}"));
-        stream.write_all(&vec![b'x'; BODY_BYTES]).unwrap();
-        held_streams.push(stream);
-    }
+    let _streams = send_bodies(&host, BODY_BYTES);
     host.wait_until("the bodies are held", |host| {
         held(host) >= FITTING * BODY_BYTES
     });
@@ -68,3 +73,27 @@
     let mut arrivals = host.services.iter().flat_map(Engine::arrivals);
     assert!(arrivals.all(|arrival| arrival.attempt != "refused"));
 }
+
+/// Guards against bodies that stop short of their end and keep a complete one from being served until their time is up.
+#[test]
+fn a_body_that_stops_short_is_ended_for_another_one() {
+    let mut host = Host::start(Limits {
+        memory_mb: 100,
+        ..Limits::default()
+    });
+    let _streams = send_bodies(&host, BODY_BYTES - 1);
+    host.wait_until("the bodies are held", |host| {
+        held(host) >= FITTING * BODY_BYTES
+    });
+    host.wait_until("a body is ended and another one is served", |host| {
+        let mut stream = send_head(host, "whole");
+        // Fails if the request is refused, because no body is old enough to be ended.
+        let _ = stream.write_all(&vec![b'x'; BODY_BYTES]);
+        let mut response = [0; 12];
+        stream.read_exact(&mut response).is_ok()
+            && host::status(&response) == Some(200)
+            && host
+                .read_metrics()
+                .contains("agatemill_events_total{event=\"ended\",part=\"memory\"}")
+    });
+}
--- a/crates/limits/src/account.rs
+++ b/crates/limits/src/account.rs
@@ -6,8 +6,8 @@
 //!
 //! - A part is kept for small bodies, so that ordinary requests are read while large bodies fill the rest.
 //! - The last part of the rest is for owners (caller addresses and organisations) that hold less than an equal share of it.
-//! - When a body does not fit, the slowest incomplete bodies are ended, the oldest of equally slow ones first, as long as they are
-//!   older than [`MIN_AGE`].
+//! - When a body does not fit, the slowest incomplete bodies are ended, the oldest of equally slow ones first, if they are older
+//!   than [`MIN_AGE`]. For an owner that holds too much, only its own are.
 
 pub mod denial;
 pub mod ledger;
--- a/crates/limits/src/account/ledger.rs
+++ b/crates/limits/src/account/ledger.rs
@@ -72,6 +72,11 @@
         self.received as u128 * 1_000 / ms
     }
 
+    /// Whether the share belongs to one of the owners, or none are given.
+    fn is_of(&self, owners: Option<&[Owner]>) -> bool {
+        owners.is_none_or(|owners| self.owners.iter().any(|owner| owners.contains(owner)))
+    }
+
     fn may_be_ended(&self, now: Duration) -> bool {
         let is_old = now.saturating_sub(self.opened) >= MIN_AGE;
         is_old && !self.is_small && !self.is_complete && !self.is_ending
@@ -251,18 +256,25 @@
         if self.large + bytes > limit {
             let missing = self.large + bytes - limit;
             let full = denial(Reason::Full, false);
-            let is_making_room = bytes + own <= limit && self.end_slowest(missing, now);
+            let is_making_room = bytes + own <= limit && self.end_slowest(missing, now, None);
             return Err(Denial {
                 is_making_room,
                 ..full
             });
         }
-        let is_scarce = self.large + bytes > limit - limit / LAST_PART;
+        let plenty = limit - limit / LAST_PART;
+        let is_scarce = self.large + bytes > plenty;
         // An owner that holds nothing else always gets the bytes that are free.
         let is_alone = owned == own;
         let is_over = |owner| held_by(owner) + bytes > limit / self.count_alike(owner);
         if is_scarce && !is_alone && owners.iter().any(is_over) {
-            return Err(denial(Reason::Owner, false));
+            let missing = self.large + bytes - plenty;
+            let over = denial(Reason::Owner, false);
+            let is_making_room = self.end_slowest(missing, now, Some(owners));
+            return Err(Denial {
+                is_making_room,
+                ..over
+            });
         }
         Ok(())
     }
@@ -273,16 +285,16 @@
         self.owners.keys().filter(is_alike).count().max(MIN_OWNERS)
     }
 
-    /// Ends the slowest incomplete bodies until `missing` bytes are being returned. Returns whether that many are; otherwise
-    /// none is ended.
-    fn end_slowest(&mut self, missing: usize, now: Duration) -> bool {
+    /// Ends the slowest incomplete bodies, only those of `owners` if given, until `missing` bytes are being returned. Returns
+    /// whether that many are; otherwise none is ended.
+    fn end_slowest(&mut self, missing: usize, now: Duration, owners: Option<&[Owner]>) -> bool {
         let mut found = self.ending;
         if found >= missing {
             return true;
         }
         let entries = self.entries.iter();
         let mut candidates: Vec<(u128, Duration, Ticket, usize)> = entries
-            .filter(|(_, entry)| entry.may_be_ended(now))
+            .filter(|(_, entry)| entry.may_be_ended(now) && entry.is_of(owners))
             .map(|(ticket, entry)| (entry.rate(now), entry.opened, *ticket, entry.bytes))
             .collect();
         candidates.sort_unstable();
--- a/crates/limits/tests/account.rs
+++ b/crates/limits/tests/account.rs
@@ -213,6 +213,28 @@
     assert_eq!(ended(), [0, 1, 1, 0]);
 }
 
+/// Guards against a caller whose own incomplete bodies keep it from being served, and against one that has those of others ended.
+#[test]
+fn an_owner_that_holds_too_much_has_only_its_own_bodies_ended() {
+    let account = Account::new(PLAN);
+    let (other, other_ended) = open_watched(&account, 2 * MIB, 2);
+    let own: Vec<_> = (0..2)
+        .map(|_| open_watched(&account, LARGEST + MIB, 1))
+        .collect();
+    for (share, _) in &own {
+        share.record(MIB);
+    }
+    assert!(!other.is_ended());
+    let denial = open(&account, MIB, 1, MIN_AGE).unwrap_err();
+    assert_eq!(denial.reason, Reason::Owner);
+    assert!(denial.is_making_room);
+    let ended = own.iter().map(|(_, ended)| ended.load(Ordering::Relaxed));
+    assert_eq!(ended.sum::<usize>(), 1);
+    assert_eq!(other_ended.load(Ordering::Relaxed), 0);
+    drop(own);
+    assert!(open(&account, MIB, 1, MIN_AGE).is_ok());
+}
+
 /// Guards against an order of bodies that have received equally little in which the newest is ended.
 #[test]
 fn the_oldest_of_equally_slow_bodies_is_ended_first() {
