Mend what clippy reports in the tests of demand and forecast

Cause: for_each without need, a time in seconds instead of minutes, a remainder instead of is_multiple_of. Change: these.

--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -413,7 +413,7 @@
 #[test]
 fn each_side_of_a_partition_knows_its_own_demand() {
     let (mut hosts, members) = hosts_with_demand(9);
-    let is_cut = |address: SocketAddrV4| address.port() % 3 == 0;
+    let is_cut = |address: SocketAddrV4| address.port().is_multiple_of(3);
     let is_linked = |from, to| is_cut(from) == is_cut(to);
     run_rounds(&mut hosts, &members, 0, 4);
     run_linked_rounds(&mut hosts, |_| &members, is_linked, 4, 8);
--- a/crates/fleet/tests/demand.rs
+++ b/crates/fleet/tests/demand.rs
@@ -62,7 +62,9 @@
         }
         if ms > 3_000 && ms % 250 == 0 {
             let mut sum = Demand::default();
-            meters.iter().for_each(|meter| sum.add(&meter.demand(now)));
+            for meter in &meters {
+                sum.add(&meter.demand(now));
+            }
             sums.push(f64::from(sum.of(kind).offered) / TOKENS);
         }
     }
--- a/crates/fleet/tests/forecast.rs
+++ b/crates/fleet/tests/forecast.rs
@@ -132,7 +132,9 @@
         while ends.front().is_some_and(|(end, ..)| *end <= step) {
             let (_, host, path) = ends.pop_front().unwrap();
             let load = &mut current.load[host];
-            path.iter().for_each(|engine| load[*engine] -= TOKENS);
+            for engine in &path {
+                load[*engine] -= TOKENS;
+            }
             current.ended += TOKENS;
         }
         history.pop_front();
@@ -173,7 +175,9 @@
             };
             let path: Vec<usize> = path.parts().iter().map(at).collect();
             let load = &mut current.load[host];
-            path.iter().for_each(|engine| load[*engine] += TOKENS);
+            for engine in &path {
+                load[*engine] += TOKENS;
+            }
             current.sent += TOKENS;
             ends.push_back((step + HELD_STEPS, host, path));
         }
@@ -219,7 +223,7 @@
 #[test]
 fn the_age_that_counts_is_bounded() {
     let limit = steady(Duration::from_millis(1_200));
-    let late = steady(Duration::from_secs(60));
+    let late = steady(Duration::from_mins(1));
     assert!((limit.remaining() - late.remaining()).abs() < 1e-9);
     assert!((limit.unseen() - late.unseen()).abs() < 1e-9);
     assert!((steady(Duration::ZERO).remaining() - 1.0).abs() < 1e-9);
