Count service of waiting requests by urgency, and not for those that left

Cause: tests of the line showed that service of an urgent request moved the turns of less urgent ones, that requests whose callers left counted as service, and that organisations that left were kept. Change: virtual time and service by urgency; a request that leaves gives its service back; an urgency without waiting requests keeps no state.

--- a/crates/limits/src/line.rs
+++ b/crates/limits/src/line.rs
@@ -1,5 +1,6 @@
 //! Order of waiting requests: urgency, shares among organisations, deadline.
 
+use core::ops::Bound;
 use core::time::Duration;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -40,15 +41,25 @@
 /// Waiting requests in the order in which they are served.
 ///
 /// Of the requests of one urgency, that of the organisation with the least service relative to its weight comes first
-/// (start-time fair queueing), so that an organisation with many requests does not delay the others.
+/// (start-time fair queueing), so that an organisation with many requests does not delay the others. Service of one urgency does
+/// not count for another.
 #[derive(Clone, Debug, Default)]
 pub struct Line {
     /// Number of the next ticket.
     next_ticket: u64,
-    /// Virtual time: the start time of the request that was served last.
-    virtual_time: u64,
     ranks: BTreeMap<Rank, Ticket>,
     waiters: HashMap<Ticket, (Waiter, Rank)>,
+    /// Urgencies with waiting requests.
+    classes: BTreeMap<Urgency, Class>,
+}
+
+/// Requests of one urgency.
+#[derive(Clone, Debug, Default)]
+struct Class {
+    /// Virtual time: the start time of the request that was served last.
+    virtual_time: u64,
+    /// Number of waiting requests.
+    waiting: u32,
     flows: HashMap<Option<id::Organisation>, Flow>,
 }
 
@@ -61,6 +72,13 @@
     finish: u64,
 }
 
+impl Waiter {
+    /// Virtual time that its service takes.
+    fn service_time(&self) -> u64 {
+        VIRTUAL_TIME_UNIT / u64::from(self.weight.max(1))
+    }
+}
+
 impl Line {
     /// Number of waiting requests.
     #[must_use]
@@ -78,9 +96,11 @@
     pub fn join(&mut self, waiter: Waiter) -> Ticket {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
-        let flow = self.flows.entry(waiter.organisation.clone()).or_default();
-        let start = flow.finish.max(self.virtual_time);
-        flow.finish = start + VIRTUAL_TIME_UNIT / u64::from(waiter.weight.max(1));
+        let class = self.classes.entry(waiter.urgency).or_default();
+        class.waiting += 1;
+        let flow = class.flows.entry(waiter.organisation.clone()).or_default();
+        let start = flow.finish.max(class.virtual_time);
+        flow.finish = start + waiter.service_time();
         flow.waiting += 1;
         let rank = Rank {
             urgency: waiter.urgency,
@@ -112,34 +132,28 @@
         let Some((_, rank)) = ticket.and_then(|ticket| self.waiters.get(&ticket)) else {
             return self.ranks.values().next().copied();
         };
-        let after = (
-            core::ops::Bound::Excluded(*rank),
-            core::ops::Bound::Unbounded,
-        );
+        let after = (Bound::Excluded(*rank), Bound::Unbounded);
         self.ranks.range(after).next().map(|(_, ticket)| *ticket)
     }
 
-    /// Moves a request that has waited for long to another urgency; it keeps its turn among those of its organisation.
-    pub fn promote(&mut self, ticket: Ticket, urgency: Urgency) {
-        if let Some((waiter, rank)) = self.waiters.get_mut(&ticket) {
-            self.ranks.remove(rank);
-            waiter.urgency = urgency;
-            rank.urgency = urgency;
-            self.ranks.insert(*rank, ticket);
-        }
-    }
-
     /// Removes a request that is served; `None` if it does not wait.
     pub fn serve(&mut self, ticket: Ticket) -> Option<Waiter> {
         let (waiter, rank) = self.remove(ticket)?;
-        self.virtual_time = self.virtual_time.max(rank.start);
+        if let Some(class) = self.classes.get_mut(&rank.urgency) {
+            class.virtual_time = class.virtual_time.max(rank.start);
+        }
         self.forget_idle(&waiter);
         Some(waiter)
     }
 
-    /// Removes a request whose caller left or whose deadline passed; `None` if it does not wait.
+    /// Removes a request whose caller left or whose deadline passed; `None` if it does not wait. It does not count as service of its
+    /// organisation.
     pub fn leave(&mut self, ticket: Ticket) -> Option<Waiter> {
         let (waiter, _) = self.remove(ticket)?;
+        let class = self.classes.get_mut(&waiter.urgency);
+        if let Some(flow) = class.and_then(|class| class.flows.get_mut(&waiter.organisation)) {
+            flow.finish = flow.finish.saturating_sub(waiter.service_time());
+        }
         self.forget_idle(&waiter);
         Some(waiter)
     }
@@ -147,19 +161,28 @@
     fn remove(&mut self, ticket: Ticket) -> Option<(Waiter, Rank)> {
         let (waiter, rank) = self.waiters.remove(&ticket)?;
         self.ranks.remove(&rank);
-        if let Some(flow) = self.flows.get_mut(&waiter.organisation) {
-            flow.waiting -= 1;
+        if let Some(class) = self.classes.get_mut(&rank.urgency) {
+            class.waiting -= 1;
+            if let Some(flow) = class.flows.get_mut(&waiter.organisation) {
+                flow.waiting -= 1;
+            }
         }
         Some((waiter, rank))
     }
 
-    /// Drops the state of an organisation without waiting requests or virtual finish time in the future, so that memory
-    /// use is proportional to the number of active organisations.
+    /// Drops the state of an urgency without waiting requests, and of an organisation without waiting requests or virtual finish
+    /// time in the future, so that memory use is proportional to the number of active organisations.
     fn forget_idle(&mut self, waiter: &Waiter) {
-        let organisation = &waiter.organisation;
-        let is_idle = |flow: &Flow| flow.waiting == 0 && flow.finish <= self.virtual_time;
-        if self.flows.get(organisation).is_some_and(is_idle) {
-            self.flows.remove(organisation);
+        let Some(class) = self.classes.get_mut(&waiter.urgency) else {
+            return;
+        };
+        if class.waiting == 0 {
+            self.classes.remove(&waiter.urgency);
+            return;
+        }
+        let is_idle = |flow: &Flow| flow.waiting == 0 && flow.finish <= class.virtual_time;
+        if class.flows.get(&waiter.organisation).is_some_and(is_idle) {
+            class.flows.remove(&waiter.organisation);
         }
     }
 }
