Test answers of services that break off or come twice

Cause: a part of an answer, or its second copy, must not pass for a whole one. No change of the product.

--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod backoff;
+mod cut;
 mod endless;
 mod foreign;
 mod full;
