Read the bodies of the entry within an account of memory

The entry collected bodies of up to limits.body (1 MiB by default) for each connection without a bound on their sum. Its bodies now take shares of an account that is sized from the new key limits.memory (64MB to 1024GiB, 160MB by default), with the organisation as owner; beyond it a request is refused with 503 and Retry-After and has not run. Caller addresses, responses and connections of the entry are not counted.

A crowd against the entry was not run.

--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -58,7 +58,7 @@
     let configuration = state.configuration()?;
     let organisation = configuration.tokens.authenticate(&head.headers)?;
     state.check_accepting(&configuration)?;
-    let body = request_body::read(body, &state.settings.limits).await?;
+    let body = request_body::read(&state, body, &organisation.name).await?;
     let chat = Chat::parse(&body)?;
     let digest = Digest::of(&body);
     let last = resume::check(&head.headers, &chat, &digest)?;
--- a/crates/entry/src/request_body.rs
+++ b/crates/entry/src/request_body.rs
@@ -1,42 +1,62 @@
 //! Request bodies.
 
+use core::time::Duration;
+
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
-use hyper::body::Body as _;
 use hyper::body::Incoming;
 
 use crate::settings::Limits;
+use crate::state::State;
 use agatemill_core::Reason;
 use agatemill_core::Refusal;
+use agatemill_core::id;
+use agatemill_http::intake;
+use agatemill_http::intake::Failure;
+use agatemill_limits::account::Owner;
+
+/// `Retry-After` of a request whose body does not fit into the memory. Most bodies are held for less.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Reads a request body within the limits on its size and time.
+/// Reads a request body within the limits on its size and time and the account of memory.
 ///
 /// # Errors
 ///
-/// [`Reason::BodyTooLarge`], [`Reason::RequestTimeout`], or [`Reason::BadRequest`] when it is truncated.
-pub async fn read(body: Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
-    let announced = body.size_hint().lower();
-    if announced > limits.body.0 {
-        return Err(too_large(limits));
-    }
-    let collected = Limited::new(body, limits.body.to_usize()).collect();
-    match agatemill_runtime::timeout(limits.body_time.to_duration(), collected).await {
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(error)) if error.is::<LengthLimitError>() => Err(too_large(limits)),
-        Some(Err(_)) => Err(Refusal::not_run(
-            Reason::BadRequest,
-            "the body of the request broke off",
-        )),
-        None => Err(Refusal::not_run(
-            Reason::RequestTimeout,
-            compact_str::format_compact!(
-                "the body of the request did not arrive within {}",
-                limits.body_time
-            ),
-        )),
+/// [`Reason::BodyTooLarge`], [`Reason::RequestTimeout`], [`Reason::BadRequest`] when it is truncated, or
+/// [`Reason::Overloaded`] when it does not fit into the account or is ended for others.
+pub async fn read(
+    state: &State,
+    mut body: Incoming,
+    organisation: &id::Organisation,
+) -> Result<Bytes, Refusal> {
+    let limits = &state.settings.limits;
+    let owners = vec![Owner::Organisation(organisation.as_str().into())];
+    let read = intake::read(&state.account, &mut body, limits.body.to_usize(), owners);
+    let failure = match agatemill_runtime::timeout(limits.body_time.to_duration(), read).await {
+        Some(Ok(body)) => return Ok(body),
+        Some(Err(failure)) => failure,
+        None => {
+            return Err(Refusal::not_run(
+                Reason::RequestTimeout,
+                compact_str::format_compact!(
+                    "the body of the request did not arrive within {}",
+                    limits.body_time
+                ),
+            ));
+        }
+    };
+    if let Some(event) = failure.event() {
+        state.metrics.count_event("memory", event);
     }
+    Err(match failure {
+        Failure::TooLarge => too_large(limits),
+        Failure::Broken => {
+            Refusal::not_run(Reason::BadRequest, "the body of the request broke off")
+        }
+        Failure::TooSlow { .. } => Refusal::not_run(Reason::RequestTimeout, failure.to_string()),
+        Failure::Denied(_) | Failure::Ended { .. } => {
+            Refusal::not_run(Reason::Overloaded, failure.to_string()).retry_after(RETRY_AFTER)
+        }
+    })
 }
 
 fn too_large(limits: &Limits) -> Refusal {
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -86,7 +86,7 @@
         Some(at_most_once::idempotency_key(&head.headers)?)
     };
     let target = target(path, &head.uri);
-    let body = request_body::read(body, &state.settings.limits).await?;
+    let body = request_body::read(&state, body, &organisation.name).await?;
     let settings = &configuration.document.settings;
     let deadline = arrived + settings.request_deadline.to_duration();
     let hosts = state.freshness.entry_count();
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the entry process.
 
 use core::net::SocketAddr;
+use core::ops::RangeInclusive;
 
 use compact_str::CompactString;
 use derive_more::Display;
@@ -10,11 +11,15 @@
 use agatemill_core::id;
 use agatemill_core::quantity::Size;
 use agatemill_core::quantity::Time;
+use agatemill_limits::account::plan;
 use agatemill_routing::policy;
 
 /// Smallest head buffer that the HTTP library supports.
 const MIN_HEAD_SIZE: Size = Size(8 << 10);
 
+/// Range of [`Limits::memory`].
+const MEMORY_RANGE: RangeInclusive<Size> = Size(64_000_000)..=Size(1 << 40);
+
 /// Settings of an entry process; unknown keys are refused.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -57,6 +62,8 @@
 pub struct Limits {
     /// Largest request body.
     pub body: Size,
+    /// Memory of the machine or container, of which the bodies of requests take a part.
+    pub memory: Size,
     /// Largest request head.
     pub headers: Size,
     /// How long the head of a request may take to arrive.
@@ -75,6 +82,7 @@
     fn default() -> Self {
         Self {
             body: Size(1 << 20),
+            memory: plan::SMALLEST_MEMORY,
             headers: Size(16 << 10),
             header_time: Time::from_millis(5_000),
             body_time: Time::from_millis(20_000),
@@ -118,6 +126,13 @@
                 expected: "at least 8KiB",
             });
         }
+        if !MEMORY_RANGE.contains(&self.limits.memory) {
+            return Err(Error {
+                key: "limits.memory",
+                found: compact_str::format_compact!("{}", self.limits.memory),
+                expected: "64MB to 1024GiB",
+            });
+        }
         if self.advertise.is_none() && self.listen.ip().is_unspecified() {
             return Err(Error {
                 key: "advertise",
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -20,6 +20,8 @@
 use agatemill_core::Reason;
 use agatemill_core::Refusal;
 use agatemill_ledger::Ledger;
+use agatemill_limits::Account;
+use agatemill_limits::account::Plan;
 use agatemill_metrics::Registry;
 use agatemill_routing::Table;
 use agatemill_wire::Directory;
@@ -53,6 +55,8 @@
     pub generators: Generators,
     /// Backend servers of services.
     pub services: Services,
+    /// Memory for the bodies of requests.
+    pub account: Account,
     /// Records of non-idempotent calls; `None` without a platform.
     pub ledger: Option<Ledger>,
     /// Directory in the last response of the control.
@@ -69,6 +73,9 @@
             settings.routing.policy(),
         );
         let table = Arc::new(table);
+        let account = Account::new(Plan::from(settings.limits.memory));
+        let held = account.clone();
+        metrics.observe_held("requests", move || held.held() as u64);
         let client = agatemill_engine::Client::new(agatemill_http::Client::new(CONNECT_TIMEOUT));
         Self {
             generators: Generators::new(Arc::clone(&table), client, metrics.clone()),
@@ -80,6 +87,7 @@
             metrics,
             table,
             services: Services::new(&settings),
+            account,
             ledger: new_ledger(&settings),
             directory: RwLock::default(),
             settings,
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -62,6 +62,47 @@
     assert_problem(&system.raw(chunked.as_bytes()), 413, "body_too_large");
 }
 
+/// Guards against bodies of legal size that exceed the memory together, and against memory that stays taken.
+#[test]
+fn bodies_beyond_the_memory_are_refused() {
+    let limits = Limits {
+        body: Size(4 << 20),
+        memory: Size(64_000_000),
+        ..Limits::default()
+    };
+    let system = System::with(limits, "");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+         authorization: Bearer {TOKEN}\r\ncontent-length: 4194304\r\n\r\n"
+    );
+    let wait_until_held = |bytes: usize| {
+        let line = format!("agatemill_held_bytes{{purpose=\"requests\"}} {bytes}\n");
+        let is_held = (0..1_000).any(|_| {
+            std::thread::sleep(Duration::from_millis(10));
+            system.metrics().contains(&line)
+        });
+        assert!(is_held, "{bytes} bytes are not held: {}", system.metrics());
+    };
+    let open = || {
+        let mut stream = system.connect();
+        stream.write_all(head.as_bytes()).unwrap();
+        stream
+    };
+    // Three quarters of 19.2 MB.
+    let streams = [open(), open(), open()];
+    wait_until_held(3 * 4_194_304);
+    let answer = system.raw(head.as_bytes());
+    assert_problem(&answer, 503, "overloaded");
+    assert!(answer.contains("retry-after: 1"), "{answer}");
+    let refused = "agatemill_events_total{event=\"refused_owner\",part=\"memory\"}";
+    assert!(system.metrics().contains(refused));
+    // A small request is still served.
+    let answer = system.raw(post("", &chat("")).as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    drop(streams);
+    wait_until_held(0);
+}
+
 /// Guards against a connection that is reset while the caller still sends, before the caller has read the refusal.
 #[test]
 fn a_refusal_reaches_a_caller_that_still_sends() {
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -50,6 +50,10 @@
             FILE.replace("slots = 8", "headers = \"1KiB\""),
             "limits.headers",
         ),
+        (
+            FILE.replace("slots = 8", "memory = \"63MB\""),
+            "limits.memory",
+        ),
         (FILE.replace("127.0.0.1:0", "0.0.0.0:80"), "advertise"),
         (FILE.replace("zone = \"a\"", "zone = \"-a\""), "zone"),
     ] {
--- /dev/null
+++ b/crates/http/src/intake.rs
@@ -0,0 +1,209 @@
+//! Reads the bodies of requests within an account of memory.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use event_listener::Event;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+
+use agatemill_limits::Account;
+use agatemill_limits::account::Denial;
+use agatemill_limits::account::Owner;
+use agatemill_limits::account::Pace;
+use agatemill_limits::account::SMALL_BYTES;
+use agatemill_limits::account::Share;
+use agatemill_limits::account::denial::Reason;
+use agatemill_limits::account::pace;
+
+/// Time for which reading pauses while bodies that are ended for a request return their bytes: they do so when their tasks run.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Interval at which a paused request asks again.
+const ROOM_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Why a body was not read to its end.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Failure {
+    /// The body is over the limit. Nothing was read if its length was stated.
+    #[display("the body is over the limit")]
+    TooLarge,
+    /// The connection broke, or the body is not valid.
+    #[display("the body broke off")]
+    Broken,
+    /// The body does not fit into the account.
+    #[display("the bodies of other requests take the memory")]
+    Denied(#[error(not(source))] Denial),
+    /// The body was ended because another one needs its memory.
+    #[display("the body arrives slowly and its memory is needed")]
+    Ended {
+        /// Bytes that had been read.
+        received: usize,
+    },
+    /// The body does not arrive at the smallest rate.
+    #[display("the body arrives too slowly")]
+    TooSlow {
+        /// Bytes that had been read.
+        received: usize,
+    },
+}
+
+impl Failure {
+    /// Name of a failure that the account decided, for metrics.
+    #[must_use]
+    pub fn event(&self) -> Option<&'static str> {
+        match self {
+            Self::TooLarge | Self::Broken => None,
+            Self::Denied(denial) => Some(match denial.reason {
+                Reason::Full => "refused_full",
+                Reason::Owner => "refused_owner",
+            }),
+            Self::Ended { .. } => Some("ended"),
+            Self::TooSlow { .. } => Some("too_slow"),
+        }
+    }
+}
+
+/// A body that is being read.
+struct Reading {
+    share: Share,
+    /// Notified when the body is to be ended.
+    end: Arc<Event>,
+    bytes: Vec<u8>,
+    /// Largest legal size.
+    limit: usize,
+}
+
+/// A complete body. Its share is returned when it is dropped.
+struct Complete {
+    bytes: Vec<u8>,
+    _share: Share,
+}
+
+impl AsRef<[u8]> for Complete {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Reads a complete body of at most `limit` bytes, whose memory counts in the account until the bytes are dropped.
+///
+/// # Errors
+///
+/// [`Failure`].
+pub async fn read(
+    account: &Account,
+    body: &mut Incoming,
+    limit: usize,
+    owners: Vec<Owner>,
+) -> Result<Bytes, Failure> {
+    let stated = body.size_hint().exact();
+    if stated.is_some_and(|bytes| bytes > limit as u64) {
+        return Err(Failure::TooLarge);
+    }
+    let stated = stated.map(|bytes| usize::try_from(bytes).unwrap_or(limit));
+    if stated == Some(0) {
+        return Ok(Bytes::new());
+    }
+    let bytes = stated.unwrap_or(SMALL_BYTES.min(limit));
+    let end = Arc::new(Event::new());
+    let open = || {
+        let end = Arc::clone(&end);
+        let on_end = move || {
+            end.notify(usize::MAX);
+        };
+        account.open(bytes, owners.clone(), agatemill_runtime::now(), on_end)
+    };
+    let share = wait_for_room(open).await?;
+    let reading = Reading {
+        share,
+        end,
+        bytes: Vec::with_capacity(bytes),
+        limit,
+    };
+    reading.run(body).await
+}
+
+/// Takes bytes, and asks again while other bodies are being ended for them.
+async fn wait_for_room<T>(take: impl Fn() -> Result<T, Denial>) -> Result<T, Failure> {
+    let mut waited = Duration::ZERO;
+    loop {
+        match take() {
+            Ok(taken) => return Ok(taken),
+            Err(denial) if denial.is_making_room && waited < ROOM_TIMEOUT => {
+                agatemill_runtime::sleep(ROOM_INTERVAL).await;
+                waited += ROOM_INTERVAL;
+            }
+            Err(denial) => return Err(Failure::Denied(denial)),
+        }
+    }
+}
+
+impl Reading {
+    async fn run(mut self, body: &mut Incoming) -> Result<Bytes, Failure> {
+        let mut pace = Pace::default();
+        loop {
+            let asked = agatemill_runtime::now();
+            let data = match agatemill_runtime::timeout(pace::MAX_WAIT, self.next(body)).await {
+                Some(Ok(None)) => break,
+                Some(Ok(Some(frame))) => frame.into_data().unwrap_or_default(),
+                Some(Err(failure)) => return Err(failure),
+                None => Bytes::new(),
+            };
+            let waited = agatemill_runtime::now().saturating_sub(asked);
+            pace.record(waited, data.len());
+            if pace.is_too_slow() {
+                let received = self.bytes.len();
+                return Err(Failure::TooSlow { received });
+            }
+            self.extend(&data).await?;
+        }
+        self.share.complete();
+        let complete = Complete {
+            bytes: self.bytes,
+            _share: self.share,
+        };
+        Ok(Bytes::from_owner(complete))
+    }
+
+    /// Reads a frame; `None` at the end of the body.
+    async fn next(&self, body: &mut Incoming) -> Result<Option<Frame<Bytes>>, Failure> {
+        let read = async {
+            let frame = body.frame().await.transpose();
+            frame.map_err(|_| Failure::Broken)
+        };
+        let end = async {
+            loop {
+                let end = self.end.listen();
+                if self.share.is_ended() {
+                    let received = self.bytes.len();
+                    return Err(Failure::Ended { received });
+                }
+                end.await;
+            }
+        };
+        smol::future::or(read, end).await
+    }
+
+    async fn extend(&mut self, data: &[u8]) -> Result<(), Failure> {
+        let length = self.bytes.len() + data.len();
+        if length > self.limit {
+            return Err(Failure::TooLarge);
+        }
+        let capacity = self.bytes.capacity();
+        if length > capacity {
+            let capacity = length.max(capacity * 2).min(self.limit);
+            let grow = || self.share.grow(capacity, agatemill_runtime::now());
+            wait_for_room(grow).await?;
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(data);
+        self.share.record(length);
+        Ok(())
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod connector;
 pub mod error;
+pub mod intake;
 pub mod pace;
 pub mod spawner;
 
--- a/crates/limits/src/account/plan.rs
+++ b/crates/limits/src/account/plan.rs
@@ -6,7 +6,7 @@
 pub const SMALLEST_MEMORY: Size = Size(160_000_000);
 
 /// How the memory of a process is divided. What is left is for the program itself, its view of the platform and the buffers of
-/// the kernel, about 19 MB of 160 MB.
+/// the kernel, an eighth.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Plan {
     /// Bytes of large bodies of requests.
