--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -20,6 +20,10 @@
 pub use returns::Returns;
 pub use room::Room;
 
+/// Share of the mean number of arrivals by which there may be more of them within the reserve time: about three standard
+/// deviations of a hundred arrivals.
+const ARRIVAL_MARGIN: f64 = 0.3;
+
 /// What decisions on requests for one service depend on.
 #[derive(Clone, Copy, Debug)]
 pub struct Pressure<'a> {
@@ -56,8 +60,9 @@
 impl Pressure<'_> {
     /// Share of an engine's memory up to which a request may fill it.
     ///
-    /// Room for the more urgent requests that wait, and for those that arrive within the policy's reserve time, stays free, unless the
-    /// requests of this urgency hold less than their floor. Streams in progress may use all memory.
+    /// Room stays free for the more urgent requests that wait, and for those that arrive within the policy's reserve time as far as they
+    /// need more than what comes free meanwhile, unless the requests of this urgency hold less than their floor. Streams in progress
+    /// may use all memory.
     #[must_use]
     pub fn fill(&self, subject: Subject, claim: Claim) -> f64 {
         match claim {
@@ -70,8 +75,10 @@
             return self.policy.fill;
         }
         let urgent = self.demand.before(subject);
-        let arriving = f64::from(urgent.offered) * self.policy.reserve.as_secs_f64();
-        let reserved = arriving + f64::from(urgent.waiting);
+        let offered = f64::from(urgent.offered);
+        let ended = f64::from(self.demand.all(subject.service).ended);
+        let excess = (offered - ended).max(0.0) + offered * ARRIVAL_MARGIN;
+        let reserved = excess * self.policy.reserve.as_secs_f64() + f64::from(urgent.waiting);
         (self.policy.fill - reserved / self.room.capacity).max(0.0)
     }
 
--- a/crates/fleet/tests/play/host.rs
+++ b/crates/fleet/tests/play/host.rs
@@ -120,7 +120,7 @@
             demand,
             room,
         };
-        if used + known.tokens <= memory * pressure.fill(subject) {
+        if used + known.tokens <= memory * pressure.fill(subject, admission::Claim::New) {
             return Verdict::Admit;
         }
         let case = admission::Case {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod closer;
 pub mod connector;
 pub mod error;
+pub mod intake;
 pub mod invalid;
 pub mod pace;
 pub mod spawner;
