--- a/crates/core/src/urgency.rs
+++ b/crates/core/src/urgency.rs
@@ -13,7 +13,7 @@
 #[derive(
     Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-#[display("{rank}.{kind}")]
+#[display("{}.{kind}", self.rank())]
 pub struct Urgency {
     /// 0 for responses in progress, otherwise one more than the rank.
     rank: u8,
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -239,3 +239,16 @@
     assert!(backups > 0);
     assert!(take_all(&mut budget, &hosts(2), now) >= backups / 4);
 }
+
+/// Guards against retries of less urgent requests that use up those which urgent ones need.
+#[test]
+fn less_urgent_requests_leave_a_part_of_the_retries() {
+    let mut budget = Budget::without_predecessor(ALLOWANCE, seconds(0.0));
+    let now = seconds(100.0);
+    let mut retries = 0;
+    while budget.take(Purpose::LessUrgent, &hosts(2), now) {
+        retries += 1;
+    }
+    assert!(retries > 0);
+    assert!(take_all(&mut budget, &hosts(2), now) >= retries / 4);
+}
--- a/crates/gateway/tests/all/hosts.rs
+++ b/crates/gateway/tests/all/hosts.rs
@@ -117,6 +117,19 @@
             "{error}"
         );
     }
+    for (line, key) in [
+        ("reserve = \"6s\"", "admission.reserve"),
+        ("floor = 0.4", "admission.floor"),
+        ("fill = 0.4", "admission.fill"),
+        ("wait = 1.1", "admission.wait"),
+    ] {
+        std::fs::write(file.path(), format!("{text}\n[admission]\n{line}\n")).unwrap();
+        let error = agatemill_gateway::Settings::load(file.path()).unwrap_err();
+        assert!(
+            error.to_string().contains(&format!("setting {key}")),
+            "{error}"
+        );
+    }
     let limits = "memory = \"160.0MB\"\ndescriptors = 4100\n";
     std::fs::write(file.path(), format!("{limits}{text}")).unwrap();
     let settings = agatemill_gateway::Settings::load(file.path()).unwrap();
