--- a/crates/gateway/tests/all/silence.rs
+++ b/crates/gateway/tests/all/silence.rs
@@ -119,7 +119,7 @@
 #[test]
 fn a_stream_without_retries_outlasts_a_silent_engine() {
     run_test(4, |system| async move {
-        let name: agatemill_core::id::Service = "model".parse().unwrap();
+        let name: id::Service = "model".parse().unwrap();
         let state = system.process.state();
         while state.take_retry(&name, Purpose::Retry) {}
         pause_all(&system, 1_500);
@@ -134,7 +134,7 @@
 #[test]
 fn silent_engines_leave_retries_for_lost_ones() {
     run_test(2, |system| async move {
-        let name: agatemill_core::id::Service = "model".parse().unwrap();
+        let name: id::Service = "model".parse().unwrap();
         let state = system.process.state();
         while state.take_retry(&name, Purpose::Backup) {}
         assert!(state.take_retry(&name, Purpose::Retry));
