Supervise all tasks of the gateway

Only the planner was started again after a panic. Any other task that should live as long as the process ended in silence, and the process went on without it, for example without accepting connections or without updates of the store.

Each of the thirteen tasks now has a policy. The end of the thread that receives signals ends the program in the same way; before, it counted as SIGTERM and as success. Queued log lines are written before the exit. A panic in a task of a connection or of a query is logged and counted, and no longer ends the listener for followers.

--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -7,14 +7,15 @@
 use clap::Parser;
 use log::LevelFilter;
 use signal_hook::consts::SIGHUP;
-use signal_hook::consts::SIGTERM;
 use smol::channel::Receiver;
 
 use crate::Error;
 use crate::Process;
 use crate::Settings;
 use crate::State;
+use crate::log_output;
 use crate::log_output::Writer;
+use crate::supervise::Failure;
 use agatemill_runtime::signal;
 
 /// Interval at which the settings file is polled, since it may change without a signal.
@@ -39,9 +40,16 @@
 #[must_use]
 pub fn main() -> ExitCode {
     let options = Options::parse();
-    match run(&options) {
+    exit(run(&options))
+}
+
+/// Reports how the program ended. Returns a failure for any error, so that the supervisor of the process starts it again.
+#[must_use]
+pub fn exit(result: Result<(), Error>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
+            log_output::flush();
             eprintln!("agatemill-gateway: {error}");
             ExitCode::FAILURE
         }
@@ -65,31 +73,45 @@
     agatemill_runtime::run_on_current_thread(serve(options, settings, signals))
 }
 
-/// Events of the main loop: a signal, or the next poll of the settings file.
+/// Events of the main loop: a signal, the next poll of the settings file, or the end of a required task.
 enum Event {
     Signal(i32),
     Poll,
+    Failed(Failure),
 }
 
 /// Serves until a signal ends the process. Reloads the settings at SIGHUP and when polling finds that the text
 /// of the file has changed.
-async fn serve(options: &Options, settings: Settings, signals: Receiver<i32>) -> Result<(), Error> {
+///
+/// # Errors
+///
+/// As [`Process::start`], and [`Error::Task`] when a task ends without which the process must not go on.
+pub async fn serve(
+    options: &Options,
+    settings: Settings,
+    signals: Receiver<i32>,
+) -> Result<(), Error> {
     let process = Process::start(settings).await?;
+    let failures = process.failures();
     let mut known = read_settings(options);
     loop {
         let signal = async {
-            signals
-                .recv()
-                .await
-                .map_or(Event::Signal(SIGTERM), Event::Signal)
+            let signal = signals.recv().await;
+            // Without its thread, the process would not notice that it should end.
+            signal.map_or_else(
+                |_| Event::Failed(Failure::returned("signals")),
+                Event::Signal,
+            )
         };
         let poll = async {
             agatemill_runtime::sleep(SETTINGS_POLL_INTERVAL).await;
             Event::Poll
         };
-        match smol::future::or(signal, poll).await {
+        let failure = async { Event::Failed(next_failure(&failures).await) };
+        match smol::future::or(failure, smol::future::or(signal, poll)).await {
             Event::Signal(SIGHUP) => reload(options, process.state()),
             Event::Signal(_) => break,
+            Event::Failed(failure) => return Err(Error::Task(failure)),
             Event::Poll => {
                 let now = read_settings(options);
                 if now == known {
@@ -100,8 +122,21 @@
         }
         known = read_settings(options);
     }
-    process.close().await;
-    Ok(())
+    let close = async {
+        process.close().await;
+        Ok(())
+    };
+    let failure = async { Err(Error::Task(next_failure(&failures).await)) };
+    smol::future::or(close, failure).await
+}
+
+/// Waits for the end of a required task.
+async fn next_failure(failures: &Receiver<Failure>) -> Failure {
+    match failures.recv().await {
+        Ok(failure) => failure,
+        // All tasks were stopped.
+        Err(_) => core::future::pending().await,
+    }
 }
 
 /// Reads the settings file; `None` if that fails, for example while the file is being replaced.
--- a/crates/gateway/src/consult.rs
+++ b/crates/gateway/src/consult.rs
@@ -10,6 +10,7 @@
 
 use crate::State;
 use crate::feed::remote::Remote;
+use crate::supervise;
 use agatemill_adapter::store::Change;
 use agatemill_adapter::store::Item;
 
@@ -45,10 +46,13 @@
     }
     let state = Arc::clone(state);
     let fetch = async move {
-        agatemill_runtime::sleep(USUAL_PROPAGATION).await;
-        if version > state.version() {
-            fetch(&state, host).await;
-        }
+        let fetch = async {
+            agatemill_runtime::sleep(USUAL_PROPAGATION).await;
+            if version > state.version() {
+                fetch(&state, host).await;
+            }
+        };
+        supervise::contain(&state.metrics, "consult", fetch).await;
         state.is_consulting.store(false, Ordering::Relaxed);
     };
     agatemill_runtime::spawn(fetch).detach();
@@ -57,7 +61,7 @@
 async fn fetch(state: &State, host: SocketAddrV4) {
     let timing = state.settings().bounds.timing();
     let response = async {
-        let remote = Remote::open(host, timing).await?;
+        let remote = Remote::open(host, timing, &state.metrics).await?;
         remote.configuration(state.version()).await
     };
     match response.await {
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -1,4 +1,4 @@
-//! Errors that prevent the process from starting.
+//! Errors that prevent the process from starting or end it.
 
 use core::net::SocketAddrV4;
 use std::io;
@@ -7,7 +7,9 @@
 use derive_more::Error;
 use derive_more::From;
 
-/// Why the process cannot start.
+use crate::supervise::Failure;
+
+/// Why the process cannot start, or ends.
 #[derive(Debug, Display, Error, From)]
 pub enum Error {
     /// The settings file could not be loaded.
@@ -35,6 +37,9 @@
     #[display("signals: {_0}")]
     #[from(skip)]
     Signals(io::Error),
+    /// A task ended without which the process must not go on.
+    #[display("{_0}")]
+    Task(Failure),
     /// The metrics could not be set up.
     #[display("{_0}")]
     Metrics(agatemill_metrics::registry::Error),
--- a/crates/gateway/src/feed/remote.rs
+++ b/crates/gateway/src/feed/remote.rs
@@ -9,12 +9,14 @@
 use tarpc::client::Config;
 use tarpc::client::NewClient;
 
+use crate::supervise;
 use agatemill_adapter::store::Change;
 use agatemill_adapter::store::Item;
 use agatemill_core::number::Era;
 use agatemill_core::number::Revision;
 use agatemill_fleet::history::Cursor;
 use agatemill_fleet::upstream::timing::Timing;
+use agatemill_metrics::Registry;
 use agatemill_platform::Lease;
 use agatemill_wire::feed;
 use agatemill_wire::feed::FeedClient;
@@ -51,7 +53,11 @@
     /// # Errors
     ///
     /// Any error of the connection.
-    pub async fn open(address: SocketAddrV4, timing: Timing) -> io::Result<Self> {
+    pub async fn open(
+        address: SocketAddrV4,
+        timing: Timing,
+        metrics: &Registry,
+    ) -> io::Result<Self> {
         let connecting = transport::connect(address.into(), Service::Feed);
         let transport = agatemill_runtime::timeout(timing.connect_timeout(), connecting).await;
         let transport = transport.ok_or(io::ErrorKind::TimedOut)??;
@@ -61,7 +67,9 @@
                 log::debug!(error:%; "feed: connection to another host failed");
             }
         };
-        agatemill_runtime::spawn(logged).detach();
+        let metrics = metrics.clone();
+        let task = async move { supervise::contain(&metrics, "feed-client", logged).await };
+        agatemill_runtime::spawn(task).detach();
         Ok(Self {
             address,
             client,
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -16,6 +16,7 @@
 use super::Update;
 use crate::State;
 use crate::clock;
+use crate::supervise;
 use agatemill_adapter::store::Change;
 use agatemill_core::number::Era;
 use agatemill_fleet::history::Cursor;
@@ -35,7 +36,10 @@
     let accepted = listener.incoming().then(pause_after_error);
     accepted
         .filter_map(futures::future::ready)
-        .for_each_concurrent(None, |stream| serve(Arc::clone(&state), stream))
+        .for_each_concurrent(None, |stream| async {
+            let connection = serve(Arc::clone(&state), stream);
+            supervise::contain(&state.metrics, "feed", connection).await;
+        })
         .await;
 }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use smol::Task;
+use smol::channel::Receiver;
 
 use crate::Error;
 use crate::Settings;
@@ -15,7 +15,9 @@
 use crate::server;
 use crate::shutdown;
 use crate::stall;
-use crate::supervise;
+use crate::state::Stage;
+use crate::supervise::Failure;
+use crate::supervise::Supervisor;
 use crate::sync;
 use crate::throttle;
 use agatemill_metrics::Registry;
@@ -26,7 +28,7 @@
 pub struct Process {
     state: Arc<State>,
     registration: Arc<Registration>,
-    tasks: Vec<Task<()>>,
+    tasks: Supervisor,
 }
 
 impl Process {
@@ -50,32 +52,66 @@
         let state = Arc::new(State::new(settings, Registry::new()?));
         let registration = Arc::new(Registration::default());
         let share = || Arc::clone(&state);
-        let tasks = vec![
-            agatemill_runtime::spawn(sync::run(share())),
-            agatemill_runtime::spawn(Arc::clone(&registration).run(share())),
-            agatemill_runtime::spawn(supervise::run(share(), "planner", {
-                let (state, registration) = (share(), Arc::clone(&registration));
-                move || planner::run(Arc::clone(&state), Arc::clone(&registration))
-            })),
-            agatemill_runtime::spawn(server::serve_callers(share(), callers)),
-            agatemill_runtime::spawn(server::serve_ready(share(), ready)),
-            agatemill_runtime::spawn(server::serve_directory(share(), directory)),
-            agatemill_runtime::spawn(server::serve_metrics(share(), metrics)),
-            agatemill_runtime::spawn(quarantine::run(share())),
-            agatemill_runtime::spawn(stall::recheck(share())),
-            agatemill_runtime::spawn(gossip::send(share(), exchange.clone())),
-            agatemill_runtime::spawn(throttle::run(
-                share(),
-                Arc::clone(&registration),
-                exchange.clone(),
-            )),
-            agatemill_runtime::spawn(gossip::receive(
-                share(),
-                Arc::clone(&registration),
-                exchange,
-            )),
-            agatemill_runtime::spawn(feed::serve::run(share(), followers)),
-        ];
+        let mut tasks = Supervisor::new(share());
+        // It records changes for other hosts before it applies them to the view, so that a panic between the two may leave
+        // the view without a change, such as a revoked key, that no later snapshot brings.
+        tasks.require("sync", sync::run(share()));
+        tasks.restart("registration", {
+            let (state, registration) = (share(), Arc::clone(&registration));
+            move || register(Arc::clone(&state), Arc::clone(&registration))
+        });
+        tasks.restart("planner", {
+            let (state, registration) = (share(), Arc::clone(&registration));
+            move || planner::run(Arc::clone(&state), Arc::clone(&registration))
+        });
+        // Each start gets a clone of the socket, so that the address stays bound meanwhile.
+        tasks.restart("callers", {
+            let state = share();
+            move || server::serve_callers(Arc::clone(&state), callers.clone())
+        });
+        tasks.restart("ready", {
+            let state = share();
+            move || server::serve_ready(Arc::clone(&state), ready.clone())
+        });
+        tasks.restart("directory", {
+            let state = share();
+            move || server::serve_directory(Arc::clone(&state), directory.clone())
+        });
+        tasks.restart("metrics", {
+            let state = share();
+            move || server::serve_metrics(Arc::clone(&state), metrics.clone())
+        });
+        tasks.restart("followers", {
+            let state = share();
+            move || feed::serve::run(Arc::clone(&state), followers.clone())
+        });
+        tasks.restart("quarantine", {
+            let state = share();
+            move || quarantine::run(Arc::clone(&state))
+        });
+        tasks.restart("recheck", {
+            let state = share();
+            move || stall::recheck(Arc::clone(&state))
+        });
+        tasks.restart("gossip-send", {
+            let (state, exchange) = (share(), exchange.clone());
+            move || gossip::send(Arc::clone(&state), exchange.clone())
+        });
+        tasks.restart("throttle", {
+            let (state, registration) = (share(), Arc::clone(&registration));
+            let exchange = exchange.clone();
+            move || {
+                let (state, registration) = (Arc::clone(&state), Arc::clone(&registration));
+                throttle::run(state, registration, exchange.clone())
+            }
+        });
+        tasks.restart("gossip-receive", {
+            let (state, registration) = (share(), Arc::clone(&registration));
+            move || {
+                let (state, registration) = (Arc::clone(&state), Arc::clone(&registration));
+                gossip::receive(state, registration, exchange.clone())
+            }
+        });
         Ok(Self {
             state,
             registration,
@@ -89,12 +125,30 @@
         &self.state
     }
 
+    /// The tasks that live as long as the process.
+    #[must_use]
+    pub fn tasks(&self) -> &Supervisor {
+        &self.tasks
+    }
+
+    /// Yields a task without which the process must not go on.
+    #[must_use]
+    pub fn failures(&self) -> Receiver<Failure> {
+        self.tasks.failures()
+    }
+
     /// Shuts down gracefully, within the grace period of the settings.
     pub async fn close(self) {
         shutdown::run(&self.state, &self.registration).await;
-        for task in self.tasks {
-            task.cancel().await;
-        }
+        self.tasks.close().await;
         log::info!("gateway: stopped");
     }
 }
+
+/// Keeps this host registered. A host that leaves is registered no longer, which is no unexpected end of the task.
+async fn register(state: Arc<State>, registration: Arc<Registration>) {
+    registration.run(Arc::clone(&state)).await;
+    if state.stage() != Stage::Serving {
+        core::future::pending::<()>().await;
+    }
+}
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -15,6 +15,7 @@
 
 use crate::State;
 use crate::backoff;
+use crate::supervise;
 use agatemill_fleet::Server;
 
 /// Time for which the connection of a dropped request stays open.
@@ -68,12 +69,15 @@
             return;
         };
         let (state, server) = (Arc::clone(&self.state), Arc::clone(&self.server));
-        let linger = async move {
-            // Other responses, and errors, no longer matter.
-            if let Some(Ok(response)) = agatemill_runtime::timeout(LINGER_TIME, head).await {
-                backoff::observe(&state, &server, response.status(), response.headers());
-            }
+        let task = async move {
+            let linger = async {
+                // Other responses, and errors, no longer matter.
+                if let Some(Ok(response)) = agatemill_runtime::timeout(LINGER_TIME, head).await {
+                    backoff::observe(&state, &server, response.status(), response.headers());
+                }
+            };
+            supervise::contain(&state.metrics, "sending", linger).await;
         };
-        agatemill_runtime::spawn(linger).detach();
+        agatemill_runtime::spawn(task).detach();
     }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -31,6 +31,7 @@
 use crate::response;
 use crate::response::Body;
 use crate::state::Stage;
+use crate::supervise;
 use agatemill_adapter::path;
 
 /// Backoff after an `accept` error, such as too many open files.
@@ -126,8 +127,9 @@
             Ok((stream, _)) => {
                 let guards = (open.track(), state.track_connection());
                 let connection = serve_connection(Arc::clone(state), stream, respond.clone());
+                let state = Arc::clone(state);
                 let task = async move {
-                    connection.await;
+                    supervise::contain(&state.metrics, "server", connection).await;
                     drop(guards);
                 };
                 agatemill_runtime::spawn(task).detach();
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -13,6 +13,7 @@
 use crate::State;
 use crate::backoff;
 use crate::departure;
+use crate::supervise;
 use agatemill_adapter::engine;
 use agatemill_adapter::engine::Report;
 use agatemill_fleet::Evidence;
@@ -222,6 +223,9 @@
     };
     for engine in engines {
         let state = Arc::clone(state);
-        agatemill_runtime::spawn(async move { probe(&state, &engine).await }).detach();
+        let task = async move {
+            supervise::contain(&state.metrics, "stall", probe(&state, &engine)).await;
+        };
+        agatemill_runtime::spawn(task).detach();
     }
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -310,9 +310,11 @@
     let started = clock::boot_time();
     let remote = match replicator.remote.take() {
         Some(remote) if remote.address == *address => remote,
-        _ => Remote::open(*address, state.settings().bounds.timing())
-            .await
-            .map_err(Failure::NoResponse)?,
+        _ => {
+            let timing = state.settings().bounds.timing();
+            let remote = Remote::open(*address, timing, &state.metrics).await;
+            remote.map_err(Failure::NoResponse)?
+        }
     };
     let result = remote
         .changes(after, state.store.era(), is_last_resort)
