Limit the connections that an HTTP client opens

The clients of the gateway open any number of connections, and their pool kept idle ones until the next request to the same server, because it had no timer. Connections to servers could take the descriptors of callers and of the store.

A client may have a quota, which idle connections count towards. A request that needs a connection beyond it fails with Error::Connect of the kind QuotaExceeded: it was not sent, and says nothing against the server. The pool closes connections that were idle for 20 s.

The pool without the timer was not measured.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -14,9 +14,11 @@
 use crate::Buffers;
 use crate::Error;
 use crate::Pace;
+use crate::Quota;
 use crate::buffers::Buffer;
 use crate::connector::Connector;
 use crate::spawner::Spawner;
+use crate::timer::Timer;
 
 /// How long an idle connection stays in the pool.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -28,6 +30,9 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     inner: legacy::Client<Connector, Full<Bytes>>,
+    connector: Connector,
+    /// Maximum number of idle connections to each server.
+    max_idle: usize,
     /// Memory for the responses that are read whole.
     buffers: Buffers,
 }
@@ -36,25 +41,28 @@
     /// Creates a client that reuses idle connections. Opening a connection fails after `connect_timeout`.
     #[must_use]
     pub fn new(connect_timeout: Duration) -> Self {
-        Self::build(connect_timeout, usize::MAX)
+        Self::build(Connector::new(connect_timeout), usize::MAX)
     }
 
     /// Creates a client that opens a new connection for each request. Calls that may run at most once need
     /// this: if a reused connection breaks, it is unknown whether the request arrived.
     #[must_use]
     pub fn without_reuse(connect_timeout: Duration) -> Self {
-        Self::build(connect_timeout, 0)
+        Self::build(Connector::new(connect_timeout), 0)
     }
 
-    fn build(timeout: Duration, max_idle: usize) -> Self {
+    fn build(connector: Connector, max_idle: usize) -> Self {
         let inner = legacy::Client::builder(Spawner)
+            .pool_timer(Timer)
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(max_idle)
             .retry_canceled_requests(max_idle > 0)
             .http1_max_buf_size(MAX_HEAD_BYTES)
-            .build(Connector { timeout });
+            .build(connector.clone());
         Self {
             inner,
+            connector,
+            max_idle,
             buffers: Buffers::new(usize::MAX),
         }
     }
@@ -66,6 +74,20 @@
         Self { buffers, ..self }
     }
 
+    /// Opens connections within `quota`, which other clients may share. When it is used up, requests that need a new
+    /// connection fail with [`Error::Connect`] of the kind `QuotaExceeded`.
+    #[must_use]
+    pub fn with_quota(self, quota: Quota) -> Self {
+        let connector = Connector {
+            quota: Some(quota),
+            ..self.connector
+        };
+        Self {
+            buffers: self.buffers,
+            ..Self::build(connector, self.max_idle)
+        }
+    }
+
     /// Sends a request and waits for the head of the response for at most `limit`.
     ///
     /// The authority of the URI must be an IP address with a port.
--- a/crates/http/src/connector.rs
+++ b/crates/http/src/connector.rs
@@ -18,6 +18,8 @@
 use smol_hyper::rt::FuturesIo;
 use tower_service::Service;
 
+use crate::Quota;
+use crate::quota::Permit;
 use agatemill_runtime::traffic::Meter;
 
 /// Reads in a row after which a connection yields to other tasks. The HTTP library reads interim responses for as long
@@ -25,10 +27,12 @@
 const MAX_READS_IN_A_ROW: u32 = 32;
 
 /// Opens TCP connections to the IP address and port in a URI.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Connector {
     /// Timeout for opening a connection.
     pub timeout: Duration,
+    /// Limit on open connections, if there is one.
+    pub quota: Option<Quota>,
 }
 
 /// A TCP stream of the pool.
@@ -38,6 +42,18 @@
     io: FuturesIo<Meter<TcpStream>>,
     /// Reads since the last one that had to wait.
     reads_in_a_row: u32,
+    _permit: Option<Permit>,
+}
+
+impl Connector {
+    /// Opens any number of connections, each within `timeout`.
+    #[must_use]
+    pub fn new(timeout: Duration) -> Self {
+        Self {
+            timeout,
+            quota: None,
+        }
+    }
 }
 
 impl Service<Uri> for Connector {
@@ -51,7 +67,12 @@
 
     fn call(&mut self, uri: Uri) -> Self::Future {
         let limit = self.timeout;
+        let quota = self.quota.clone();
         Box::pin(async move {
+            let permit = match &quota {
+                Some(quota) => Some(quota.acquire().ok_or(io::ErrorKind::QuotaExceeded)?),
+                None => None,
+            };
             let address = address(&uri)?;
             let connect = agatemill_runtime::timeout(limit, TcpStream::connect(address)).await;
             let stream = connect.ok_or(io::ErrorKind::TimedOut)??;
@@ -59,6 +80,7 @@
             Ok(Stream {
                 io: FuturesIo::new(Meter(stream)),
                 reads_in_a_row: 0,
+                _permit: permit,
             })
         })
     }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,9 +7,12 @@
 pub mod connector;
 pub mod error;
 pub mod pace;
+pub mod quota;
 pub mod spawner;
+pub mod timer;
 
 pub use buffers::Buffers;
 pub use client::Client;
 pub use error::Error;
 pub use pace::Pace;
+pub use quota::Quota;
