Give each purpose its share of the descriptors

Each listener took up to 2,500 connections, and the one for other hosts any number, whatever the limit of the machine. A head could be incomplete for the idle limit, and a caller that did not read its responses kept its connection and their memory for ever.

A full listener closes the connection that has been idle for longest, then the one whose head has been incomplete for longest, and never one with a request; one address takes at most half of a listener's share. A head must be complete within the operator's `header-timeout-ms` from its first byte. A connection that accepts no byte for the longest gap after which callers abandon a stream, and one second more, is closed; its send buffer is limited, since the kernel kept up to 4 MB. Open connections are counted by purpose, closed ones by reason.

The harness tells the addresses of the directory and of other hosts.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -41,6 +41,8 @@
     pub header_bytes: usize,
     /// Maximum size of a request body in bytes.
     pub body_bytes: usize,
+    /// Time from the first byte of a request head to its end.
+    pub header: Duration,
     /// Idle timeout of a connection between requests.
     pub idle: Duration,
 }
@@ -60,6 +62,7 @@
         Self {
             header_bytes: 16 << 10,
             body_bytes: 4 << 20,
+            header: Duration::from_secs(3),
             idle: Duration::from_secs(15),
         }
     }
@@ -84,6 +87,15 @@
         }
     }
 
+    /// The longest time for which a caller of any route waits within a response. One that accepts no bytes for longer does not
+    /// read it any more.
+    #[must_use]
+    pub fn longest_gap(&self) -> Duration {
+        let routes = self.routes.values().flatten();
+        let gaps = routes.map(|route| route.longest_gap());
+        gaps.max().unwrap_or_default()
+    }
+
     /// Finds the route with the longest prefix of `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -6,6 +6,9 @@
 
 use agatemill_core::id;
 
+/// Minimum time without an event after which callers abandon a stream. It is part of the contract with callers.
+const MIN_ABANDONED_GAP: Duration = Duration::from_secs(2);
+
 /// A route: maps requests to services and sets their limits.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -66,6 +69,15 @@
         )
     }
 
+    /// The time without an event after which callers abandon a stream.
+    #[must_use]
+    pub fn longest_gap(&self) -> Duration {
+        let gap = self.gap_target.unwrap_or_default();
+        MIN_ABANDONED_GAP
+            .max(self.target_latency.saturating_mul(4))
+            .max(gap.saturating_mul(8))
+    }
+
     /// Picks the service for a request by weight; `point` is uniform over `0.0..1.0`.
     #[must_use]
     pub fn pick(&self, point: f64) -> &id::Service {
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -1,13 +1,11 @@
 //! RPC server for hosts that follow the store through this one.
 
 use core::time::Duration;
-use std::io;
 use std::sync::Arc;
 
 use async_compat::CompatExt;
 use futures::StreamExt;
 use serde_bytes::ByteBuf;
-use smol::net::TcpListener;
 use smol::net::TcpStream;
 use tarpc::context::Context;
 use tarpc::server::BaseChannel;
@@ -16,7 +14,10 @@
 use super::Update;
 use crate::State;
 use crate::clock;
+use crate::connections::Guard;
+use crate::server::Listener;
 use crate::supervise;
+use crate::table::Phase;
 use agatemill_adapter::store::Change;
 use agatemill_core::number::Era;
 use agatemill_fleet::history::Cursor;
@@ -25,43 +26,36 @@
 use agatemill_wire::transport;
 use agatemill_wire::transport::Service;
 
-/// Backoff after an `accept` error, such as too many open files.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
-
 /// Time within which a new connection must name its service.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Serves followers until the process ends. Their connections end with this future.
-pub async fn run(state: Arc<State>, listener: TcpListener) {
-    let accepted = listener.incoming().then(pause_after_error);
+pub async fn run(state: Arc<State>, listener: Listener) {
+    let accepted = futures::stream::unfold(listener, |listener| async {
+        let connection = listener.accept().await;
+        Some((connection, listener))
+    });
     accepted
-        .filter_map(futures::future::ready)
-        .for_each_concurrent(None, |stream| async {
-            let connection = serve(Arc::clone(&state), stream);
-            supervise::contain(&state.metrics, "feed", connection).await;
+        .for_each_concurrent(None, |(stream, guard)| {
+            let state = Arc::clone(&state);
+            async move {
+                let connection = serve(Arc::clone(&state), stream, &guard);
+                let connection = smol::future::or(connection, guard.closing());
+                supervise::contain(&state.metrics, "feed", connection).await;
+            }
         })
         .await;
 }
 
-/// Delays the next connection after one that could not be accepted.
-async fn pause_after_error(accepted: io::Result<TcpStream>) -> Option<TcpStream> {
-    match accepted {
-        Ok(stream) => Some(stream),
-        Err(error) => {
-            log::warn!(error:%; "feed: cannot accept a connection");
-            agatemill_runtime::sleep(ACCEPT_BACKOFF).await;
-            None
-        }
-    }
-}
-
-async fn serve(state: Arc<State>, mut stream: TcpStream) {
+async fn serve(state: Arc<State>, mut stream: TcpStream, guard: &Guard) {
     let service =
         agatemill_runtime::timeout(HANDSHAKE_TIMEOUT, transport::accept(&mut stream)).await;
     let Some(Ok(Service::Feed)) = service else {
         log::debug!("feed: connection did not name a known service");
         return;
     };
+    // A follower is closed to make room only after all connections that have named no service.
+    guard.set_phase(Phase::Head);
     let channel = BaseChannel::with_defaults(transport::frame(stream));
     let requests = channel.execute(Handler { state }.serve());
     requests
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -10,9 +10,11 @@
 use crate::feed;
 use crate::gossip;
 use crate::planner;
+use crate::purpose::Purpose;
 use crate::quarantine;
 use crate::registration::Registration;
 use crate::server;
+use crate::server::Listener;
 use crate::shutdown;
 use crate::stall;
 use crate::state::Stage;
@@ -52,6 +54,12 @@
         let state = Arc::new(State::new(settings, Registry::new()?));
         let registration = Arc::new(Registration::default());
         let share = || Arc::clone(&state);
+        let listener = |socket, purpose| Listener::new(&state, socket, purpose);
+        let callers = listener(callers, Purpose::Callers);
+        let ready = listener(ready, Purpose::Readiness);
+        let directory = listener(directory, Purpose::Directory);
+        let metrics = listener(metrics, Purpose::Metrics);
+        let followers = listener(followers, Purpose::Hosts);
         let mut tasks = Supervisor::new(share());
         // It records changes for other hosts before it applies them to the view, so that a panic between the two may leave
         // the view without a change, such as a revoked key, that no later snapshot brings.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -18,32 +18,72 @@
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use rustix::net::sockopt;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use crate::Counter;
 use crate::Error;
 use crate::State;
+use crate::connections::Connections;
+use crate::connections::Guard;
 use crate::directory;
 use crate::exchange;
 use crate::idle;
+use crate::purpose::Purpose;
 use crate::response;
 use crate::response::Body;
+use crate::socket::Socket;
 use crate::state::Stage;
 use crate::supervise;
+use crate::table::Phase;
 use agatemill_adapter::path;
 
 /// Backoff after an `accept` error, such as too many open files.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
+/// Size of the send buffer of a connection in bytes, which the kernel doubles. Without it the kernel keeps up to 4 MB for a
+/// caller that does not read. A link with a round trip of 5 ms still carries 25 MB/s.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
+
 /// Size up to which request heads are read whatever the limit was when their connection was opened, in bytes. The limit in
 /// force is checked for each request.
 const READ_HEAD_BYTES: usize = 32 << 10;
 
-/// Maximum number of connections per listener. A connection takes about 20 KB, so these fit
-/// beside the bodies in transit into a host of 260 MB; further callers wait in the kernel's accept queue.
-const MAX_CONNECTIONS: usize = 2_500;
+/// A listener with its open connections. Clones share both.
+#[derive(Clone, Debug)]
+pub struct Listener {
+    socket: TcpListener,
+    connections: Arc<Connections>,
+}
+
+impl Listener {
+    /// Creates the listener of a socket, without connections.
+    #[must_use]
+    pub fn new(state: &Arc<State>, socket: TcpListener, purpose: Purpose) -> Self {
+        Self {
+            socket,
+            connections: Connections::new(Arc::clone(state), purpose),
+        }
+    }
+
+    /// Accepts the next connection for which there is room. Others are closed, or wait in the accept queue of the kernel.
+    pub async fn accept(&self) -> (TcpStream, Guard) {
+        loop {
+            match self.socket.accept().await {
+                Ok((stream, peer)) => {
+                    if let Some(guard) = self.connections.admit(peer.ip()).await {
+                        return (stream, guard);
+                    }
+                }
+                Err(error) => {
+                    log::warn!(error:%; "server: cannot accept a connection");
+                    agatemill_runtime::sleep(ACCEPT_BACKOFF).await;
+                }
+            }
+        }
+    }
+}
 
 /// Binds a listener.
 ///
@@ -56,7 +96,7 @@
 }
 
 /// Serves callers until the process ends.
-pub async fn serve_callers(state: Arc<State>, listener: TcpListener) {
+pub async fn serve_callers(state: Arc<State>, listener: Listener) {
     accept(&state, listener, |state, request| async move {
         let mut response = exchange::handle(&state, request).await;
         if state.stage() != Stage::Serving {
@@ -69,7 +109,7 @@
 }
 
 /// Serves readiness checks until the process ends.
-pub async fn serve_ready(state: Arc<State>, listener: TcpListener) {
+pub async fn serve_ready(state: Arc<State>, listener: Listener) {
     accept(&state, listener, |state, request| async move {
         let status = match request.uri().path() {
             path::READY if state.is_ready() => StatusCode::OK,
@@ -82,7 +122,7 @@
 }
 
 /// Serves address lookups of callers until the process ends.
-pub async fn serve_directory(state: Arc<State>, listener: TcpListener) {
+pub async fn serve_directory(state: Arc<State>, listener: Listener) {
     accept(&state, listener, |state, request| async move {
         match request.uri().path() {
             path::RESOLVE => directory::resolve(&state),
@@ -93,7 +133,7 @@
 }
 
 /// Serves metrics until the process ends.
-pub async fn serve_metrics(state: Arc<State>, listener: TcpListener) {
+pub async fn serve_metrics(state: Arc<State>, listener: Listener) {
     accept(&state, listener, |state, _| async move {
         match state.metrics.export() {
             Ok(text) => response::with_body(StatusCode::OK, "text/plain", Bytes::from(text)),
@@ -112,63 +152,66 @@
 
 async fn accept<F>(
     state: &Arc<State>,
-    listener: TcpListener,
+    listener: Listener,
     respond: impl Fn(Arc<State>, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
 ) where
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let open = Counter::default();
     loop {
-        if open.get() >= MAX_CONNECTIONS {
-            agatemill_runtime::sleep(ACCEPT_BACKOFF).await;
-            continue;
-        }
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let guards = (open.track(), state.track_connection());
-                let connection = serve_connection(Arc::clone(state), stream, respond.clone());
-                let state = Arc::clone(state);
-                let task = async move {
-                    supervise::contain(&state.metrics, "server", connection).await;
-                    drop(guards);
-                };
-                agatemill_runtime::spawn(task).detach();
-            }
-            Err(error) => {
-                log::warn!(error:%; "server: cannot accept a connection");
-                agatemill_runtime::sleep(ACCEPT_BACKOFF).await;
-            }
-        }
+        let (stream, guard) = listener.accept().await;
+        let open = state.track_connection();
+        let connection = serve_connection(Arc::clone(state), stream, guard, respond.clone());
+        let state = Arc::clone(state);
+        let task = async move {
+            supervise::contain(&state.metrics, "server", connection).await;
+            drop(open);
+        };
+        agatemill_runtime::spawn(task).detach();
     }
 }
 
 async fn serve_connection<F>(
     state: Arc<State>,
     stream: TcpStream,
+    guard: Guard,
     respond: impl Fn(Arc<State>, Request<Incoming>) -> F,
 ) where
     F: Future<Output = Response<Body>>,
 {
-    // Events are small writes that must be sent at once. Setting the option fails only on a closed connection.
+    // Events are small writes that must be sent at once. Setting an option fails only on a closed connection.
     let _ = stream.set_nodelay(true);
+    let _ = sockopt::set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
     let limits = state.limits();
     let service = service_fn(|request| {
+        guard.set_phase(Phase::Busy);
         let response = respond(Arc::clone(&state), request);
         async { Ok::<_, Infallible>(response.await) }
     });
-    // The library's header timeout also covers the time in which a connection is idle.
+    // The library's header timeout also covers the time in which a connection is idle; the timer tells them apart.
+    let socket = Socket::new(&state, stream, &guard);
     let connection = http1::Builder::new()
-        .timer(idle::Timer::new(&state))
+        .timer(idle::Timer::new(&state, &guard))
         .header_read_timeout(limits.idle)
         .max_buf_size(limits.header_bytes.max(READ_HEAD_BYTES))
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(socket), service);
     let connection = pin!(connection);
-    let result = match future::select(connection, pin!(state.ending())).await {
+    let ending = async {
+        state.ending().await;
+        true
+    };
+    let closing = async {
+        guard.closing().await;
+        false
+    };
+    let end = pin!(smol::future::or(ending, closing));
+    let result = match future::select(connection, end).await {
         Either::Left((result, _)) => result,
-        Either::Right(((), mut connection)) => {
+        Either::Right((true, mut connection)) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        // No request is in progress.
+        Either::Right((false, _)) => return,
     };
     if let Err(error) = result {
         log::debug!(error:%; "server: connection failed");
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,6 +24,7 @@
 use crate::counter;
 use crate::feed::Feed;
 use crate::gate::Gate;
+use crate::purpose;
 use crate::stall;
 use agatemill_adapter::Store;
 use agatemill_core::id;
@@ -119,12 +120,14 @@
     #[must_use]
     pub fn new(settings: Settings, metrics: Registry) -> Self {
         let buffers = Buffers::new(MAX_BUFFERED_BYTES);
-        let pooled = agatemill_http::Client::new(CONNECT_TIMEOUT);
-        let unpooled = agatemill_http::Client::without_reuse(CONNECT_TIMEOUT);
+        let quota = purpose::Purpose::Servers.quota(&settings, &metrics);
+        let pooled = agatemill_http::Client::new(CONNECT_TIMEOUT).with_quota(quota.clone());
+        let unpooled = agatemill_http::Client::without_reuse(CONNECT_TIMEOUT).with_quota(quota);
         let restored = Arc::new(Event::new());
         Self {
             census: Mutex::new(Census::new(settings.host.clone(), settings.zone.clone())),
             store: Store::new(settings.store, STORE_TIMEOUT)
+                .with_quota(purpose::Purpose::Store.quota(&settings, &metrics))
                 .with_observer(store_observer(&metrics, &restored)),
             restored,
             settings: Mutex::new(Arc::new(settings)),
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -19,6 +19,7 @@
 mod startup;
 mod store;
 mod system;
+mod table;
 mod tasks;
 mod throttle;
 mod unframed;
--- a/crates/gateway/tests/crowd/bodies.rs
+++ b/crates/gateway/tests/crowd/bodies.rs
@@ -77,7 +77,7 @@
 
 /// Sends bytes of a body in pieces.
 fn write_body(stream: &mut TcpStream, bytes: usize) -> io::Result<()> {
-    let piece = [b'x'; PIECE_BYTES];
+    let piece = vec![b'x'; PIECE_BYTES];
     let mut left = bytes;
     while left > 0 {
         let length = left.min(PIECE_BYTES);
--- a/crates/gateway/tests/crowd/host.rs
+++ b/crates/gateway/tests/crowd/host.rs
@@ -69,6 +69,10 @@
     pub ready: SocketAddrV4,
     /// Listen address for metrics.
     pub metrics: SocketAddrV4,
+    /// Listen address of the directory.
+    pub directory: SocketAddrV4,
+    /// Address for other hosts.
+    pub exchange: SocketAddrV4,
     /// The store of the platform.
     pub store: Store,
     /// Engines of the service `model`.
@@ -124,6 +128,8 @@
             callers: settings.callers,
             ready: settings.ready,
             metrics: settings.metrics,
+            directory: settings.directory,
+            exchange: settings.exchange,
             store,
             engines,
             services,
--- a/crates/gateway/tests/crowd/main.rs
+++ b/crates/gateway/tests/crowd/main.rs
@@ -4,4 +4,5 @@
 //! alive within its memory and descriptors and that it answers one ordinary request afterwards. The tests run one at a time.
 
 mod bodies;
+mod connections;
 mod host;
--- a/crates/metrics/src/registry.rs
+++ b/crates/metrics/src/registry.rs
@@ -22,6 +22,9 @@
 /// Label of the counters that are split by reason.
 const REASON_LABEL: &str = "reason";
 
+/// Label of the number of connections.
+const PURPOSE_LABEL: &str = "purpose";
+
 /// Error when metrics cannot be set up or exported.
 #[derive(Debug, Display, Error)]
 #[display("metrics: {_0}")]
@@ -46,6 +49,10 @@
     events: Counter<u64>,
     /// Requests in progress.
     in_flight: UpDownCounter<i64>,
+    /// Open connections, by purpose.
+    connections: UpDownCounter<i64>,
+    /// Closed connections of callers and other peers, by reason.
+    closed_connections: Counter<u64>,
     first_token: Histogram<f64>,
     between_tokens: Histogram<f64>,
     request_time: Histogram<f64>,
@@ -75,6 +82,8 @@
             tokens: meter.u64_counter("agatemill_tokens").build(),
             events: meter.u64_counter("agatemill_events").build(),
             in_flight: meter.i64_up_down_counter("agatemill_in_flight").build(),
+            connections: meter.i64_up_down_counter("agatemill_connections").build(),
+            closed_connections: meter.u64_counter("agatemill_closed_connections").build(),
             first_token: histogram(&meter, "agatemill_first_token_seconds"),
             between_tokens: histogram(&meter, "agatemill_between_tokens_seconds"),
             request_time: histogram(&meter, "agatemill_request_seconds"),
@@ -107,6 +116,24 @@
         );
     }
 
+    /// Increments the number of open connections of a purpose.
+    pub fn open_connection(&self, purpose: &'static str) {
+        self.connections
+            .add(1, &[KeyValue::new(PURPOSE_LABEL, purpose)]);
+    }
+
+    /// Decrements the number of open connections of a purpose.
+    pub fn close_connection(&self, purpose: &'static str) {
+        self.connections
+            .add(-1, &[KeyValue::new(PURPOSE_LABEL, purpose)]);
+    }
+
+    /// Counts a connection that was closed.
+    pub fn count_closed_connection(&self, reason: &'static str) {
+        self.closed_connections
+            .add(1, &[KeyValue::new(REASON_LABEL, reason)]);
+    }
+
     /// Increments the number of requests in progress.
     pub fn start_request(&self) {
         self.in_flight.add(1, &[]);
