Check the metrics of connections under crowds

No test read the connections by purpose or the reasons of closed ones. The tests of crowds now check them.

--- a/crates/gateway/tests/crowd/connections.rs
+++ b/crates/gateway/tests/crowd/connections.rs
@@ -101,6 +101,18 @@
     host.assert_serves("draft");
 }
 
+/// Checks that a series of the metrics is above 0.
+fn assert_counted(host: &Host, series: &str) {
+    let metrics = host.read_metrics();
+    let lines = metrics.lines().filter_map(|line| line.rsplit_once(' '));
+    let mut values = lines.filter(|(name, _)| name.ends_with(series));
+    let value = values.next().map(|(_, value)| value);
+    assert!(
+        value.is_some_and(|value| value != "0"),
+        "{series}: {value:?}"
+    );
+}
+
 /// Whether the host has closed a connection, which its kernel tells as a response to another byte.
 fn is_closed(mut stream: &TcpStream) -> bool {
     let written = stream.write(b"x");
@@ -113,6 +125,10 @@
     let mut host = Host::start(LIMITS);
     let streams = open(host.callers, CALLERS, b"");
     assert_sound(&mut host);
+    assert_counted(&host, r#"closed_connections_total{reason="idle_for_room"}"#);
+    assert_counted(&host, r#"connections{purpose="callers"}"#);
+    assert_counted(&host, r#"connections{purpose="servers"}"#);
+    assert_counted(&host, r#"connections{purpose="store"}"#);
     drop(streams);
 }
 
@@ -122,6 +138,7 @@
     let mut host = Host::start(LIMITS);
     let streams = open(host.callers, CALLERS, &half_head());
     assert_sound(&mut host);
+    assert_counted(&host, r#"closed_connections_total{reason="head_for_room"}"#);
     drop(streams);
 }
 
@@ -156,6 +173,7 @@
     let mut host = Host::start(LIMITS);
     let streams = open(host.callers, 60, &half_head());
     assert_closed(&mut host, &streams);
+    assert_counted(&host, r#"closed_connections_total{reason="head_timeout"}"#);
 }
 
 /// Guards against connections to the other listeners that take the descriptors of callers and servers.
@@ -177,6 +195,7 @@
     let request = host::head("none", "refused", "content-length: 0");
     let streams = open(host.callers, 8, request.repeat(20_000).as_bytes());
     assert_closed(&mut host, &streams);
+    assert_counted(&host, r#"closed_connections_total{reason="not_read"}"#);
 }
 
 /// Guards against responses that are never read and keep the memory of their bodies for ever, while engines respond
