--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -6,12 +6,8 @@
 
 use agatemill_core::id;
 
-/// Minimum gap of a stream after which callers leave.
-const MIN_PATIENCE: Duration = Duration::from_secs(2);
-
-/// Multiples of the target latency and of the longest gap of the target after which callers leave.
-const LATENCY_PATIENCE: u32 = 4;
-const GAP_PATIENCE: u32 = 8;
+/// Minimum time without an event after which callers abandon a stream. It is part of the contract with callers.
+const MIN_ABANDONED_GAP: Duration = Duration::from_secs(2);
 
 /// A route: maps requests to services and sets their limits.
 #[derive(Clone, Debug, PartialEq)]
@@ -64,15 +60,6 @@
 }
 
 impl Route {
-    /// Longest gap of a stream, also before its first event, after which callers leave.
-    #[must_use]
-    pub fn patience(&self) -> Duration {
-        let gap = self.gap_target.unwrap_or_default();
-        MIN_PATIENCE
-            .max(self.target_latency * LATENCY_PATIENCE)
-            .max(gap * GAP_PATIENCE)
-    }
-
     /// Whether a request may be sent to another server after it may have run.
     #[must_use]
     pub fn is_repeatable(&self) -> bool {
@@ -82,6 +69,15 @@
         )
     }
 
+    /// The time without an event after which callers abandon a stream.
+    #[must_use]
+    pub fn longest_gap(&self) -> Duration {
+        let gap = self.gap_target.unwrap_or_default();
+        MIN_ABANDONED_GAP
+            .max(self.target_latency.saturating_mul(4))
+            .max(gap.saturating_mul(8))
+    }
+
     /// Picks the service for a request by weight; `point` is uniform over `0.0..1.0`.
     #[must_use]
     pub fn pick(&self, point: f64) -> &id::Service {
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -369,7 +369,7 @@
     /// Whether the stream has begun, so that it can only be cut instead, and its caller has not left yet although no run is in
     /// progress.
     fn is_awaited(&self) -> bool {
-        let patience = self.job.route.patience();
+        let patience = self.job.route.longest_gap();
         self.has_head && agatemill_runtime::now() < self.ended_at + patience
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,8 @@
 use crate::feed::Feed;
 use crate::gate::Gate;
 use crate::intake::Intake;
+use crate::purpose;
+use crate::reply::Faults;
 use crate::stall;
 use crate::turns::Turns;
 use agatemill_adapter::Store;
@@ -126,15 +128,19 @@
     pub fn new(settings: Settings, metrics: Registry) -> Self {
         let buffers = Buffers::new(settings.plan().responses);
         let intake = Intake::new(settings.plan(), &metrics, buffers.clone());
-        let faults = crate::reply::Faults::new(&metrics);
-        let pooled = faults.watch(agatemill_http::Client::new(CONNECT_TIMEOUT));
-        let unpooled = faults.watch(agatemill_http::Client::without_reuse(CONNECT_TIMEOUT));
+        let faults = Faults::new(&metrics);
+        let quota = purpose::Purpose::Servers.quota(&settings, &metrics);
+        let pooled = agatemill_http::Client::new(CONNECT_TIMEOUT).with_quota(quota.clone());
+        let unpooled = agatemill_http::Client::without_reuse(CONNECT_TIMEOUT).with_quota(quota);
+        let (pooled, unpooled) = (faults.watch(pooled), faults.watch(unpooled));
+        let store_client = agatemill_http::Client::new(STORE_TIMEOUT)
+            .with_quota(purpose::Purpose::Store.quota(&settings, &metrics));
         let restored = Arc::new(Event::new());
         Self {
             census: Mutex::new(Census::new(settings.host.clone(), settings.zone.clone())),
             store: Store::new(settings.store, STORE_TIMEOUT)
                 .with_observer(store_observer(&metrics, &restored))
-                .with_client(faults.watch(agatemill_http::Client::new(STORE_TIMEOUT))),
+                .with_client(faults.watch(store_client)),
             restored,
             settings: Mutex::new(Arc::new(settings)),
             intake,
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -21,6 +21,8 @@
 mod startup;
 mod store;
 mod system;
+mod table;
+mod tasks;
 mod throttle;
 mod unframed;
 mod upstream;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -22,11 +22,13 @@
 use crate::Error;
 use crate::Invalid;
 use crate::Pace;
+use crate::Quota;
 use crate::buffers::Buffer;
 use crate::closer::Closer;
 use crate::connector::Connector;
 use crate::invalid;
 use crate::spawner::Spawner;
+use crate::timer::Timer;
 
 /// How long an idle connection stays in the pool.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -42,6 +44,9 @@
 #[derive(Clone)]
 pub struct Client {
     inner: legacy::Client<Connector, Full<Bytes>>,
+    connector: Connector,
+    /// Maximum number of idle connections to each server.
+    max_idle: usize,
     /// Memory for the responses that are read whole.
     buffers: Buffers,
     /// Called for each request whose response is none.
@@ -70,27 +75,30 @@
     /// Creates a client that reuses idle connections. Opening a connection fails after `connect_timeout`.
     #[must_use]
     pub fn new(connect_timeout: Duration) -> Self {
-        Self::build(connect_timeout, usize::MAX)
+        Self::build(Connector::new(connect_timeout), usize::MAX)
     }
 
     /// Creates a client that opens a new connection for each request. Calls that may run at most once need
     /// this: if a reused connection breaks, it is unknown whether the request arrived.
     #[must_use]
     pub fn without_reuse(connect_timeout: Duration) -> Self {
-        Self::build(connect_timeout, 0)
+        Self::build(Connector::new(connect_timeout), 0)
     }
 
-    fn build(timeout: Duration, max_idle: usize) -> Self {
+    fn build(connector: Connector, max_idle: usize) -> Self {
         let inner = legacy::Client::builder(Spawner)
+            .pool_timer(Timer)
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(max_idle)
             .retry_canceled_requests(max_idle > 0)
             .http1_max_buf_size(MAX_HEAD_BYTES)
             // Otherwise a request is copied into a buffer that its connection keeps while it is idle.
             .http1_writev(true)
-            .build(Connector { timeout });
+            .build(connector.clone());
         Self {
             inner,
+            connector,
+            max_idle,
             buffers: Buffers::new(usize::MAX),
             observer: Arc::new(|_, _| {}),
         }
@@ -112,6 +120,21 @@
         Self { buffers, ..self }
     }
 
+    /// Opens connections within `quota`, which other clients may share. When it is used up, requests that need a new
+    /// connection fail with [`Error::Connect`] of the kind `QuotaExceeded`.
+    #[must_use]
+    pub fn with_quota(self, quota: Quota) -> Self {
+        let connector = Connector {
+            quota: Some(quota),
+            ..self.connector
+        };
+        Self {
+            buffers: self.buffers,
+            observer: self.observer,
+            ..Self::build(connector, self.max_idle)
+        }
+    }
+
     /// Sends a request and waits for the head of the response for at most `limit`. Its status is final.
     ///
     /// The authority of the URI must be an IP address with a port.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,10 +10,13 @@
 pub mod intake;
 pub mod invalid;
 pub mod pace;
+pub mod quota;
 pub mod spawner;
+pub mod timer;
 
 pub use buffers::Buffers;
 pub use client::Client;
 pub use error::Error;
 pub use invalid::Invalid;
 pub use pace::Pace;
+pub use quota::Quota;
