Write the parts of a response with one call

Cause: sockets of callers passed on only the first part of a vectored write, so that an event took three system calls and packets. Change: vectored writes are passed on to the stream. Not measured by itself.

--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -5,6 +5,7 @@
 use core::task::Poll;
 use core::time::Duration;
 use std::io;
+use std::io::IoSlice;
 use std::sync::Arc;
 
 use smol::io::AsyncRead;
@@ -95,6 +96,15 @@
         self.record_write(cx, written)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, buffers);
+        self.record_write(cx, written)
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_flush(cx)
     }
