Bound the cost of a choice of a path in large fleets

Change: keys of the view, one pass for the free memory, and steps of the forecast for at most 1,000 engines together; none in larger fleets.

--- a/crates/fleet/src/admission/room.rs
+++ b/crates/fleet/src/admission/room.rs
@@ -33,26 +33,30 @@
     }
 
     fn in_zone(model: &Model, engines: &[&Candidate]) -> Self {
-        let mut boundaries = vec![0];
+        let layers = usize::try_from(model.layers).unwrap_or_default();
+        let position =
+            |layer: u32| usize::try_from(layer).map_or(layers, |layer| layer.min(layers));
+        // Changes from each layer to the next, which are summed up below.
+        let mut changes = vec![Self::default(); layers + 1];
         for engine in engines {
-            boundaries.extend([engine.layers.start(), engine.layers.end()]);
+            let used = engine.usage.tokens.min(engine.token_capacity);
+            let (start, end) = (
+                position(engine.layers.start()),
+                position(engine.layers.end()),
+            );
+            changes[start].capacity += engine.token_capacity;
+            changes[start].used += used;
+            changes[end].capacity -= engine.token_capacity;
+            changes[end].used -= used;
         }
-        boundaries.retain(|layer| *layer < model.layers);
-        boundaries.sort_unstable();
-        boundaries.dedup();
-        let at = |layer: u32| {
-            let holds = |engine: &&&Candidate| {
-                engine.layers.start() <= layer && layer < engine.layers.end()
-            };
-            let holders = engines.iter().filter(holds);
-            holders.fold(Self::default(), |sum, engine| Self {
-                capacity: sum.capacity + engine.token_capacity,
-                used: sum.used + engine.usage.tokens.min(engine.token_capacity),
-            })
-        };
-        let rooms = boundaries.into_iter().map(at);
-        rooms
-            .min_by(|a, b| a.free().total_cmp(&b.free()))
+        let sums = changes[..layers]
+            .iter()
+            .scan(Self::default(), |sum, change| {
+                sum.capacity += change.capacity;
+                sum.used += change.used;
+                Some(*sum)
+            });
+        sums.min_by(|a, b| a.free().total_cmp(&b.free()))
             .unwrap_or_default()
     }
 
--- a/crates/fleet/src/forecast.rs
+++ b/crates/fleet/src/forecast.rs
@@ -17,6 +17,10 @@
 /// paths among which the load spreads, whole steps go to one path.
 const MAX_STEPS: u32 = 8;
 
+/// Engines that all steps of a request examine together, at most. One search takes 1.6 ms of a processor at 6,510 engines
+/// (docs/CAPACITY.md), and the smallest hosts have 0.12 processors for several requests a second.
+const MAX_ENGINES_EXAMINED: usize = 1_000;
+
 /// Requests of a step, at least: the placement of single requests is not worth a search.
 const MIN_REQUESTS_PER_STEP: f64 = 4.0;
 
@@ -54,6 +58,19 @@
         self.sent * self.age.min(MAX_AGE).as_secs_f64()
     }
 
+    /// Searches in which the requests that were sent since the report are placed; none in a fleet that is too large for them.
+    #[must_use]
+    pub fn steps(&self, model: &Model, engines: usize) -> u32 {
+        let size = (model.usual_prompt + model.usual_answer).max(1.0);
+        let wanted = (self.unseen() / size / MIN_REQUESTS_PER_STEP).ceil();
+        let affordable = MAX_ENGINES_EXAMINED / engines.max(1);
+        let affordable = u32::try_from(affordable).unwrap_or(MAX_STEPS);
+        // At least one and at most `MAX_STEPS`.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let wanted = wanted.clamp(1.0, f64::from(MAX_STEPS)) as u32;
+        wanted.min(affordable)
+    }
+
     /// Adds the load of the requests that were sent since the report, apart from `known` tokens that the load includes
     /// already. The requests come from all `zones` evenly. Those for which no path has room are left out, since they wait or
     /// were refused.
@@ -67,16 +84,11 @@
     ) {
         let size = model.usual_prompt + model.usual_answer;
         let tokens = self.unseen() - known;
-        if zones.is_empty() || size <= 0.0 || tokens < size {
+        let steps = self.steps(model, candidates.len());
+        if zones.is_empty() || size <= 0.0 || tokens < size || steps == 0 {
             return;
         }
-        let requests = tokens / size;
-        // At least one and at most `MAX_STEPS`.
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let steps = (requests / MIN_REQUESTS_PER_STEP)
-            .ceil()
-            .clamp(1.0, f64::from(MAX_STEPS)) as u32;
-        let step_requests = requests / f64::from(steps);
+        let step_requests = tokens / size / f64::from(steps);
         for (_, zone) in (0..steps).zip(zones.iter().cycle()) {
             let request = Request {
                 zone,
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -70,15 +70,22 @@
     pub assessment: Option<Box<Assessment>>,
 }
 
-/// Engines of a model as candidates for path selection, while the share `remaining` of the load that other hosts reported is left. A
-/// path may not start at the addresses in `excluded`.
+/// Engines of a model as candidates for path selection.
+struct Fleet {
+    candidates: Vec<Candidate>,
+    /// Tokens of this host's requests that the reported load does not include. Each request passes through all layers once.
+    unreported: f64,
+}
+
+/// Engines of a model, while the share `remaining` of the load that other hosts reported is left. A path may not start at the
+/// addresses in `excluded`.
 fn candidates(
     state: &State,
     job: &Job,
     model: &Model,
     excluded: &[SocketAddrV4],
     remaining: f64,
-) -> Vec<Candidate> {
+) -> Fleet {
     let now = agatemill_runtime::now();
     let view = state.view();
     let hosts = view.members.len();
@@ -100,11 +107,14 @@
             Start::Allowed
         }
     };
+    let mut unreported = 0.0;
     let candidates = servers.iter().filter_map(|server| {
         let layers = server.layers.filter(|layers| model.has_layers(*layers))?;
         let accelerator = model.accelerator(server.accelerator.as_deref()?)?;
         let own = load.of(&server.id);
         let usage = census.estimate_remaining(server.key, own, hosts, remaining, now);
+        let share = f64::from(layers.count()) / f64::from(model.layers);
+        unreported += census.unreported(server.key, own) * share;
         Some(Candidate {
             server: server.id.clone(),
             address: server.address,
@@ -119,7 +129,11 @@
             start: start(server),
         })
     });
-    candidates.collect()
+    let candidates = candidates.collect();
+    Fleet {
+        candidates,
+        unreported,
+    }
 }
 
 /// Whether this host's share of the inter-zone bandwidth allows a path that crosses zones.
@@ -137,17 +151,6 @@
     zones.into_iter().cloned().collect()
 }
 
-/// Tokens of this host's requests that the reported load does not include. Each request passes through all layers once.
-fn unreported(state: &State, model: &Model, candidates: &[Candidate]) -> f64 {
-    let load = state.load();
-    let census = state.census();
-    let of = |engine: &Candidate| {
-        let tokens = census.unreported(Key::from(&engine.server), load.of(&engine.server));
-        tokens * f64::from(engine.layers.count()) / f64::from(model.layers)
-    };
-    candidates.iter().map(of).sum()
-}
-
 /// Chooses the path of a request, takes a credit for its first engine and charges its traffic to the inter-zone links.
 /// The path does not start at the addresses in `excluded`, which run the request already. A request with a greater `claim` is
 /// let in before others.
@@ -165,8 +168,15 @@
 ) -> Result<Path, Shortage> {
     let zone = state.settings().zone.clone();
     let news = admission::news(state, job);
-    let remaining = news.as_ref().map_or(1.0, |news| news.forecast.remaining());
-    let mut candidates = candidates(state, job, model, excluded, remaining);
+    let engines = state.view().servers(&job.service).len();
+    let forecast = news.as_ref().map(|news| news.forecast);
+    let forecast = forecast.filter(|forecast| forecast.steps(model, engines) > 0);
+    let remaining = forecast.map_or(1.0, |forecast| forecast.remaining());
+    let fleet = candidates(state, job, model, excluded, remaining);
+    let Fleet {
+        mut candidates,
+        unreported,
+    } = fleet;
     let mut request = Request {
         zone: &zone,
         prompt: size.prompt,
@@ -176,11 +186,11 @@
         start: Start::Allowed,
     };
     let assessment = news.map(|news| {
-        let zones = zones(&candidates);
-        let zones: Vec<&id::Zone> = zones.iter().collect();
-        let known = unreported(state, model, &candidates);
-        news.forecast
-            .place(model, &mut candidates, &zones, request, known);
+        if let Some(forecast) = forecast {
+            let zones = zones(&candidates);
+            let zones: Vec<&id::Zone> = zones.iter().collect();
+            forecast.place(model, &mut candidates, &zones, request, unreported);
+        }
         Box::new(Assessment::new(news, Room::of(model, &candidates)))
     });
     if let Some(assessment) = &assessment {
@@ -251,7 +261,7 @@
 pub fn repair(state: &State, job: &Job, model: &Model, path: &Path) -> Result<Path, Missing> {
     let zone = state.settings().zone.clone();
     let size = Size::of(job, model);
-    let candidates = candidates(state, job, model, &[], 1.0);
+    let candidates = candidates(state, job, model, &[], 1.0).candidates;
     let request = Request {
         zone: &zone,
         // The new engines read the prompt and the output so far.
