Find the services with urgencies once for each configuration

`Configuration::has_urgencies` went through all routes for each decision of a stream. The services whose routes differ in rank are now found when the configuration is created. No figure was taken; tests of fleet and gateway pass.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -2,6 +2,7 @@
 
 use core::time::Duration;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use compact_str::CompactString;
@@ -17,6 +18,8 @@
     pub version: u64,
     /// Routes by host name. Invariant: sorted by prefix length, longest first.
     routes: HashMap<CompactString, Vec<Arc<Route>>>,
+    /// Services whose routes differ in rank.
+    ranked: HashSet<id::Service>,
     /// Services by name.
     pub services: HashMap<id::Service, Service>,
     /// Limits on what callers send.
@@ -72,6 +75,7 @@
     /// Creates a configuration; the order of `routes` does not matter.
     #[must_use]
     pub fn new(version: u64, routes: Vec<Route>) -> Self {
+        let ranked = ranked(&routes);
         let mut by_host: HashMap<CompactString, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             let host = by_host.entry(route.host.clone()).or_default();
@@ -83,6 +87,7 @@
         Self {
             version,
             routes: by_host,
+            ranked,
             ..Self::default()
         }
     }
@@ -90,13 +95,7 @@
     /// Whether requests for a service differ in urgency, by the ranks of their routes.
     #[must_use]
     pub fn has_urgencies(&self, service: &id::Service) -> bool {
-        let serves =
-            |route: &&Arc<Route>| route.split.iter().any(|share| &share.service == service);
-        let mut routes = self.routes.values().flatten().filter(serves);
-        let Some(first) = routes.next() else {
-            return false;
-        };
-        routes.any(|route| route.rank != first.rank)
+        self.ranked.contains(service)
     }
 
     /// The longest time for which a caller of any route waits within a response. One that accepts no bytes for longer does not
@@ -117,3 +116,17 @@
             .find(|route| path.starts_with(route.prefix.as_str()))
     }
 }
+
+/// Services whose routes differ in rank.
+fn ranked(routes: &[Route]) -> HashSet<id::Service> {
+    let mut ranks: HashMap<&id::Service, u8> = HashMap::new();
+    let mut ranked = HashSet::new();
+    for route in routes {
+        for share in &route.split {
+            if *ranks.entry(&share.service).or_insert(route.rank) != route.rank {
+                ranked.insert(share.service.clone());
+            }
+        }
+    }
+    ranked
+}
