Export the number of streams that wait for admission

Operators saw how long streams had waited but not how many wait now. `agatemill_admission_waiting` has it by urgency. The unused `Turns::waiting` is removed.

--- a/crates/gateway/src/turns.rs
+++ b/crates/gateway/src/turns.rs
@@ -49,12 +49,6 @@
         self.lock().line.ahead_of(urgency) > 0
     }
 
-    /// Number of waiting streams.
-    #[must_use]
-    pub fn waiting(&self) -> usize {
-        self.lock().line.len()
-    }
-
     /// Lets the first waiting stream look for a path, since room may have come free.
     pub fn wake(&self) {
         self.lock().wake_after(None);
@@ -106,6 +100,7 @@
         let tokens = if claim == Claim::New { tokens } else { 0.0 };
         let subject = job.subject();
         state.meter().begin_wait(subject, tokens);
+        state.metrics.change_waiting(subject.urgency, 1);
         Self {
             state: Arc::clone(state),
             ticket,
@@ -140,5 +135,6 @@
         turns.wakers.remove(&self.ticket);
         drop(turns);
         self.state.meter().end_wait(self.subject, self.tokens);
+        self.state.metrics.change_waiting(self.subject.urgency, -1);
     }
 }
--- a/crates/metrics/src/registry.rs
+++ b/crates/metrics/src/registry.rs
@@ -52,6 +52,8 @@
     admissions: Counter<u64>,
     /// Time from the arrival of a request to its admission, by urgency.
     admission_wait: Histogram<f64>,
+    /// Requests that wait for room at the servers, by urgency.
+    admission_waiting: UpDownCounter<i64>,
     /// Share of a server's memory that the last admitted request might fill, by urgency.
     admission_fill: Gauge<f64>,
     /// Requests in progress.
@@ -90,6 +92,9 @@
             events: meter.u64_counter("agatemill_events").build(),
             admissions: meter.u64_counter("agatemill_admissions").build(),
             admission_wait: histogram(&meter, "agatemill_admission_wait_seconds"),
+            admission_waiting: meter
+                .i64_up_down_counter("agatemill_admission_waiting")
+                .build(),
             admission_fill: meter.f64_gauge("agatemill_admission_fill").build(),
             in_flight: meter.i64_up_down_counter("agatemill_in_flight").build(),
             connections: meter.i64_up_down_counter("agatemill_connections").build(),
@@ -135,6 +140,12 @@
         self.admissions.add(1, &labels);
     }
 
+    /// Adds `change` to the number of requests that wait for room at the servers.
+    pub fn change_waiting(&self, urgency: agatemill_core::Urgency, change: i64) {
+        let labels = [KeyValue::new("urgency", urgency.to_string())];
+        self.admission_waiting.add(change, &labels);
+    }
+
     /// Records a request that was admitted `wait` after its arrival and might fill the share `fill` of a server's memory.
     pub fn record_admission(&self, urgency: agatemill_core::Urgency, fill: f64, wait: Duration) {
         self.count_admission(urgency, "admitted");
