Give four items of the gateway files of their own

`Step`, `Selection`, the store's observer and the test of settings out of range are moved without a change.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,5 +1,7 @@
 //! Forwards unary calls to services without a model.
 
+mod selection;
+
 use core::time::Duration;
 use std::sync::Arc;
 
@@ -15,6 +17,7 @@
 
 use crate::State;
 use crate::backoff;
+use crate::call::selection::Selection;
 use crate::clock;
 use crate::departure;
 use crate::exchange::Job;
@@ -267,16 +270,6 @@
     Refusal::not_run(Reason::Overloaded, detail).retry_after(wait)
 }
 
-/// Result of the selection of a server.
-enum Selection {
-    /// The server, for which a credit was taken if it has a limit.
-    Server(Arc<Server>),
-    /// Only servers that have reached their limits are left.
-    Limited,
-    /// No server is left.
-    None,
-}
-
 /// Selects a server, and waits for at most `wait` if all have reached their limits.
 async fn select_server(
     state: &State,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,5 +1,7 @@
 //! One run of a stream on the engines of a path.
 
+pub mod step;
+
 use core::future::Future;
 use core::pin::Pin;
 use core::task::Context;
@@ -44,6 +46,8 @@
 use agatemill_fleet::server::Instance;
 use agatemill_fleet::suspicion::Standing;
 
+pub use step::Step;
+
 /// Time without a response head after which the first engine is queried for the engine that it waits for: well
 /// above the usual time to the first event, and early enough to send the request elsewhere.
 const HEAD_STALL_TIMEOUT: Duration = Duration::from_millis(450);
@@ -132,29 +136,6 @@
     Ended,
 }
 
-/// What happened to a run.
-#[derive(Debug)]
-pub enum Step {
-    /// The head of the response arrived.
-    Head,
-    /// These complete events arrived.
-    Events(Bytes),
-    /// The response is complete.
-    Complete,
-    /// The engines stated that they did not run the request, or it was not sent.
-    NotRun(Cause),
-    /// The run ended without a response head; it may have begun.
-    Unknown(Cause),
-    /// The response is of no use to the caller; the run may have begun.
-    Unusable,
-    /// The run ended within the response.
-    Broken(&'static str),
-    /// An engine became silent, or still is. The run may still continue.
-    Silent,
-    /// The first engine has ended, and the run with it.
-    Ended,
-}
-
 impl Run {
     /// Sends a request along a path. With `last_event`, the stream continues after that event.
     #[must_use]
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! Shared state of the process.
 
+mod observer;
 pub mod stage;
 
 use core::net::SocketAddrV4;
@@ -40,7 +41,6 @@
 use agatemill_fleet::Headcount;
 use agatemill_fleet::Link;
 use agatemill_fleet::Load;
-use agatemill_fleet::LogLimit;
 use agatemill_fleet::Path;
 use agatemill_fleet::Quarantine;
 use agatemill_fleet::Route;
@@ -53,7 +53,6 @@
 use agatemill_fleet::configuration::Limits;
 use agatemill_fleet::demand::Meter;
 use agatemill_fleet::evidence;
-use agatemill_fleet::history::Observation;
 use agatemill_fleet::throttle::allocator::Allocator;
 use agatemill_http::Buffers;
 use agatemill_metrics::Registry;
@@ -139,7 +138,7 @@
         Self {
             census: Mutex::new(Census::new(settings.host.clone(), settings.zone.clone())),
             store: Store::new(settings.store, STORE_TIMEOUT)
-                .with_observer(store_observer(&metrics, &restored))
+                .with_observer(observer::of_store(&metrics, &restored))
                 .with_client(faults.watch(store_client)),
             restored,
             settings: Mutex::new(Arc::new(settings)),
@@ -493,34 +492,6 @@
     }
 }
 
-/// Logs and counts what the eras of the store's responses show.
-fn store_observer(
-    metrics: &Registry,
-    restored: &Arc<Event>,
-) -> impl Fn(Observation) + Send + Sync + 'static {
-    let metrics = metrics.clone();
-    let restored = Arc::clone(restored);
-    let unnamed_log = Mutex::new(LogLimit::default());
-    move |observation| match observation {
-        Observation::Current => {}
-        Observation::Unnamed => {
-            metrics.count_event("store", "era_missing");
-            if lock(&unnamed_log).admits(agatemill_runtime::now()) {
-                log::warn!("store: a response names no era, and counts as one of the known era");
-            }
-        }
-        Observation::Restored { from, to } => {
-            metrics.count_event("store", "restored");
-            log::warn!(from:%, to:%; "store: restored from an older copy");
-            restored.notify(usize::MAX);
-        }
-        Observation::Late { named, known } => {
-            metrics.count_event("store", "era_late");
-            log::warn!(named:%, known:%; "store: a response is of an earlier era");
-        }
-    }
-}
-
 /// Locks a mutex. A value that a panicking thread left behind is still consistent, since no update is split.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod reused;
 mod runs;
 mod serving;
+mod settings;
 mod silence;
 mod startup;
 mod store;
