Hold the stream of a test until its engines are paused

The test waits until an engine has the request and then pauses it, but the whole stream takes 120 ms: a test that is delayed by more finds it complete. Shown: with a delay of 150 ms at that place the old test fails with the same message. Ruled out: 24 runs of the old test beside that load passed, so the product's search for a second run is not slow by itself.

The engines now pause for 600 ms at the third event by themselves, until the test sets the same pauses as before. All checks and bounds are unchanged.

--- a/crates/gateway/tests/all/backoff.rs
+++ b/crates/gateway/tests/all/backoff.rs
@@ -309,12 +309,19 @@
 fn a_time_that_a_dropped_run_is_told_holds() {
     run_test(4, |system| async move {
         let mut engines = first_engines(&system);
+        // A complete stream takes 120 ms, which a test that is delayed by other load may miss.
+        for engine in &engines {
+            engine.set_behaviour(Behaviour::PauseAt { event: 2, ms: 600 });
+        }
         let has_run = |engine: &&Engine| !engine.arrivals().is_empty();
         let silence = async {
             system
                 .wait_until("the stream runs", || engines.iter().any(has_run))
                 .await;
             engines.sort_by_key(|engine| !has_run(engine));
+            for engine in &engines {
+                engine.set_behaviour(Behaviour::Serve);
+            }
             let pause = Duration::from_millis(1_200);
             engines[0].pause(pause);
             engines[1].turn_away(Duration::from_secs(2), "8");
