Let other tasks run while peers send framing without end

What callers saw: one connection whose chunk size never ends (zeros, or spaces after the size) held the gateway up for as long as it sent. No request, no readiness check and no lookup was answered, whichever listener it used.

Cause: the HTTP library decodes framing for as long as there are bytes, within one poll. The gateway has one thread, so no timeout, pace or other task ran meanwhile. Nothing bounded the length of a chunk's size.

Fix: agatemill_runtime::Turn ends a turn of reading after 64 KiB or 32 reads, for both listeners (gateway, entry) and the client of engines and the store, which had the bound on reads only. agatemill_http::Framing bounds what a body may take on the wire: 16 bytes for each of its own, and 64 KiB and two buffers ahead of them. The smallest chunk takes 6, or 13 with a size of 8 digits. Beyond that the body counts as broken: 400, not run, and the connection is closed (reason `framing`). Loops over connections and datagrams yield after each one; that they could do the same was found by reading and not measured.

--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -45,6 +45,8 @@
             Ok((length, address)) => {
                 traffic::record_received(length);
                 handle(&shared, &buffer[..length], address).await;
+                // Receiving does not wait while datagrams are at hand.
+                smol::future::yield_now().await;
             }
             Err(error) => {
                 log::warn!(error:%; "members: cannot receive datagrams");
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -37,6 +37,8 @@
                 shared
                     .tasks
                     .spawn(serve(Arc::clone(&shared), stream, connection));
+                // Accepting does not wait while connections are at hand.
+                smol::future::yield_now().await;
             }
             Err(error) => {
                 log::warn!(error:%; "members: cannot accept a connection");
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -4,7 +4,6 @@
 
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use smol::channel::Receiver;
@@ -45,7 +44,7 @@
 /// Refusals by authentication, validation and admission, and failures before the first token.
 pub async fn handle(
     exchange: &mut Option<Exchange>,
-    request: Request<Incoming>,
+    request: Request<agatemill_http::Body>,
 ) -> Result<Response<Body>, Refusal> {
     let Some(current) = exchange.as_mut() else {
         return Err(Refusal::not_run(
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -19,6 +19,9 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use agatemill_http::Framing;
+use agatemill_http::Inflow;
+
 /// Largest automatic error response of the HTTP library, in bytes.
 const MAX_AUTOMATIC_BYTES: usize = 256;
 
@@ -34,7 +37,7 @@
 /// I/O of one connection. Suppresses the bare error responses that the HTTP library writes for malformed
 /// heads, so that the entry can respond with a problem document instead.
 pub struct Io {
-    inner: FuturesIo<TcpStream>,
+    inner: FuturesIo<Inflow<TcpStream>>,
     tracker: Arc<Tracker>,
     /// How long a write may make no progress. Without a limit, callers that stop reading would keep
     /// connections open for ever.
@@ -63,11 +66,16 @@
 }
 
 impl Io {
-    /// Wraps a connection; a write fails when it makes no progress for `limit`.
+    /// Wraps a connection; a write fails when it makes no progress for `limit`, and a read when `framing` is exceeded.
     #[must_use]
-    pub fn new(stream: TcpStream, tracker: Arc<Tracker>, limit: Duration) -> Self {
+    pub fn new(
+        stream: TcpStream,
+        framing: Framing,
+        tracker: Arc<Tracker>,
+        limit: Duration,
+    ) -> Self {
         Self {
-            inner: FuturesIo::new(stream),
+            inner: FuturesIo::new(Inflow::new(stream, framing)),
             tracker,
             stall_limit: limit,
             stall_timer: None,
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -7,7 +7,6 @@
 
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 
 use crate::body::Body;
@@ -84,7 +83,7 @@
 }
 
 /// Handles a request. The response always carries the outcome and the id of the request.
-pub async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle(state: Arc<State>, request: Request<agatemill_http::Body>) -> Response<Body> {
     let mut exchange = Some(Exchange::new(state));
     let id = exchange.as_ref().map(|exchange| exchange.id.clone());
     let result = route::route(&mut exchange, request).await;
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -11,7 +11,6 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Body as _;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::http::response::Parts;
 use smol::channel::Sender;
@@ -49,7 +48,7 @@
     /// Complete response.
     Buffered(Response<Bytes>),
     /// Head of a response that is long or of unknown length; its body is not read yet.
-    Streamed(Response<Incoming>),
+    Streamed(Response<agatemill_http::Body>),
 }
 
 /// Failure of an attempt, after which another server is tried.
@@ -252,7 +251,7 @@
     exchange: Exchange,
     call: Call,
     attempt: Attempt,
-    response: Response<Incoming>,
+    response: Response<agatemill_http::Body>,
 ) -> Response<Body> {
     let (head, body) = response.into_parts();
     let (sender, receiver) = smol::channel::bounded(MAX_BUFFERED_CHUNKS);
@@ -289,7 +288,7 @@
 }
 
 async fn forward_body(
-    mut body: Incoming,
+    mut body: agatemill_http::Body,
     sender: &Sender<Chunk>,
     deadline: Duration,
 ) -> Result<(), Interruption> {
--- a/crates/entry/src/request_body.rs
+++ b/crates/entry/src/request_body.rs
@@ -3,13 +3,13 @@
 use core::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 
 use crate::settings::Limits;
 use crate::state::State;
 use agatemill_core::Reason;
 use agatemill_core::Refusal;
 use agatemill_core::id;
+use agatemill_http::Body;
 use agatemill_http::intake;
 use agatemill_http::intake::Failure;
 use agatemill_limits::account::Owner;
@@ -25,7 +25,7 @@
 /// [`Reason::Overloaded`] when it does not fit into the account or is ended for others.
 pub async fn read(
     state: &State,
-    mut body: Incoming,
+    mut body: Body,
     organisation: &id::Organisation,
 ) -> Result<Bytes, Refusal> {
     let limits = &state.settings.limits;
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -3,7 +3,6 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 
 use crate::body::Body;
 use crate::completions;
@@ -23,7 +22,7 @@
 /// Refusals by the handler; [`Reason::NotFound`] or [`Reason::MethodNotAllowed`] if there is no handler.
 pub async fn route(
     exchange: &mut Option<Exchange>,
-    request: Request<Incoming>,
+    request: Request<agatemill_http::Body>,
 ) -> Result<Response<Body>, Refusal> {
     let Some(current) = exchange.as_ref() else {
         return Err(Refusal::not_run(
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -25,6 +25,8 @@
 use crate::state::State;
 use agatemill_core::Reason;
 use agatemill_core::Refusal;
+use agatemill_http::Body;
+use agatemill_http::Framing;
 
 /// Pause after an error of `accept`, such as too many open files.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -70,6 +72,8 @@
                 drop(guard);
             };
             agatemill_runtime::spawn(task).detach();
+            // Accepting does not wait while connections are at hand.
+            smol::future::yield_now().await;
         }
         Err(error) => {
             log::warn!(error:%; "entry: failed to accept a connection");
@@ -83,8 +87,10 @@
     let _ = stream.set_nodelay(true);
     let tracker = Arc::new(Tracker::default());
     let limits = &state.settings.limits;
+    let framing = Framing::new(limits.headers.to_usize());
     let service = service_fn(|request: Request<Incoming>| {
         tracker.record_head();
+        let request = request.map(|body| Body::new(body, framing.clone()));
         let state = Arc::clone(&state);
         async move {
             let progress = Arc::clone(&state.progress);
@@ -98,6 +104,7 @@
     });
     let io = Io::new(
         stream.clone(),
+        framing.clone(),
         Arc::clone(&tracker),
         limits.stall_time.to_duration(),
     );
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -10,7 +10,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::Uri;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 
 use crate::at_most_once;
@@ -63,7 +62,7 @@
 /// Refusals by authentication, contract and admission, and those of the call itself.
 pub async fn handle(
     exchange: &mut Option<Exchange>,
-    request: Request<Incoming>,
+    request: Request<agatemill_http::Body>,
 ) -> Result<Response<Body>, Refusal> {
     let Some(current) = exchange.as_mut() else {
         return Err(Refusal::not_run(
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -1,5 +1,7 @@
 //! Limits on heads and bodies, authentication and admission of a running entry.
 
+use core::sync::atomic::AtomicBool;
+use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::io::Write;
 
@@ -62,6 +64,43 @@
     assert_problem(&system.raw(chunked.as_bytes()), 413, "body_too_large");
 }
 
+/// Guards against callers whose framing never ends and holds up all threads.
+#[test]
+fn framing_without_end_does_not_hold_up_the_entry() {
+    let system = System::start();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {TOKEN}\r\n\
+         transfer-encoding: chunked\r\n\r\n"
+    );
+    for (start, piece) in [("", "0"), ("1", " "), ("1", "\t")] {
+        let is_done = AtomicBool::new(false);
+        let send = || {
+            let pieces = piece.repeat(64 << 10);
+            while !is_done.load(Ordering::Relaxed) {
+                let mut stream = system.connect();
+                let limit = Some(Duration::from_millis(200));
+                stream.set_write_timeout(limit).unwrap();
+                let mut result = stream.write_all(format!("{head}{start}").as_bytes());
+                while result.is_ok() && !is_done.load(Ordering::Relaxed) {
+                    result = stream.write_all(pieces.as_bytes());
+                }
+            }
+        };
+        std::thread::scope(|scope| {
+            for _ in 0..8 {
+                scope.spawn(send);
+            }
+            std::thread::sleep(Duration::from_millis(500));
+            let health =
+                system.raw(b"GET /healthz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+            let answer = system.raw(post("", &chat("")).as_bytes());
+            is_done.store(true, Ordering::Relaxed);
+            assert!(health.starts_with("HTTP/1.1 200 "), "{piece:?}: {health}");
+            assert!(answer.starts_with("HTTP/1.1 200 "), "{piece:?}: {answer}");
+        });
+    }
+}
+
 /// Guards against bodies of legal size that exceed the memory together, and against memory that stays taken.
 #[test]
 fn bodies_beyond_the_memory_are_refused() {
--- a/crates/gateway/src/backoff.rs
+++ b/crates/gateway/src/backoff.rs
@@ -7,7 +7,6 @@
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 
 use crate::State;
 use crate::clock;
@@ -52,8 +51,10 @@
 pub async fn send(
     state: &Arc<State>,
     server: Option<&Arc<Server>>,
-    sending: impl Future<Output = Result<Response<Incoming>, agatemill_http::Error>> + Send + 'static,
-) -> Result<Response<Incoming>, agatemill_http::Error> {
+    sending: impl Future<Output = Result<Response<agatemill_http::Body>, agatemill_http::Error>>
+    + Send
+    + 'static,
+) -> Result<Response<agatemill_http::Body>, agatemill_http::Error> {
     let Some(server) = server else {
         return sending.await;
     };
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,7 +12,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::Uri;
-use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
@@ -111,7 +110,7 @@
 }
 
 /// Handles a request and records its metrics.
-pub async fn handle(state: &Arc<State>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle(state: &Arc<State>, request: Request<agatemill_http::Body>) -> Response<Body> {
     let active = state.track_request();
     state.metrics.start_request();
     let arrived = agatemill_runtime::now();
@@ -182,7 +181,7 @@
 
 /// Reads and drops the rest of the body of a refused request; returns whether it is complete. Otherwise the connection has
 /// to be closed: the next request follows the body, and a caller that is still sending may not read the response.
-async fn drain(body: Incoming, max_bytes: usize, time: Duration) -> bool {
+async fn drain(body: agatemill_http::Body, max_bytes: usize, time: Duration) -> bool {
     let mut body = Limited::new(body, max_bytes);
     let read = async {
         while let Some(frame) = body.frame().await {
@@ -233,7 +232,7 @@
 async fn admit(
     state: &Arc<State>,
     head: request::Parts,
-    body: &mut Incoming,
+    body: &mut agatemill_http::Body,
     arrived: Duration,
 ) -> Result<Job, Refusal> {
     if state.stage() == Stage::Ending {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -122,6 +122,8 @@
 pub async fn receive(state: Arc<State>, registration: Arc<Registration>, socket: UdpSocket) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
+        // Receiving does not wait while datagrams are at hand.
+        smol::future::yield_now().await;
         let received = socket.recv_from(&mut buffer).await;
         let message = match received {
             Ok((length, SocketAddr::V4(host))) => {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -6,11 +6,11 @@
 use std::sync::PoisonError;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 
 use agatemill_core::Reason;
 use agatemill_core::Refusal;
 use agatemill_fleet::LogLimit;
+use agatemill_http::Body;
 use agatemill_http::Buffers;
 use agatemill_http::intake;
 use agatemill_http::intake::Failure;
@@ -65,7 +65,7 @@
     /// slowly.
     pub async fn read(
         &self,
-        body: &mut Incoming,
+        body: &mut Body,
         limit: usize,
         owners: Vec<Owner>,
     ) -> Result<Bytes, Refusal> {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,7 +16,6 @@
 use futures::future::BoxFuture;
 use hyper::Response;
 use hyper::body::Body;
-use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use smol::Timer;
 
@@ -113,10 +112,10 @@
 
 enum Phase {
     /// The head of the response has not arrived.
-    Head(BoxFuture<'static, Result<Response<Incoming>, agatemill_http::Error>>),
+    Head(BoxFuture<'static, Result<Response<agatemill_http::Body>, agatemill_http::Error>>),
     /// The body is read.
     Body {
-        body: Incoming,
+        body: agatemill_http::Body,
         /// Held while the connection is open.
         _connection: Connection,
     },
@@ -234,7 +233,7 @@
     }
 
     /// Takes the body of a response that is not relayed as a stream; `None` before the head has arrived.
-    pub fn take_body(&mut self) -> Option<Incoming> {
+    pub fn take_body(&mut self) -> Option<agatemill_http::Body> {
         match core::mem::replace(&mut self.phase, Phase::Closed) {
             Phase::Body { body, .. } => Some(body),
             Phase::Head(_) | Phase::Closed => None,
@@ -319,7 +318,10 @@
     }
 
     /// Checks the head of the response, or the error of sending the request.
-    fn accept(&mut self, result: Result<Response<Incoming>, agatemill_http::Error>) -> Step {
+    fn accept(
+        &mut self,
+        result: Result<Response<agatemill_http::Body>, agatemill_http::Error>,
+    ) -> Step {
         self.phase = Phase::Closed;
         let first = self.path.first();
         let response = match result {
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -13,7 +13,6 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use smol::Timer;
 
@@ -74,7 +73,7 @@
     /// The head of a stream.
     Head(Parts),
     /// A response that is no stream.
-    Other(Parts, Incoming),
+    Other(Parts, agatemill_http::Body),
     /// Complete events.
     Events(Bytes),
     /// The stream is complete.
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -11,7 +11,6 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use hyper::Response;
-use hyper::body::Incoming;
 
 use crate::State;
 use crate::backoff;
@@ -21,7 +20,7 @@
 /// Time for which the connection of a dropped request stays open.
 const LINGER_TIME: Duration = Duration::from_millis(100);
 
-type Head = Result<Response<Incoming>, agatemill_http::Error>;
+type Head = Result<Response<agatemill_http::Body>, agatemill_http::Error>;
 
 /// A request to a backend server, until the head of its response arrives.
 ///
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -39,6 +39,8 @@
 use crate::supervise;
 use crate::table::Phase;
 use agatemill_adapter::path;
+use agatemill_http::Framing;
+use agatemill_http::Inflow;
 
 /// Backoff after an `accept` error, such as too many open files.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -71,6 +73,8 @@
     /// Accepts the next connection for which there is room. Others are closed, or wait in the accept queue of the kernel.
     pub async fn accept(&self) -> (TcpStream, Guard) {
         loop {
+            // Accepting does not wait while connections are at hand.
+            smol::future::yield_now().await;
             match self.socket.accept().await {
                 Ok((stream, peer)) => {
                     if let Some(guard) = self.connections.admit(peer.ip()).await {
@@ -154,7 +158,7 @@
 async fn accept<F>(
     state: &Arc<State>,
     listener: Listener,
-    respond: impl Fn(Arc<State>, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    respond: impl Fn(Arc<State>, Request<agatemill_http::Body>) -> F + Clone + Send + Sync + 'static,
 ) where
     F: Future<Output = Response<Body>> + Send + 'static,
 {
@@ -175,7 +179,7 @@
     state: Arc<State>,
     stream: TcpStream,
     guard: Guard,
-    respond: impl Fn(Arc<State>, Request<Incoming>) -> F,
+    respond: impl Fn(Arc<State>, Request<agatemill_http::Body>) -> F,
 ) where
     F: Future<Output = Response<Body>>,
 {
@@ -184,22 +188,25 @@
     let _ = sockopt::set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
     let limits = state.limits();
     let peer = stream.peer_addr().ok().map(|address| address.ip());
+    let buffer_bytes = limits.header_bytes.max(READ_HEAD_BYTES);
+    let framing = Framing::new(buffer_bytes);
     let service = service_fn(|mut request: Request<Incoming>| {
         if let Some(peer) = peer {
             request.extensions_mut().insert(intake::Peer(peer));
         }
         guard.set_phase(Phase::Busy);
+        let request = request.map(|body| agatemill_http::Body::new(body, framing.clone()));
         let response = respond(Arc::clone(&state), request);
         async { Ok::<_, Infallible>(response.await) }
     });
     // The library's header timeout also covers the time in which a connection is idle; the timer tells them apart.
-    let socket = Socket::new(&state, stream, &guard);
+    let socket = Inflow::new(Socket::new(&state, stream, &guard), framing.clone());
     let connection = http1::Builder::new()
         .timer(idle::Timer::new(&state, &guard))
         .header_read_timeout(limits.idle)
         // Otherwise a response is copied into a buffer that the connection keeps.
         .writev(true)
-        .max_buf_size(limits.header_bytes.max(READ_HEAD_BYTES))
+        .max_buf_size(buffer_bytes)
         .serve_connection(FuturesIo::new(socket), service);
     let connection = pin!(connection);
     let ending = async {
@@ -220,6 +227,9 @@
         // No request is in progress.
         Either::Right((false, _)) => return,
     };
+    if framing.is_exceeded() {
+        guard.set_reason("framing");
+    }
     if let Err(error) = result {
         log::debug!(error:%; "server: connection failed");
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,7 +12,6 @@
 use http_body_util::StreamBody;
 use hyper::Response;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use log::Level;
 
 use crate::State;
@@ -156,7 +155,11 @@
 }
 
 /// Reads the body of an engine's error response, which is passed on only when it is complete.
-async fn read_error(state: &State, job: &Job, body: Incoming) -> Result<Bytes, Refusal> {
+async fn read_error(
+    state: &State,
+    job: &Job,
+    body: agatemill_http::Body,
+) -> Result<Bytes, Refusal> {
     let left = job.time_left(agatemill_runtime::now());
     let read = state.pooled.read(body, MAX_ERROR_BYTES);
     let (cause, error) = match agatemill_runtime::timeout(left, read).await {
--- a/crates/gateway/tests/crowd/host.rs
+++ b/crates/gateway/tests/crowd/host.rs
@@ -89,7 +89,8 @@
     pub fn start(limits: Limits) -> Self {
         let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
         let (store, address) = Store::listen();
-        let routes = document::routes(3, r#""k1","k2""#)
+        // Two organisations with a key each.
+        let routes = document::routes(3, r#""k1"]},{"name":"annex","api-keys":["k2""#)
             .replace(
                 r#""max-body-bytes":1000"#,
                 &format!(r#""max-body-bytes":{}"#, limits.body_bytes),
@@ -156,7 +157,7 @@
         );
         let mut request = text.into_bytes();
         request.extend(vec![b'x'; 800]);
-        let mut stream = TcpStream::connect(self.callers).ok()?;
+        let mut stream = TcpStream::connect_timeout(&self.callers.into(), ANSWER_TIMEOUT).ok()?;
         stream.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
         stream.write_all(&request).ok()?;
         let mut response = Vec::new();
@@ -173,7 +174,7 @@
 
     /// Status of the readiness check, or `None` without a response.
     pub fn readiness(&self) -> Option<u16> {
-        let mut stream = TcpStream::connect(self.ready).ok()?;
+        let mut stream = TcpStream::connect_timeout(&self.ready.into(), ANSWER_TIMEOUT).ok()?;
         stream.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
         let request = "GET /agatemill/readyz HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
         stream.write_all(request.as_bytes()).ok()?;
--- a/crates/gateway/tests/crowd/main.rs
+++ b/crates/gateway/tests/crowd/main.rs
@@ -5,5 +5,6 @@
 
 mod bodies;
 mod connections;
+mod framing;
 mod host;
 mod memory;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -18,14 +18,17 @@
 use hyper_util::client::legacy::connect::CaptureConnection;
 use hyper_util::client::legacy::connect::capture_connection;
 
+use crate::Body;
 use crate::Buffers;
 use crate::Error;
+use crate::Framing;
 use crate::Invalid;
 use crate::Pace;
 use crate::Quota;
 use crate::buffers::Buffer;
 use crate::closer::Closer;
 use crate::connector::Connector;
+use crate::connector::MAX_HEAD_BYTES;
 use crate::invalid;
 use crate::spawner::Spawner;
 use crate::timer::Timer;
@@ -33,9 +36,6 @@
 /// How long an idle connection stays in the pool.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Maximum size of the head of a response, in bytes. Each connection may buffer this much.
-const MAX_HEAD_BYTES: usize = 64 << 10;
-
 /// Maximum number of interim responses to a request: far more than servers send to show progress. The HTTP library skips
 /// any number of them.
 const MAX_INTERIM_RESPONSES: u32 = 64;
@@ -147,7 +147,7 @@
         &self,
         mut request: Request<Full<Bytes>>,
         limit: Duration,
-    ) -> Result<Response<Incoming>, Error> {
+    ) -> Result<Response<Body>, Error> {
         let authority = request.uri().authority().cloned();
         let interim = Arc::new(Interim {
             count: AtomicU32::new(0),
@@ -225,7 +225,7 @@
     ///
     /// [`Error::TooLarge`] when the body is longer, [`Error::BuffersFull`] when the buffers of this client are full,
     /// and [`Error::Lost`] when the connection breaks before the end of the body.
-    pub async fn read(&self, body: Incoming, max_bytes: usize) -> Result<Bytes, Error> {
+    pub async fn read(&self, body: Body, max_bytes: usize) -> Result<Bytes, Error> {
         read_into(&self.buffers, body, max_bytes).await
     }
 }
@@ -257,12 +257,14 @@
 fn check(
     result: Result<Response<Incoming>, legacy::Error>,
     interim: &Interim,
-) -> Result<Response<Incoming>, Error> {
+) -> Result<Response<Body>, Error> {
     match result {
         Ok(mut response) => {
             response.extensions_mut().remove::<Closer>();
+            let framing = response.extensions_mut().remove::<Framing>();
             if invalid::is_final(response.status()) {
-                return Ok(response);
+                let framing = framing.unwrap_or_else(|| Framing::new(MAX_HEAD_BYTES));
+                return Ok(response.map(|body| Body::new(body, framing)));
             }
             interim.close_connection();
             Err(Error::Invalid(Invalid::Status(response.status().as_u16())))
@@ -286,15 +288,11 @@
 /// # Errors
 ///
 /// As [`Client::read`], without a limit on the buffers.
-pub async fn read(body: Incoming, max_bytes: usize) -> Result<Bytes, Error> {
+pub async fn read(body: Body, max_bytes: usize) -> Result<Bytes, Error> {
     read_into(&Buffers::new(usize::MAX), body, max_bytes).await
 }
 
-async fn read_into(
-    buffers: &Buffers,
-    mut body: Incoming,
-    max_bytes: usize,
-) -> Result<Bytes, Error> {
+async fn read_into(buffers: &Buffers, mut body: Body, max_bytes: usize) -> Result<Bytes, Error> {
     let mut buffer = buffers.start();
     fill(&mut buffer, &mut body, usize::MAX, max_bytes).await?;
     Ok(buffer.close())
@@ -303,7 +301,7 @@
 /// Reads at least `bytes` of a body, or the rest of it. Returns whether the body has ended.
 async fn fill(
     buffer: &mut Buffer,
-    body: &mut Incoming,
+    body: &mut Body,
     bytes: usize,
     max_bytes: usize,
 ) -> Result<bool, Error> {
--- a/crates/http/src/connector.rs
+++ b/crates/http/src/connector.rs
@@ -19,14 +19,15 @@
 use smol_hyper::rt::FuturesIo;
 use tower_service::Service;
 
+use crate::Framing;
+use crate::Inflow;
 use crate::Quota;
 use crate::closer::Closer;
 use crate::quota::Permit;
 use agatemill_runtime::traffic::Meter;
 
-/// Reads in a row after which a connection yields to other tasks. The HTTP library reads interim responses for as long
-/// as there are bytes, and looks only between reads that have to wait whether the request was given up.
-const MAX_READS_IN_A_ROW: u32 = 32;
+/// Maximum size of the head of a response, in bytes. Each connection may buffer this much.
+pub const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// Opens TCP connections to the IP address and port in a URI.
 #[derive(Clone, Debug)]
@@ -41,11 +42,10 @@
 ///
 /// A newtype, because the pool requires the I/O type to implement its `Connection` trait.
 pub struct Stream {
-    io: FuturesIo<Meter<TcpStream>>,
-    /// Reads since the last one that had to wait.
-    reads_in_a_row: u32,
-    /// Given to each response on the connection.
+    io: FuturesIo<Inflow<Meter<TcpStream>>>,
+    /// Given to each response on the connection, as `framing`.
     closer: Closer,
+    framing: Framing,
     _permit: Option<Permit>,
 }
 
@@ -81,10 +81,11 @@
             let connect = agatemill_runtime::timeout(limit, TcpStream::connect(address)).await;
             let stream = connect.ok_or(io::ErrorKind::TimedOut)??;
             stream.set_nodelay(true)?;
+            let framing = Framing::new(MAX_HEAD_BYTES);
             Ok(Stream {
-                io: FuturesIo::new(Meter(stream)),
-                reads_in_a_row: 0,
+                io: FuturesIo::new(Inflow::new(Meter(stream), framing.clone())),
                 closer: Closer::default(),
+                framing,
                 _permit: permit,
             })
         })
@@ -101,7 +102,9 @@
 
 impl Connection for Stream {
     fn connected(&self) -> Connected {
-        Connected::new().extra(self.closer.clone())
+        Connected::new()
+            .extra(self.closer.clone())
+            .extra(self.framing.clone())
     }
 }
 
@@ -112,18 +115,7 @@
         buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         self.closer.poll_open(cx)?;
-        if self.reads_in_a_row >= MAX_READS_IN_A_ROW {
-            self.reads_in_a_row = 0;
-            cx.waker().wake_by_ref();
-            return Poll::Pending;
-        }
-        let read = Pin::new(&mut self.io).poll_read(cx, buf);
-        self.reads_in_a_row = if read.is_ready() {
-            self.reads_in_a_row + 1
-        } else {
-            0
-        };
-        read
+        Pin::new(&mut self.io).poll_read(cx, buf)
     }
 }
 
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -8,10 +8,10 @@
 use derive_more::Error;
 use event_listener::Event;
 use http_body_util::BodyExt;
-use hyper::body::Body;
+use hyper::body::Body as _;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 
+use crate::Body;
 use agatemill_limits::Account;
 use agatemill_limits::account::Denial;
 use agatemill_limits::account::Owner;
@@ -98,7 +98,7 @@
 /// [`Failure`].
 pub async fn read(
     account: &Account,
-    body: &mut Incoming,
+    body: &mut Body,
     limit: usize,
     owners: Vec<Owner>,
 ) -> Result<Bytes, Failure> {
@@ -145,7 +145,7 @@
 }
 
 impl Reading {
-    async fn run(mut self, body: &mut Incoming) -> Result<Bytes, Failure> {
+    async fn run(mut self, body: &mut Body) -> Result<Bytes, Failure> {
         let mut pace = Pace::default();
         loop {
             let asked = agatemill_runtime::now();
@@ -172,7 +172,7 @@
     }
 
     /// Reads a frame; `None` at the end of the body.
-    async fn next(&self, body: &mut Incoming) -> Result<Option<Frame<Bytes>>, Failure> {
+    async fn next(&self, body: &mut Body) -> Result<Option<Frame<Bytes>>, Failure> {
         let read = async {
             let frame = body.frame().await.transpose();
             frame.map_err(|_| Failure::Broken)
--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -8,7 +8,6 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use serde_json::Value;
 use serde_json::json;
 
@@ -142,7 +141,7 @@
 }
 
 /// Reads an event stream to its end; returns whether the body ended without a connection error.
-async fn read_events(mut body: Incoming, answer: &mut Answer) -> bool {
+async fn read_events(mut body: agatemill_http::Body, answer: &mut Answer) -> bool {
     let mut rest = Vec::new();
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
@@ -162,7 +161,7 @@
 }
 
 /// Reads the reason from a problem response; the status if the body has none.
-async fn refusal_reason(response: Response<Incoming>) -> String {
+async fn refusal_reason(response: Response<agatemill_http::Body>) -> String {
     let status = response.status();
     let body = agatemill_http::client::read(response.into_body(), MAX_BODY_BYTES).await;
     let problem: Value = serde_json::from_slice(&body.unwrap_or_default()).unwrap_or_default();
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -1,7 +1,6 @@
 //! Watches of keys.
 
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use crate::Entry;
 use crate::Error;
@@ -11,7 +10,7 @@
 /// A stream of changes of one key. Dropping the stream closes the watch.
 #[derive(Debug)]
 pub struct Watch {
-    body: Incoming,
+    body: agatemill_http::Body,
     /// Received bytes that are not parsed yet.
     buffer: Vec<u8>,
     /// Received changes that [`Watch::next`] has not returned yet, in reverse order.
@@ -28,7 +27,7 @@
 }
 
 impl Watch {
-    pub(crate) fn new(body: Incoming) -> Self {
+    pub(crate) fn new(body: agatemill_http::Body) -> Self {
         Self {
             body,
             buffer: Vec::new(),
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod signal;
 pub mod traffic;
+pub mod turn;
 
 use core::future::Future;
 use core::time::Duration;
@@ -16,6 +17,8 @@
 use smol::Executor;
 use smol::Task;
 
+pub use turn::Turn;
+
 static EXECUTOR: Executor<'static> = Executor::new();
 static THREADS: Once = Once::new();
 static START: LazyLock<Instant> = LazyLock::new(Instant::now);
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -12,7 +12,6 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 
 use agatemill_standin::caller;
 use agatemill_standin::caller::Call;
@@ -142,7 +141,7 @@
     }
 }
 
-async fn read(response: hyper::Response<Incoming>) -> Response {
+async fn read(response: hyper::Response<agatemill_http::Body>) -> Response {
     let (head, mut body) = response.into_parts();
     let mut received = Response {
         status: head.status,
