Bound the requests of other hosts by their size and number

What was seen: 48 connections to the address for other hosts that each sent 4 MiB less a few bytes of a frame took 219.9 MB of 100 MB, and four connections with 40,000 waiting calls each 148.6 MB. The listener admits 156 connections at 4,100 descriptors.

Cause: a request could have the size of the largest response (4 MiB) and is buffered until it is complete; calls that wait for changes had no limit on their number.

Fix: requests of followers are limited to 4 KiB, which needs a transport with a limit for each direction, and a connection to 8 requests in progress; a follower has two. Further ones are refused by the RPC library.

Evidence: crates/gateway/tests/crowd/held.rs, debug build. On frames_that_stop_short_of_their_end_stay_within_the_memory (219.9 MB), calls_of_other_hosts_that_wait_stay_within_the_memory (148.6 MB) and heads_of_the_largest_legal_size_stay_within_the_memory (109.2 and 110.1 MB) failed, and the other four passed.

--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -26,6 +26,9 @@
 use agatemill_wire::transport;
 use agatemill_wire::transport::Service;
 
+/// Maximum number of requests of a connection in progress: a follower has one for changes and one for the configuration.
+const MAX_REQUESTS: usize = 8;
+
 /// Time within which a new connection must name its service.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -56,7 +59,8 @@
     };
     // A follower is closed to make room only after all connections that have named no service.
     guard.set_phase(Phase::Head);
-    let channel = BaseChannel::with_defaults(transport::frame(stream));
+    let channel = BaseChannel::with_defaults(transport::frame_feed(stream));
+    let channel = channel.max_concurrent_requests(MAX_REQUESTS);
     let requests = channel.execute(Handler { state }.serve());
     requests
         .for_each_concurrent(None, |request| request)
--- a/crates/gateway/tests/crowd/main.rs
+++ b/crates/gateway/tests/crowd/main.rs
@@ -6,5 +6,6 @@
 mod bodies;
 mod connections;
 mod framing;
+mod held;
 mod host;
 mod memory;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod count;
 pub mod datagram;
 pub mod directory;
+pub mod duplex;
 pub mod envelope;
 pub mod feed;
 pub mod instruction;
@@ -22,6 +23,7 @@
 pub use count::Count;
 pub use datagram::Datagram;
 pub use directory::Directory;
+pub use duplex::Duplex;
 pub use envelope::Envelope;
 pub use instruction::Instruction;
 pub use leaving::Leaving;
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -18,11 +18,16 @@
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tokio_serde::formats::MessagePack;
 
+use crate::Duplex;
+use agatemill_runtime::Turn;
 use agatemill_runtime::traffic::Meter;
 
 /// Maximum size of a message in bytes: a configuration of 1 MB with headroom for its framing.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
+/// Maximum size in bytes of a request to [`Feed`](crate::feed), whose arguments take some dozens.
+const MAX_FEED_REQUEST_BYTES: usize = 4 << 10;
+
 /// Service that a connection requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Service {
@@ -66,7 +71,7 @@
 
 /// TCP transport with one item type for each direction.
 pub type Tcp<Item, SinkItem> =
-    Transport<Compat<Meter<TcpStream>>, Item, SinkItem, MessagePack<Item, SinkItem>>;
+    Transport<Compat<Turn<Meter<TcpStream>>>, Item, SinkItem, MessagePack<Item, SinkItem>>;
 
 /// Connects to `address` and requests `service`.
 ///
@@ -105,12 +110,35 @@
 /// Wraps a connection, after its service byte, in a transport of length-delimited messages.
 #[must_use]
 pub fn frame<Item, SinkItem>(stream: TcpStream) -> Tcp<Item, SinkItem>
+where
+    Item: for<'de> Deserialize<'de>,
+    SinkItem: Serialize,
+{
+    frame_up_to(MAX_MESSAGE_BYTES, stream)
+}
+
+/// As [`frame`], for the server of [`Feed`](crate::feed). Its requests are limited to less than its responses, because an
+/// incomplete one is buffered for each of many connections.
+#[must_use]
+pub fn frame_feed<Item, SinkItem>(stream: TcpStream) -> Duplex<Item, SinkItem>
+where
+    Item: for<'de> Deserialize<'de>,
+    SinkItem: Serialize,
+{
+    Duplex {
+        incoming: frame_up_to(MAX_FEED_REQUEST_BYTES, stream.clone()),
+        outgoing: frame_up_to(MAX_MESSAGE_BYTES, stream),
+    }
+}
+
+fn frame_up_to<Item, SinkItem>(max_bytes: usize, stream: TcpStream) -> Tcp<Item, SinkItem>
 where
     Item: for<'de> Deserialize<'de>,
     SinkItem: Serialize,
 {
     let mut codec = LengthDelimitedCodec::new();
-    codec.set_max_frame_length(MAX_MESSAGE_BYTES);
-    let framed = tarpc::tokio_util::codec::Framed::new(Meter(stream).compat(), codec);
+    codec.set_max_frame_length(max_bytes);
+    let stream = Turn::new(Meter(stream)).compat();
+    let framed = tarpc::tokio_util::codec::Framed::new(stream, codec);
     serde_transport::new(framed, MessagePack::default())
 }
