Name the limit on framing Overhead

agatemill_fleet::reply::Framing is how a response says where its body ends; two types of one name in the gateway would be confused. No change of behaviour.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -19,8 +19,8 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use agatemill_http::Framing;
 use agatemill_http::Inflow;
+use agatemill_http::Overhead;
 
 /// Largest automatic error response of the HTTP library, in bytes.
 const MAX_AUTOMATIC_BYTES: usize = 256;
@@ -66,16 +66,16 @@
 }
 
 impl Io {
-    /// Wraps a connection; a write fails when it makes no progress for `limit`, and a read when `framing` is exceeded.
+    /// Wraps a connection; a write fails when it makes no progress for `limit`, and a read when `overhead` is exceeded.
     #[must_use]
     pub fn new(
         stream: TcpStream,
-        framing: Framing,
+        overhead: Overhead,
         tracker: Arc<Tracker>,
         limit: Duration,
     ) -> Self {
         Self {
-            inner: FuturesIo::new(Inflow::new(stream, framing)),
+            inner: FuturesIo::new(Inflow::new(stream, overhead)),
             tracker,
             stall_limit: limit,
             stall_timer: None,
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -26,7 +26,7 @@
 use agatemill_core::Reason;
 use agatemill_core::Refusal;
 use agatemill_http::Body;
-use agatemill_http::Framing;
+use agatemill_http::Overhead;
 
 /// Pause after an error of `accept`, such as too many open files.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -87,10 +87,10 @@
     let _ = stream.set_nodelay(true);
     let tracker = Arc::new(Tracker::default());
     let limits = &state.settings.limits;
-    let framing = Framing::new(limits.headers.to_usize());
+    let overhead = Overhead::new(limits.headers.to_usize());
     let service = service_fn(|request: Request<Incoming>| {
         tracker.record_head();
-        let request = request.map(|body| Body::new(body, framing.clone()));
+        let request = request.map(|body| Body::new(body, overhead.clone()));
         let state = Arc::clone(&state);
         async move {
             let progress = Arc::clone(&state.progress);
@@ -104,7 +104,7 @@
     });
     let io = Io::new(
         stream.clone(),
-        framing.clone(),
+        overhead.clone(),
         Arc::clone(&tracker),
         limits.stall_time.to_duration(),
     );
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -39,8 +39,8 @@
 use crate::supervise;
 use crate::table::Phase;
 use agatemill_adapter::path;
-use agatemill_http::Framing;
 use agatemill_http::Inflow;
+use agatemill_http::Overhead;
 
 /// Backoff after an `accept` error, such as too many open files.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -189,18 +189,18 @@
     let limits = state.limits();
     let peer = stream.peer_addr().ok().map(|address| address.ip());
     let buffer_bytes = limits.header_bytes.max(READ_HEAD_BYTES);
-    let framing = Framing::new(buffer_bytes);
+    let overhead = Overhead::new(buffer_bytes);
     let service = service_fn(|mut request: Request<Incoming>| {
         if let Some(peer) = peer {
             request.extensions_mut().insert(intake::Peer(peer));
         }
         guard.set_phase(Phase::Busy);
-        let request = request.map(|body| agatemill_http::Body::new(body, framing.clone()));
+        let request = request.map(|body| agatemill_http::Body::new(body, overhead.clone()));
         let response = respond(Arc::clone(&state), request);
         async { Ok::<_, Infallible>(response.await) }
     });
     // The library's header timeout also covers the time in which a connection is idle; the timer tells them apart.
-    let socket = Inflow::new(Socket::new(&state, stream, &guard), framing.clone());
+    let socket = Inflow::new(Socket::new(&state, stream, &guard), overhead.clone());
     let connection = http1::Builder::new()
         .timer(idle::Timer::new(&state, &guard))
         .header_read_timeout(limits.idle)
@@ -227,7 +227,7 @@
         // No request is in progress.
         Either::Right((false, _)) => return,
     };
-    if framing.is_exceeded() {
+    if overhead.is_exceeded() {
         guard.set_reason("framing");
     }
     if let Err(error) = result {
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -10,21 +10,21 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 
-use crate::Framing;
+use crate::Overhead;
 
 /// A body that is received, within the limit on its framing.
 #[derive(Debug)]
 pub struct Body {
     incoming: Incoming,
-    framing: Framing,
+    overhead: Overhead,
 }
 
 impl Body {
-    /// Begins a body of the connection of `framing`.
+    /// Begins a body of the connection of `overhead`.
     #[must_use]
-    pub fn new(incoming: Incoming, framing: Framing) -> Self {
-        framing.begin();
-        Self { incoming, framing }
+    pub fn new(incoming: Incoming, overhead: Overhead) -> Self {
+        overhead.begin();
+        Self { incoming, overhead }
     }
 }
 
@@ -40,9 +40,9 @@
         match &frame {
             Some(Ok(frame)) => {
                 let bytes = frame.data_ref().map_or(0, Bytes::len);
-                self.framing.record_data(bytes);
+                self.overhead.record_data(bytes);
             }
-            Some(Err(_)) | None => self.framing.end(),
+            Some(Err(_)) | None => self.overhead.end(),
         }
         Poll::Ready(frame)
     }
@@ -58,6 +58,6 @@
 
 impl Drop for Body {
     fn drop(&mut self) {
-        self.framing.end();
+        self.overhead.end();
     }
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -21,8 +21,8 @@
 use crate::Body;
 use crate::Buffers;
 use crate::Error;
-use crate::Framing;
 use crate::Invalid;
+use crate::Overhead;
 use crate::Pace;
 use crate::Quota;
 use crate::buffers::Buffer;
@@ -261,10 +261,10 @@
     match result {
         Ok(mut response) => {
             response.extensions_mut().remove::<Closer>();
-            let framing = response.extensions_mut().remove::<Framing>();
+            let overhead = response.extensions_mut().remove::<Overhead>();
             if invalid::is_final(response.status()) {
-                let framing = framing.unwrap_or_else(|| Framing::new(MAX_HEAD_BYTES));
-                return Ok(response.map(|body| Body::new(body, framing)));
+                let overhead = overhead.unwrap_or_else(|| Overhead::new(MAX_HEAD_BYTES));
+                return Ok(response.map(|body| Body::new(body, overhead)));
             }
             interim.close_connection();
             Err(Error::Invalid(Invalid::Status(response.status().as_u16())))
--- a/crates/http/src/connector.rs
+++ b/crates/http/src/connector.rs
@@ -19,8 +19,8 @@
 use smol_hyper::rt::FuturesIo;
 use tower_service::Service;
 
-use crate::Framing;
 use crate::Inflow;
+use crate::Overhead;
 use crate::Quota;
 use crate::closer::Closer;
 use crate::quota::Permit;
@@ -43,9 +43,9 @@
 /// A newtype, because the pool requires the I/O type to implement its `Connection` trait.
 pub struct Stream {
     io: FuturesIo<Inflow<Meter<TcpStream>>>,
-    /// Given to each response on the connection, as `framing`.
+    /// Given to each response on the connection, as `overhead`.
     closer: Closer,
-    framing: Framing,
+    overhead: Overhead,
     _permit: Option<Permit>,
 }
 
@@ -81,11 +81,11 @@
             let connect = agatemill_runtime::timeout(limit, TcpStream::connect(address)).await;
             let stream = connect.ok_or(io::ErrorKind::TimedOut)??;
             stream.set_nodelay(true)?;
-            let framing = Framing::new(MAX_HEAD_BYTES);
+            let overhead = Overhead::new(MAX_HEAD_BYTES);
             Ok(Stream {
-                io: FuturesIo::new(Inflow::new(Meter(stream), framing.clone())),
+                io: FuturesIo::new(Inflow::new(Meter(stream), overhead.clone())),
                 closer: Closer::default(),
-                framing,
+                overhead,
                 _permit: permit,
             })
         })
@@ -104,7 +104,7 @@
     fn connected(&self) -> Connected {
         Connected::new()
             .extra(self.closer.clone())
-            .extra(self.framing.clone())
+            .extra(self.overhead.clone())
     }
 }
 
--- a/crates/http/src/inflow.rs
+++ b/crates/http/src/inflow.rs
@@ -10,23 +10,23 @@
 use smol::io::AsyncRead;
 use smol::io::AsyncWrite;
 
-use crate::Framing;
+use crate::Overhead;
 use agatemill_runtime::Turn;
 
 /// A connection that lets other tasks run while its peer sends, and fails when the framing of a body costs too much.
 #[derive(Debug)]
 pub struct Inflow<S> {
     stream: Turn<S>,
-    framing: Framing,
+    overhead: Overhead,
 }
 
 impl<S> Inflow<S> {
     /// Wraps a connection.
     #[must_use]
-    pub fn new(stream: S, framing: Framing) -> Self {
+    pub fn new(stream: S, overhead: Overhead) -> Self {
         Self {
             stream: Turn::new(stream),
-            framing,
+            overhead,
         }
     }
 }
@@ -38,7 +38,7 @@
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let bytes = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        self.framing.record_read(bytes)?;
+        self.overhead.record_read(bytes)?;
         Poll::Ready(Ok(bytes))
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,10 +8,11 @@
 pub mod closer;
 pub mod connector;
 pub mod error;
-pub mod framing;
+
 pub mod inflow;
 pub mod intake;
 pub mod invalid;
+pub mod overhead;
 pub mod pace;
 pub mod quota;
 pub mod spawner;
@@ -21,8 +22,9 @@
 pub use buffers::Buffers;
 pub use client::Client;
 pub use error::Error;
-pub use framing::Framing;
+
 pub use inflow::Inflow;
 pub use invalid::Invalid;
+pub use overhead::Overhead;
 pub use pace::Pace;
 pub use quota::Quota;
--- a/crates/http/src/framing.rs
+++ b/crates/http/src/overhead.rs
@@ -19,7 +19,7 @@
 ///
 /// The HTTP library bounds extensions and trailers, but neither the length of a chunk's size nor the number of chunks.
 #[derive(Clone, Debug)]
-pub struct Framing(Arc<Inner>);
+pub struct Overhead(Arc<Inner>);
 
 #[derive(Debug)]
 struct Inner {
@@ -28,7 +28,7 @@
     allowance: i64,
 }
 
-impl Framing {
+impl Overhead {
     /// Creates the limit of a connection whose reader buffers at most `buffer_bytes`, which it may hold twice ahead of the body.
     #[must_use]
     pub fn new(buffer_bytes: usize) -> Self {
--- a/crates/http/tests/framing.rs
+++ b/crates/http/tests/framing.rs
@@ -1,4 +1,4 @@
-//! Framing of bodies that costs more than the bodies bring, and connections that have bytes at hand all the time.
+//! Overhead of bodies that costs more than the bodies bring, and connections that have bytes at hand all the time.
 
 use core::future::Future;
 use core::pin::Pin;
@@ -20,8 +20,8 @@
 
 use agatemill_http::Client;
 use agatemill_http::Error;
-use agatemill_http::Framing;
 use agatemill_http::Inflow;
+use agatemill_http::Overhead;
 
 /// Far more than a response takes on a busy machine.
 const TIMEOUT: Duration = Duration::from_mins(1);
@@ -100,7 +100,7 @@
 fn a_connection_with_bytes_at_hand_lets_other_tasks_run() {
     const MAX_BYTES_OF_A_TURN: usize = 256 << 10;
     for size in [1, 8 << 10, 64 << 10] {
-        let mut inflow = Inflow::new(Ready, Framing::new(64 << 10));
+        let mut inflow = Inflow::new(Ready, Overhead::new(64 << 10));
         let mut buffer = vec![0; size];
         let mut read = || {
             let read = core::future::poll_fn(|cx| Pin::new(&mut inflow).poll_read(cx, &mut buffer));
