Record the progress of a body by 4 KiB instead of by frame

What callers saw: one legal body of 4 MiB in chunks of one byte was refused with 408 at the deadline of its route, after as much processor time.

Cause: each frame took a timer, a listener, two locks of the account and a search in it, beside the decoding.

Fix: a part of up to 4 KiB is read with one timer and one listener, into the share that the body has, and recorded once. Bytes that were read stay when the wait ends.

--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -9,7 +9,6 @@
 use event_listener::Event;
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
-use hyper::body::Frame;
 
 use crate::Body;
 use agatemill_limits::Account;
@@ -27,6 +26,10 @@
 /// Interval at which a paused request asks again.
 const ROOM_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Bytes after which the progress of a body is recorded. Without this, the records of a chunk of one byte cost more than its
+/// decoding.
+const RECORD_BYTES: usize = 4 << 10;
+
 /// Why a body was not read to its end.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum Failure {
@@ -144,24 +147,38 @@
     }
 }
 
+/// What reading a part of a body has come to.
+enum Part {
+    /// Bytes were read.
+    Read,
+    /// These bytes need a larger share.
+    Overflow(Bytes),
+    /// The body is complete.
+    End,
+}
+
 impl Reading {
     async fn run(mut self, body: &mut Body) -> Result<Bytes, Failure> {
         let mut pace = Pace::default();
         loop {
             let asked = agatemill_runtime::now();
-            let data = match agatemill_runtime::timeout(pace::MAX_WAIT, self.next(body)).await {
-                Some(Ok(None)) => break,
-                Some(Ok(Some(frame))) => frame.into_data().unwrap_or_default(),
-                Some(Err(failure)) => return Err(failure),
-                None => Bytes::new(),
-            };
+            let before = self.bytes.len();
+            let read = self.read_part(body);
+            let part = agatemill_runtime::timeout(pace::MAX_WAIT, read).await;
+            let part = part.unwrap_or(Ok(Part::Read))?;
             let waited = agatemill_runtime::now().saturating_sub(asked);
-            pace.record(waited, data.len());
+            if let Part::Overflow(data) = &part {
+                self.extend(data).await?;
+            }
+            let received = self.bytes.len();
+            self.share.record(received);
+            if matches!(part, Part::End) {
+                break;
+            }
+            pace.record(waited, received - before);
             if pace.is_too_slow() {
-                let received = self.bytes.len();
                 return Err(Failure::TooSlow { received });
             }
-            self.extend(&data).await?;
         }
         self.share.complete();
         let complete = Complete {
@@ -171,17 +188,29 @@
         Ok(Bytes::from_owner(complete))
     }
 
-    /// Reads a frame; `None` at the end of the body.
-    async fn next(&self, body: &mut Body) -> Result<Option<Frame<Bytes>>, Failure> {
+    /// Reads [`RECORD_BYTES`] or more of a body into the share, or what is left. Bytes are kept when the wait is given up.
+    async fn read_part(&mut self, body: &mut Body) -> Result<Part, Failure> {
+        let (bytes, share, end) = (&mut self.bytes, &self.share, &self.end);
+        let capacity = bytes.capacity().min(self.limit);
+        let received = bytes.len();
         let read = async {
-            let frame = body.frame().await.transpose();
-            frame.map_err(|_| Failure::Broken)
+            while bytes.len() - received < RECORD_BYTES {
+                let Some(frame) = body.frame().await else {
+                    return Ok(Part::End);
+                };
+                let frame = frame.map_err(|_| Failure::Broken)?;
+                let data = frame.into_data().unwrap_or_default();
+                if bytes.len() + data.len() > capacity {
+                    return Ok(Part::Overflow(data));
+                }
+                bytes.extend_from_slice(&data);
+            }
+            Ok(Part::Read)
         };
         let end = async {
             loop {
-                let end = self.end.listen();
-                if self.share.is_ended() {
-                    let received = self.bytes.len();
+                let end = end.listen();
+                if share.is_ended() {
                     return Err(Failure::Ended { received });
                 }
                 end.await;
@@ -190,6 +219,7 @@
         smol::future::or(read, end).await
     }
 
+    /// Appends bytes, for which the share grows.
     async fn extend(&mut self, data: &[u8]) -> Result<(), Failure> {
         let length = self.bytes.len() + data.len();
         if length > self.limit {
@@ -203,7 +233,6 @@
             self.bytes.reserve_exact(capacity - self.bytes.len());
         }
         self.bytes.extend_from_slice(data);
-        self.share.record(length);
         Ok(())
     }
 }
