Allow a body what the HTTP library reads ahead of it

The limit on the framing of a body assumed that a read has at most the size of the connection's buffer. The library's buffer may have more room than asked for, so that a large body with a slow reader could have been cut. Reads are now at most 64 KiB long, and a body may take 192 KiB ahead of its bytes. Found by reading; that it happened was not shown.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -87,7 +87,7 @@
     let _ = stream.set_nodelay(true);
     let tracker = Arc::new(Tracker::default());
     let limits = &state.settings.limits;
-    let overhead = Overhead::new(limits.headers.to_usize());
+    let overhead = Overhead::default();
     let service = service_fn(|request: Request<Incoming>| {
         tracker.record_head();
         let request = request.map(|body| Body::new(body, overhead.clone()));
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -188,8 +188,7 @@
     let _ = sockopt::set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
     let limits = state.limits();
     let peer = stream.peer_addr().ok().map(|address| address.ip());
-    let buffer_bytes = limits.header_bytes.max(READ_HEAD_BYTES);
-    let overhead = Overhead::new(buffer_bytes);
+    let overhead = Overhead::default();
     let service = service_fn(|mut request: Request<Incoming>| {
         if let Some(peer) = peer {
             request.extensions_mut().insert(intake::Peer(peer));
@@ -206,7 +205,7 @@
         .header_read_timeout(limits.idle)
         // Otherwise a response is copied into a buffer that the connection keeps.
         .writev(true)
-        .max_buf_size(buffer_bytes)
+        .max_buf_size(limits.header_bytes.max(READ_HEAD_BYTES))
         .serve_connection(FuturesIo::new(socket), service);
     let connection = pin!(connection);
     let ending = async {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -28,7 +28,6 @@
 use crate::buffers::Buffer;
 use crate::closer::Closer;
 use crate::connector::Connector;
-use crate::connector::MAX_HEAD_BYTES;
 use crate::invalid;
 use crate::spawner::Spawner;
 use crate::timer::Timer;
@@ -36,6 +35,9 @@
 /// How long an idle connection stays in the pool.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Maximum size of the head of a response, in bytes. Each connection may buffer this much.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Maximum number of interim responses to a request: far more than servers send to show progress. The HTTP library skips
 /// any number of them.
 const MAX_INTERIM_RESPONSES: u32 = 64;
@@ -263,7 +265,7 @@
             response.extensions_mut().remove::<Closer>();
             let overhead = response.extensions_mut().remove::<Overhead>();
             if invalid::is_final(response.status()) {
-                let overhead = overhead.unwrap_or_else(|| Overhead::new(MAX_HEAD_BYTES));
+                let overhead = overhead.unwrap_or_default();
                 return Ok(response.map(|body| Body::new(body, overhead)));
             }
             interim.close_connection();
--- a/crates/http/src/connector.rs
+++ b/crates/http/src/connector.rs
@@ -26,9 +26,6 @@
 use crate::quota::Permit;
 use agatemill_runtime::traffic::Meter;
 
-/// Maximum size of the head of a response, in bytes. Each connection may buffer this much.
-pub const MAX_HEAD_BYTES: usize = 64 << 10;
-
 /// Opens TCP connections to the IP address and port in a URI.
 #[derive(Clone, Debug)]
 pub struct Connector {
@@ -81,7 +78,7 @@
             let connect = agatemill_runtime::timeout(limit, TcpStream::connect(address)).await;
             let stream = connect.ok_or(io::ErrorKind::TimedOut)??;
             stream.set_nodelay(true)?;
-            let overhead = Overhead::new(MAX_HEAD_BYTES);
+            let overhead = Overhead::default();
             Ok(Stream {
                 io: FuturesIo::new(Inflow::new(Meter(stream), overhead.clone())),
                 closer: Closer::default(),
--- a/crates/http/src/overhead.rs
+++ b/crates/http/src/overhead.rs
@@ -5,12 +5,19 @@
 use std::io;
 use std::sync::Arc;
 
+use agatemill_runtime::turn;
+
 /// Bytes on the wire for each byte of a body. The smallest chunk takes 6, and 13 with a size that is padded to 8 digits.
 const BYTES_PER_BYTE: i64 = 16;
 
-/// Bytes on the wire that a body may take before it brings its first byte, and from then on ahead of its bytes: the extensions
+/// Bytes of framing that a body may take before it brings its first byte, and from then on ahead of its bytes: the extensions
 /// and trailers that the HTTP library allows, twice.
-const ALLOWANCE_BYTES: i64 = 64 << 10;
+const AHEAD_BYTES: usize = 64 << 10;
+
+/// Bytes on the wire that a body may take ahead of its bytes. The HTTP library may hold a frame and what it read last before the
+/// body is read.
+#[expect(clippy::cast_possible_wrap, reason = "far below the maximum")]
+const ALLOWANCE_BYTES: i64 = (2 * turn::MAX_BYTES + AHEAD_BYTES) as i64;
 
 /// Value of `left` while no body is being read.
 const UNLIMITED: i64 = i64::MAX;
@@ -23,22 +30,20 @@
 
 #[derive(Debug)]
 struct Inner {
-    /// Bytes on the wire that the body may still take. Invariant: at most `allowance`, or [`UNLIMITED`].
+    /// Bytes on the wire that the body may still take. Invariant: at most [`ALLOWANCE_BYTES`], or [`UNLIMITED`].
     left: AtomicI64,
-    allowance: i64,
 }
 
-impl Overhead {
-    /// Creates the limit of a connection whose reader buffers at most `buffer_bytes`, which it may hold twice ahead of the body.
-    #[must_use]
-    pub fn new(buffer_bytes: usize) -> Self {
-        let buffer = i64::try_from(buffer_bytes).unwrap_or(UNLIMITED);
+impl Default for Overhead {
+    /// The limit of a connection without a body.
+    fn default() -> Self {
         Self(Arc::new(Inner {
             left: AtomicI64::new(UNLIMITED),
-            allowance: buffer.saturating_mul(2).saturating_add(ALLOWANCE_BYTES),
         }))
     }
+}
 
+impl Overhead {
     /// Whether a body has taken too many bytes.
     #[must_use]
     pub fn is_exceeded(&self) -> bool {
@@ -47,15 +52,14 @@
 
     /// Begins a body.
     pub(crate) fn begin(&self) {
-        self.0.left.store(self.0.allowance, Ordering::Relaxed);
+        self.0.left.store(ALLOWANCE_BYTES, Ordering::Relaxed);
     }
 
     /// Records bytes of the body itself.
     pub(crate) fn record_data(&self, bytes: usize) {
         let bytes = i64::try_from(bytes).unwrap_or(UNLIMITED);
-        let allowance = self.0.allowance;
         let earned = bytes.saturating_mul(BYTES_PER_BYTE);
-        self.update(|left| left.saturating_add(earned).min(allowance));
+        self.update(|left| left.saturating_add(earned).min(ALLOWANCE_BYTES));
     }
 
     /// Records bytes that were read from the connection.
--- a/crates/runtime/src/turn.rs
+++ b/crates/runtime/src/turn.rs
@@ -9,8 +9,8 @@
 use smol::io::AsyncRead;
 use smol::io::AsyncWrite;
 
-/// Bytes after which a stream lets other tasks run.
-const MAX_BYTES: usize = 64 << 10;
+/// Bytes after which a stream lets other tasks run; also the most that one read returns.
+pub const MAX_BYTES: usize = 64 << 10;
 
 /// Reads after which a stream lets other tasks run.
 const MAX_READS: u32 = 32;
@@ -56,7 +56,8 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let length = buffer.len().min(MAX_BYTES - self.bytes);
+        let read = Pin::new(&mut self.stream).poll_read(cx, &mut buffer[..length]);
         match &read {
             Poll::Ready(result) => {
                 self.bytes += result.as_ref().copied().unwrap_or_default();
