--- a/crates/gateway/tests/crowd/bodies.rs
+++ b/crates/gateway/tests/crowd/bodies.rs
@@ -63,6 +63,7 @@
     });
     thread::sleep(HOLD);
     host.assert_within(MEMORY_MB * 1_000_000);
+    host.assert_open_within(LIMITS.descriptors);
     host.assert_serves("read");
     host.assert_serves("draft");
     drop(streams);
--- a/crates/gateway/tests/crowd/framing.rs
+++ b/crates/gateway/tests/crowd/framing.rs
@@ -92,8 +92,7 @@
 fn assert_answers(host: &mut Host, what: &str) {
     thread::sleep(SETTLE_TIME);
     host.assert_within(MEMORY_MB * 1_000_000);
-    let open = host.open_descriptors();
-    assert!(open <= DESCRIPTORS as usize, "{open} descriptors are open");
+    host.assert_open_within(DESCRIPTORS);
     for route in ["read", "draft"] {
         let is_served = (0..TRIES).any(|_| host.answer(route) == Some(200));
         assert!(is_served, "{what}: no ordinary request is answered");
--- a/crates/gateway/tests/crowd/held.rs
+++ b/crates/gateway/tests/crowd/held.rs
@@ -52,6 +52,7 @@
 /// Checks a host while the connections of a crowd are open.
 fn assert_sound(host: &mut Host) {
     host.assert_within(MEMORY_MB * 1_000_000);
+    host.assert_open_within(LIMITS.descriptors);
     assert_serves(host);
     host.assert_within(MEMORY_MB * 1_000_000);
 }
--- a/crates/gateway/tests/crowd/host.rs
+++ b/crates/gateway/tests/crowd/host.rs
@@ -226,6 +226,12 @@
         );
     }
 
+    /// Checks that the number of open descriptors is within a bound.
+    pub fn assert_open_within(&self, max: u32) {
+        let open = self.open_descriptors();
+        assert!(open <= max as usize, "{open} of {max} descriptors are open");
+    }
+
     /// What the process has logged.
     pub fn read_log(&self) -> String {
         fs::read_to_string(self.log.path()).unwrap()
