Bound the credits of an ask, and the limits of servers that others name

What was seen: asks for credits with counts near 2^32 held the gateway up: no ordinary request was answered in 2 tries of 20 s each.

Cause: the leader counts credits out one by one, and took the count of the ask as given. Limits of servers that others name were not limited in number, either; all are told on in each round, which then does not fit into a datagram.

Fix: an ask gets at most 64 credits for a server, which is what a host asks for. Limits that others name are taken for up to 2,048 servers; those that this host learns from responses always count.

--- a/crates/fleet/src/throttle.rs
+++ b/crates/fleet/src/throttle.rs
@@ -36,6 +36,10 @@
 /// Maximum number of credits that a host asks for at once for one server.
 const MAX_WANTED: u32 = 64;
 
+/// Maximum number of limits that are taken from other hosts; those of this host's own responses always count. More do not fit
+/// into a datagram beside the load.
+const MAX_TOLD: usize = 2_048;
+
 /// Request limits of servers and this host's credits. Times are on a clock that runs while the machine is suspended, so
 /// that no credit outlives a suspension.
 #[derive(Clone, Debug, Default)]
@@ -198,12 +202,15 @@
         }
     }
 
-    /// Adds the limits that another host knows; the latest answer of a server counts. Returns whether any changed.
+    /// Adds the limits that another host knows, up to [`MAX_TOLD`]; the latest answer of a server counts. Returns whether any changed.
     pub fn receive(&mut self, notice: Notice, now: Duration) -> bool {
         let mut has_changed = false;
         for row in notice.rows {
             let (server, rate, at) = (row.server, row.rate, row.at(now));
             let known = self.limits.get(&server).copied();
+            if known.is_none() && self.limits.len() >= MAX_TOLD {
+                continue;
+            }
             if known.is_none_or(|known| known.at + AGE_ERROR < at) {
                 self.limits.insert(server, Limit { rate, at });
                 has_changed |= known.and_then(|known| known.rate) != rate;
--- a/crates/fleet/src/throttle/allocator.rs
+++ b/crates/fleet/src/throttle/allocator.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 
 use crate::tally::Key;
+use crate::throttle::MAX_WANTED;
 use crate::throttle::message::Ask;
 use crate::throttle::message::Grant;
 use agatemill_core::number::Fence;
@@ -72,6 +73,7 @@
         });
         account.asked = now;
         account.bucket.set_rate(rate, now);
+        let wanted = wanted.min(MAX_WANTED);
         let mut granted = 0;
         while granted < wanted && account.bucket.take(now).is_ok() {
             granted += 1;
--- a/crates/gateway/tests/crowd/datagrams.rs
+++ b/crates/gateway/tests/crowd/datagrams.rs
@@ -149,6 +149,17 @@
     });
 }
 
+/// Guards against limits of servers that nobody knows, which are held for each.
+#[test]
+fn limits_of_unknown_servers_stay_within_the_memory() {
+    run(|number| {
+        let mut random = fastrand::Rng::with_seed(number);
+        let rows = (0..5_000).map(|_| (random.u32(..), Some("1/s"), 0));
+        let rows: Vec<(u32, Option<&str>, u32)> = rows.collect();
+        round(no_load(), no_evidence(), (rows,))
+    });
+}
+
 /// Guards against evidence on parts of prompts that nobody knows, which is held for each.
 #[test]
 fn evidence_on_unknown_parts_stays_within_the_memory() {
@@ -160,3 +171,22 @@
         round(no_load(), evidence, no_limits())
     });
 }
+
+/// Guards against asks for any number of credits, which are counted out one by one.
+#[test]
+fn asks_for_many_credits_do_not_hold_up_the_host() {
+    let servers = 0..2_000_u32;
+    run(|number| {
+        if number % 8 == 0 {
+            let rows = servers
+                .clone()
+                .map(|server| (server, Some("1000000000/s"), 0));
+            let rows: Vec<(u32, Option<&str>, u32)> = rows.collect();
+            return round(no_load(), no_evidence(), (rows,));
+        }
+        let rows: Vec<(u32, u32)> = servers.clone().map(|server| (server, u32::MAX)).collect();
+        let bytes = postcard::to_stdvec(&(1_u8, number, rows)).unwrap();
+        postcard::from_bytes::<Message>(&bytes).expect("the format of a message");
+        bytes
+    });
+}
