--- a/crates/gateway/tests/crowd/framing.rs
+++ b/crates/gateway/tests/crowd/framing.rs
@@ -4,6 +4,7 @@
 use core::sync::atomic::AtomicBool;
 use core::sync::atomic::Ordering;
 use core::time::Duration;
+use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
 use std::net::TcpStream;
@@ -20,6 +21,9 @@
 /// Connections of a crowd.
 const CALLERS: usize = 8;
 
+/// Connections of a crowd that sends legal chunks, fewer than a host with the default descriptors admits from one address.
+const MANY: usize = 400;
+
 /// Memory of a lowered host in millions of bytes, and the bound on the peak of its process.
 const MEMORY_MB: u64 = 100;
 
@@ -137,6 +141,67 @@
     format!("GET {path} HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n")
 }
 
+/// Sends legal chunks of one byte on many connections until the crowd has to stop, and opens those anew that the host closes.
+fn send_single_bytes(address: SocketAddrV4, head: &str, count: usize, is_done: &AtomicBool) {
+    let chunks = b"1\r\nx\r\n".repeat(PIECE_BYTES / 6);
+    let open = || {
+        let mut stream = TcpStream::connect_timeout(&address.into(), SEND_TIMEOUT).ok()?;
+        stream.set_write_timeout(Some(SEND_TIMEOUT)).unwrap();
+        stream.write_all(head.as_bytes()).ok()?;
+        stream.set_nonblocking(true).unwrap();
+        // The stream, and the bytes of the chunks that were written.
+        Some((stream, 0))
+    };
+    let mut streams: Vec<Option<(TcpStream, usize)>> = (0..count).map(|_| None).collect();
+    while !is_done.load(Ordering::Relaxed) {
+        for slot in &mut streams {
+            if slot.is_none() && !is_done.load(Ordering::Relaxed) {
+                *slot = open();
+            }
+            let Some((stream, written)) = slot else {
+                continue;
+            };
+            match stream.write(&chunks[*written..]) {
+                Ok(bytes) => *written = (*written + bytes) % chunks.len(),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => *slot = None,
+            }
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Guards against bodies in chunks of one byte whose decoding leaves no time for ordinary requests, however many callers send
+/// them.
+#[test]
+fn single_bytes_of_many_callers_do_not_hold_up_the_host() {
+    let limits = Limits {
+        descriptors: Limits::default().descriptors,
+        ..LIMITS
+    };
+    let mut host = Host::start(limits);
+    let is_done = AtomicBool::new(false);
+    let address = host.callers;
+    let head = head_of_call();
+    thread::scope(|scope| {
+        for _ in 0..CALLERS {
+            scope.spawn(|| send_single_bytes(address, &head, MANY / CALLERS, &is_done));
+        }
+        let _done = Done(&is_done);
+        thread::sleep(SETTLE_TIME);
+        host.assert_within(MEMORY_MB * 1_000_000);
+        host.assert_open_within(limits.descriptors);
+        for route in ["read", "draft"] {
+            let is_served = (0..TRIES).any(|_| host.answer(route) == Some(200));
+            assert!(is_served, "no ordinary request is answered");
+        }
+        let is_ready = (0..TRIES).any(|_| host.readiness() == Some(200));
+        assert!(is_ready, "the readiness check is not answered");
+    });
+    host.assert_serves("read");
+    host.assert_within(MEMORY_MB * 1_000_000);
+}
+
 /// Guards against framing of callers that the host decodes without letting other tasks run.
 #[test]
 fn framing_of_callers_does_not_hold_up_the_host() {
