Count what the entry makes of a chat in its account of memory

Cause: the account counted the body once. The entry also holds the messages, the prompt, a copy of it for the generation, and the first step, which is encoded. Of a stream the body was dropped and its share returned when the stream began, while the prompt was held until its end. Heads were not counted, either.

Fix: a chat takes four times its body. The share is kept with the prompt until the generation ends; the prompt is not copied, and is built without growing. A head over 2 KiB takes ten times its size, as in the gateway, which the type Cost now decides for both. Settings with which the largest request would never fit are refused (limits.body at most a fifteenth of limits.memory; 1 MiB of 160 MB by default).

The test bodies_beyond_the_memory_are_refused held three chats of 4 MiB with 64 MB, of which one fits now. It does the same with calls of a service, whose bodies count once, and chats_beyond_the_memory_are_refused does it with one chat.

--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -13,9 +13,22 @@
 /// Upper limit of `max_tokens` in a request.
 pub const MAX_TOKENS: u32 = 32_768;
 
+/// What follows the role of a message in the prompt.
+const ROLE_END: &str = ": ";
+
+/// What follows the content of a message in the prompt.
+const MESSAGE_END: &str = "\n";
+
+/// End of the prompt.
+const ANSWER_START: &str = "assistant: ";
+
 /// Upper limit of the temperature in a request.
 const MAX_TEMPERATURE: f32 = 2.0;
 
+/// Copies of a request body that exist at once: while it is parsed, the body, its messages and the prompt; later the prompt and
+/// the first step, which is encoded for the engine.
+pub const BODY_COPIES: usize = 4;
+
 /// A validated request for a chat completion.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Chat {
@@ -63,6 +76,20 @@
     content: Content,
 }
 
+impl Message {
+    /// Bytes that the message takes in the prompt.
+    fn bytes(&self) -> usize {
+        let content = match &self.content {
+            Content::Text(text) => text.len(),
+            Content::Parts(parts) => {
+                let texts = parts.iter().filter_map(|part| part.text.as_ref());
+                texts.map(CompactString::len).sum()
+            }
+        };
+        self.role.len() + ROLE_END.len() + content + MESSAGE_END.len()
+    }
+}
+
 /// Text, or a list of text parts.
 #[derive(Debug, Deserialize)]
 #[serde(untagged)]
@@ -144,7 +171,8 @@
     if messages.is_empty() {
         return Err(bad_request("messages: found none, expected at least one"));
     }
-    let mut prompt = CompactString::default();
+    let bytes = messages.iter().map(Message::bytes).sum::<usize>() + ANSWER_START.len();
+    let mut prompt = CompactString::with_capacity(bytes);
     for (index, message) in messages.iter().enumerate() {
         if !matches!(
             message.role.as_str(),
@@ -156,11 +184,11 @@
             )));
         }
         prompt.push_str(&message.role);
-        prompt.push_str(": ");
+        prompt.push_str(ROLE_END);
         append_content(&mut prompt, index, &message.content)?;
-        prompt.push('\n');
+        prompt.push_str(MESSAGE_END);
     }
-    prompt.push_str("assistant: ");
+    prompt.push_str(ANSWER_START);
     Ok(prompt)
 }
 
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -9,6 +9,7 @@
 use smol::channel::Receiver;
 
 use crate::body::Body;
+use crate::chat;
 use crate::chat::Chat;
 use crate::completion::Completion;
 use crate::completion::Usage;
@@ -25,6 +26,7 @@
 use agatemill_core::Reason;
 use agatemill_core::Refusal;
 use agatemill_core::id;
+use agatemill_limits::account::Share;
 use agatemill_pipeline::Event;
 use agatemill_pipeline::event;
 
@@ -57,9 +59,12 @@
     let configuration = state.configuration()?;
     let organisation = configuration.tokens.authenticate(&head.headers)?;
     state.check_accepting(&configuration)?;
-    let body = request_body::read(&state, body, &organisation.name).await?;
+    let body =
+        request_body::read(&state, &head, body, &organisation.name, chat::BODY_COPIES).await?;
     let chat = Chat::parse(&body)?;
     let digest = Digest::of(&body);
+    // The prompt replaces the body, in the same share of the memory.
+    let share = body.into_share();
     let last = resume::check(&head.headers, &chat, &digest)?;
     check_model(&configuration, &organisation, &chat.model)?;
     let settings = &configuration.document.settings;
@@ -76,8 +81,8 @@
         id: current.id.clone(),
         half: organisation.half.clone(),
         model: chat.model.clone(),
-        prompt: chat.prompt.clone(),
         prefix: Some(prefix_digest(&chat.prompt)),
+        prompt: chat.prompt,
         max_tokens: chat.max_tokens,
         temperature: chat.temperature,
         seed: chat.seed,
@@ -85,7 +90,7 @@
         deadline,
         skip: last.as_ref().map_or(0, |event| event.index + 1),
     };
-    let events = start_generation(current, generation, permit)?;
+    let events = start_generation(current, generation, permit, share)?;
     // From here on, steps may have been sent to engines.
     current.phase = Phase::Sent;
     if !chat.stream {
@@ -135,12 +140,13 @@
     Digest::of(&bytes[..bytes.len().min(PREFIX_BYTES)])
 }
 
-/// Starts a generation as a task, which occupies a slot of the queue until it ends. Dropping the receiver
-/// ends the task.
+/// Starts a generation as a task, which occupies a slot of the queue and its share of the memory until it ends. Dropping the
+/// receiver ends the task.
 fn start_generation(
     exchange: &Exchange,
     request: agatemill_pipeline::Request,
     permit: Permit,
+    share: Option<Share>,
 ) -> Result<Events, Refusal> {
     let state = &exchange.state;
     let generation = state.generators.get(&request.half).ok_or_else(|| {
@@ -151,6 +157,8 @@
     let operation = state.progress.begin();
     let task = async move {
         generation.run(&request, &sender).await;
+        drop(request);
+        drop(share);
         drop(permit);
         drop(operation);
     };
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -85,7 +85,7 @@
         Some(at_most_once::idempotency_key(&head.headers)?)
     };
     let target = target(path, &head.uri);
-    let body = request_body::read(&state, body, &organisation.name).await?;
+    let body = request_body::read(&state, &head, body, &organisation.name, 1).await?;
     let settings = &configuration.document.settings;
     let deadline = arrived + settings.request_deadline.to_duration();
     let hosts = state.freshness.entry_count();
@@ -101,7 +101,7 @@
         method: head.method,
         target,
         headers: header::forwarded(&head.headers),
-        body,
+        body: body.into(),
         deadline,
         permit,
         organisation,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -8,9 +8,12 @@
 use derive_more::Error;
 use serde::Deserialize;
 
+use crate::chat;
 use agatemill_core::id;
 use agatemill_core::quantity::Size;
 use agatemill_core::quantity::Time;
+use agatemill_http::intake::Cost;
+use agatemill_limits::account::Plan;
 use agatemill_limits::account::plan;
 use agatemill_routing::policy;
 
@@ -133,6 +136,16 @@
                 expected: "64MB to 1024GiB",
             });
         }
+        let largest = Cost::of_head(self.limits.headers.to_usize())
+            .with_copies(chat::BODY_COPIES)
+            .bytes(self.limits.body.to_usize());
+        if largest > Plan::from(self.limits.memory).large {
+            return Err(Error {
+                key: "limits.body",
+                found: compact_str::format_compact!("{}", self.limits.body),
+                expected: "at most a fifteenth of limits.memory, so that the largest request fits",
+            });
+        }
         if self.advertise.is_none() && self.listen.ip().is_unspecified() {
             return Err(Error {
                 key: "advertise",
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -101,9 +101,9 @@
     }
 }
 
-/// Guards against bodies of legal size that exceed the memory together, and against memory that stays taken.
-#[test]
-fn bodies_beyond_the_memory_are_refused() {
+/// Holds bodies of the largest size on a path until the next one is refused, and checks that a small request is still served.
+/// `copies` of each body count in the memory.
+fn hold_bodies(path: &str, count: usize, copies: usize, refused: &str) {
     let limits = Limits {
         body: Size(4 << 20),
         memory: Size(64_000_000),
@@ -111,7 +111,7 @@
     };
     let system = System::with(limits, "");
     let head = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+        "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\nidempotency-key: k\r\n\
          authorization: Bearer {TOKEN}\r\ncontent-length: 4194304\r\n\r\n"
     );
     let wait_until_held = |bytes: usize| {
@@ -127,14 +127,13 @@
         stream.write_all(head.as_bytes()).unwrap();
         stream
     };
-    // Three quarters of 19.2 MB.
-    let streams = [open(), open(), open()];
-    wait_until_held(3 * 4_194_304);
+    let streams: Vec<_> = (0..count).map(|_| open()).collect();
+    wait_until_held(count * copies * 4_194_304);
     let answer = system.raw(head.as_bytes());
     assert_problem(&answer, 503, "overloaded");
     assert!(answer.contains("retry-after: 1"), "{answer}");
-    let refused = "agatemill_events_total{event=\"refused_owner\",part=\"memory\"}";
-    assert!(system.metrics().contains(refused));
+    let refused = format!("agatemill_events_total{{event=\"{refused}\",part=\"memory\"}}");
+    assert!(system.metrics().contains(&refused));
     // A small request is still served.
     let answer = system.raw(post("", &chat("")).as_bytes());
     assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
@@ -142,6 +141,19 @@
     wait_until_held(0);
 }
 
+/// Guards against bodies of legal size that exceed the memory together, and against memory that stays taken.
+#[test]
+fn bodies_beyond_the_memory_are_refused() {
+    // Three quarters of 19.2 MB.
+    hold_bodies("/v1/services/filing/payments", 3, 1, "refused_owner");
+}
+
+/// Guards against the same for chats, of which more is made.
+#[test]
+fn chats_beyond_the_memory_are_refused() {
+    hold_bodies("/v1/chat/completions", 1, 4, "refused_full");
+}
+
 /// Guards against a connection that is reset while the caller still sends, before the caller has read the refusal.
 #[test]
 fn a_refusal_reaches_a_caller_that_still_sends() {
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -54,6 +54,7 @@
             FILE.replace("slots = 8", "memory = \"63MB\""),
             "limits.memory",
         ),
+        (FILE.replace("slots = 8", "body = \"12MiB\""), "limits.body"),
         (FILE.replace("127.0.0.1:0", "0.0.0.0:80"), "advertise"),
         (FILE.replace("zone = \"a\"", "zone = \"-a\""), "zone"),
     ] {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -40,6 +40,7 @@
 use agatemill_fleet::configuration::Organisation;
 use agatemill_fleet::demand::Subject;
 use agatemill_fleet::route;
+use agatemill_http::intake::cost::head_bytes;
 use agatemill_limits::account::Owner;
 
 /// `Retry-After` for callers of a host whose configuration is missing or stale: about the time until a watch of
@@ -297,15 +298,6 @@
     })
 }
 
-/// Size of the head of a request without optional spaces.
-fn head_bytes(head: &request::Parts) -> usize {
-    let line = head.method.as_str().len() + head.uri.path().len() + " HTTP/1.1\r\n".len();
-    let query = head.uri.query().map_or(0, |query| query.len() + 1);
-    let lines = head.headers.iter();
-    let headers = lines.map(|(name, value)| name.as_str().len() + value.len() + ":\r\n".len());
-    line + query + headers.sum::<usize>()
-}
-
 type Grant = (Arc<Route>, Option<Arc<Organisation>>);
 
 /// Finds the route of a request and authorizes its key.
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -13,6 +13,7 @@
 use agatemill_http::Body;
 use agatemill_http::Buffers;
 use agatemill_http::intake;
+use agatemill_http::intake::Cost;
 use agatemill_http::intake::Failure;
 use agatemill_limits::Account;
 use agatemill_limits::account::Owner;
@@ -23,12 +24,6 @@
 /// held for less.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Largest head that the memory of its connection covers, in bytes.
-const SMALL_HEAD_BYTES: usize = 2 << 10;
-
-/// Bytes that a larger head takes for each of its own: it is buffered, parsed, passed on and kept for another attempt.
-const HEAD_FACTOR: usize = 10;
-
 /// Address of the peer of a connection; an extension of its requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Peer(pub IpAddr);
@@ -77,13 +72,10 @@
         head_bytes: usize,
         owners: Vec<Owner>,
     ) -> Result<Bytes, Refusal> {
-        let extra = if head_bytes > SMALL_HEAD_BYTES {
-            head_bytes * HEAD_FACTOR
-        } else {
-            0
-        };
-        let read = intake::read(&self.account, body, limit, extra, owners);
-        read.await.map_err(|failure| self.refuse(&failure))
+        let cost = Cost::of_head(head_bytes);
+        let read = intake::read(&self.account, body, limit, cost, owners);
+        let held = read.await.map_err(|failure| self.refuse(&failure))?;
+        Ok(held.into())
     }
 
     fn refuse(&self, failure: &Failure) -> Refusal {
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -1,5 +1,8 @@
 //! Reads the bodies of requests within an account of memory.
 
+pub mod cost;
+pub mod held;
+
 use core::time::Duration;
 use std::sync::Arc;
 
@@ -20,6 +23,9 @@
 use agatemill_limits::account::denial::Reason;
 use agatemill_limits::account::pace;
 
+pub use cost::Cost;
+pub use held::Held;
+
 /// Time for which reading pauses while bodies that are ended for a request return their bytes: they do so when their tasks run.
 const ROOM_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -80,24 +86,11 @@
     bytes: Vec<u8>,
     /// Largest legal size.
     limit: usize,
-    /// Bytes of the share that are not for the body.
-    extra: usize,
-}
-
-/// A complete body. Its share is returned when it is dropped.
-struct Complete {
-    bytes: Vec<u8>,
-    _share: Share,
+    cost: Cost,
 }
 
-impl AsRef<[u8]> for Complete {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
-/// Reads a complete body of at most `limit` bytes, whose memory counts in the account until the bytes are dropped, together with
-/// `extra` bytes that its request takes beside it.
+/// Reads a complete body of at most `limit` bytes. What its request takes by `cost` counts in the account until the body is
+/// dropped.
 ///
 /// # Errors
 ///
@@ -106,16 +99,19 @@
     account: &Account,
     body: &mut Body,
     limit: usize,
-    extra: usize,
+    cost: Cost,
     owners: Vec<Owner>,
-) -> Result<Bytes, Failure> {
+) -> Result<Held, Failure> {
     let stated = body.size_hint().exact();
     if stated.is_some_and(|bytes| bytes > limit as u64) {
         return Err(Failure::TooLarge);
     }
     let stated = stated.map(|bytes| usize::try_from(bytes).unwrap_or(limit));
-    if stated == Some(0) && extra == 0 {
-        return Ok(Bytes::new());
+    if stated == Some(0) && cost.bytes(0) == 0 {
+        return Ok(Held {
+            bytes: Vec::new(),
+            share: None,
+        });
     }
     let bytes = stated.unwrap_or(SMALL_BYTES.min(limit));
     let end = Arc::new(Event::new());
@@ -125,7 +121,7 @@
             end.notify(usize::MAX);
         };
         let now = agatemill_runtime::now();
-        account.open(bytes + extra, owners.clone(), now, on_end)
+        account.open(cost.bytes(bytes), owners.clone(), now, on_end)
     };
     let share = wait_for_room(open).await?;
     let reading = Reading {
@@ -133,7 +129,7 @@
         end,
         bytes: Vec::with_capacity(bytes),
         limit,
-        extra,
+        cost,
     };
     reading.run(body).await
 }
@@ -164,7 +160,7 @@
 }
 
 impl Reading {
-    async fn run(mut self, body: &mut Body) -> Result<Bytes, Failure> {
+    async fn run(mut self, body: &mut Body) -> Result<Held, Failure> {
         let mut pace = Pace::default();
         loop {
             let asked = agatemill_runtime::now();
@@ -187,11 +183,10 @@
             }
         }
         self.share.complete();
-        let complete = Complete {
+        Ok(Held {
             bytes: self.bytes,
-            _share: self.share,
-        };
-        Ok(Bytes::from_owner(complete))
+            share: Some(self.share),
+        })
     }
 
     /// Reads [`RECORD_BYTES`] or more of a body into the share, or what is left. Bytes are kept when the wait is given up.
@@ -234,7 +229,7 @@
         let capacity = self.bytes.capacity();
         if length > capacity {
             let capacity = length.max(capacity * 2).min(self.limit);
-            let share = capacity + self.extra;
+            let share = self.cost.bytes(capacity);
             let grow = || self.share.grow(share, agatemill_runtime::now());
             wait_for_room(grow).await?;
             self.bytes.reserve_exact(capacity - self.bytes.len());
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,7 @@
 
 mod caller;
 mod condition;
+mod crowd;
 mod network;
 mod plan;
 mod process;
@@ -12,11 +13,13 @@
 mod verdict;
 mod world;
 
+use std::any::Any;
 use std::panic::AssertUnwindSafe;
 use std::panic::catch_unwind;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::PoisonError;
 
 use clap::Parser;
 use libtest_mimic::Arguments;
@@ -58,7 +61,13 @@
         .filter(|path| path.extension().is_some_and(|extension| extension == "scn"))
         .collect();
     paths.sort();
-    paths.into_iter().map(trial).collect()
+    let crowds = crowd::CROWDS.into_iter().map(|crowd| {
+        Trial::test(crowd.0, move || {
+            let result = catch_unwind(|| crowd::run(crowd));
+            result.map_err(|panic| Failed::from(message(panic)))
+        })
+    });
+    paths.into_iter().map(trial).chain(crowds).collect()
 }
 
 fn trial(path: PathBuf) -> Trial {
@@ -71,14 +80,17 @@
 }
 
 fn run_scenario(path: &Path) -> Result<(), Failed> {
+    let _turn = crowd::TURN.read().unwrap_or_else(PoisonError::into_inner);
     let path = path.to_str().expect("a UTF-8 path");
     let mut script = script::Script::default();
     let result = catch_unwind(AssertUnwindSafe(|| {
         datadriven::walk(path, |file| file.run(|case| script.run_directive(case)));
     }));
-    result.map_err(|panic| {
-        let text = panic.downcast_ref::<String>().cloned();
-        let text = text.or_else(|| panic.downcast_ref::<&str>().map(|text| (*text).to_owned()));
-        Failed::from(format!("{}\n{}", text.unwrap_or_default(), script.logs()))
-    })
+    result.map_err(|panic| Failed::from(format!("{}\n{}", message(panic), script.logs())))
+}
+
+fn message(panic: Box<dyn Any + Send>) -> String {
+    let text = panic.downcast::<String>().map(|text| *text);
+    let text = text.or_else(|panic| panic.downcast::<&str>().map(|text| (*text).to_owned()));
+    text.unwrap_or_default()
 }
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -14,6 +14,8 @@
 use std::time::Instant;
 
 use rustix::process::Pid;
+use rustix::process::Resource;
+use rustix::process::Rlimit;
 use rustix::process::Signal;
 
 /// A child process, killed on drop.
@@ -87,6 +89,31 @@
         let _ = rustix::process::kill_process(pid, signal);
     }
 
+    /// Peak of the resident memory in bytes; `None` if the process has ended.
+    pub fn peak_bytes(&self) -> Option<u64> {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).ok()?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kib: u64 = line.trim().strip_suffix(" kB")?.trim().parse().ok()?;
+        Some(kib * 1_024)
+    }
+
+    /// Number of open descriptors; `None` if the process has ended.
+    pub fn open_descriptors(&self) -> Option<usize> {
+        let path = format!("/proc/{}/fd", self.child.id());
+        Some(std::fs::read_dir(path).ok()?.count())
+    }
+
+    /// Lowers the number of descriptors that the process may open.
+    pub fn limit_descriptors(&self, limit: u64) {
+        let limit = Rlimit {
+            current: Some(limit),
+            maximum: Some(limit),
+        };
+        rustix::process::prlimit(Some(Pid::from_child(&self.child)), Resource::Nofile, limit)
+            .expect("the process runs");
+    }
+
     /// Kills the process and waits until it has exited.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
