Let other tasks run while the entry discards what a caller still sends

Found by reading: after a refusal the entry copies what the caller sends to nowhere for up to 1 s, and copying does not return while bytes are at hand, so that neither that limit nor another task of the thread runs. The copy has turns now.

Not shown by a test: crowd-entry-invalid-heads (8 callers that send without end after a head that is refused) passed before and passes now.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -27,6 +27,7 @@
 use agatemill_core::Refusal;
 use agatemill_http::Body;
 use agatemill_http::Overhead;
+use agatemill_runtime::Turn;
 
 /// Pause after an error of `accept`, such as too many open files.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -185,6 +186,7 @@
 async fn linger(stream: TcpStream) {
     // Fails only on a closed connection.
     let _ = stream.shutdown(std::net::Shutdown::Write);
-    let discard = smol::io::copy(stream, smol::io::sink());
+    // Copying does not wait while bytes are at hand.
+    let discard = smol::io::copy(Turn::new(stream), smol::io::sink());
     let _ = agatemill_runtime::timeout(LINGER_LIMIT, discard).await;
 }
