Bound the requests to a control

What was seen: 48 connections to a control that each sent 4 MiB less a few bytes of a frame took 218.6 MB, more than the smallest machine has (160 MB).

Cause: a request of any service could have 4 MiB and is buffered until it is complete, for any number of connections and as long as they stay open.

Fix: requests of entries and operators are limited to 4 KiB, like those of followers. Requests of other controls may hold a configuration, so 16 of their connections are served at a time, each for at most four call timeouts; the others wait without being read. A connection has at most 8 requests in progress.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -10,6 +10,7 @@
 use std::sync::Mutex;
 use std::time::SystemTime;
 
+use smol::lock::Semaphore;
 use smol::net::TcpListener;
 use smol::net::UdpSocket;
 
@@ -86,6 +87,7 @@
         drain: AtomicBool::new(false),
         planner: AtomicBool::new(false),
         connections: AtomicU64::new(0),
+        peers: Semaphore::new(serve::MAX_PEERS),
         pulls,
         tasks: Tasks::open(),
         leasing: Tasks::open(),
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -25,6 +25,16 @@
 /// Pause after an error of the listener, such as too many open files.
 const ERROR_BACKOFF: Duration = Duration::from_millis(50);
 
+/// Maximum number of connections of other controls that are served at once; each may hold a message of the largest size. The
+/// others wait, without being read.
+pub(crate) const MAX_PEERS: usize = 16;
+
+/// Number of call timeouts after which a connection of another control is closed: it opens one for a few calls.
+const PEER_CALLS: u32 = 4;
+
+/// Maximum number of requests of a connection in progress: an entry has three.
+const MAX_REQUESTS: usize = 8;
+
 /// Timeout for a new connection to name its service.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -70,7 +80,8 @@
         shared: Arc::clone(&shared),
         connection,
     };
-    let channel = BaseChannel::with_defaults(transport::frame(stream));
+    let channel = BaseChannel::with_defaults(transport::frame_short_requests(stream));
+    let channel = channel.max_concurrent_requests(MAX_REQUESTS);
     let requests = channel.execute(local.serve());
     requests
         .for_each_concurrent(None, |request| request)
@@ -83,16 +94,24 @@
 }
 
 async fn serve_peer(shared: Arc<Shared>, stream: TcpStream) {
+    let _permit = shared.peers.acquire().await;
+    let limit = shared.settings.timings.call_timeout.to_duration() * PEER_CALLS;
     let channel = BaseChannel::with_defaults(transport::frame(stream));
+    let channel = channel.max_concurrent_requests(MAX_REQUESTS);
+    let shared = Arc::clone(&shared);
     let requests = channel.execute(peer::Peer { shared }.serve());
-    requests
-        .for_each_concurrent(None, |request| request)
-        .compat()
-        .await;
+    let requests = requests.for_each_concurrent(None, |request| request);
+    if agatemill_runtime::timeout(limit, requests.compat())
+        .await
+        .is_none()
+    {
+        log::debug!("members: closed a connection of another control that took too long");
+    }
 }
 
 async fn serve_operator(shared: Arc<Shared>, stream: TcpStream) {
-    let channel = BaseChannel::with_defaults(transport::frame(stream));
+    let channel = BaseChannel::with_defaults(transport::frame_short_requests(stream));
+    let channel = channel.max_concurrent_requests(MAX_REQUESTS);
     let requests = channel.execute(operator::Operator { shared }.serve());
     requests
         .for_each_concurrent(None, |request| request)
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -11,6 +11,7 @@
 use std::sync::PoisonError;
 
 use smol::channel::Sender;
+use smol::lock::Semaphore;
 use smol::net::UdpSocket;
 
 use crate::Settings;
@@ -51,6 +52,8 @@
     pub(crate) planner: AtomicBool,
     /// Id of the next accepted connection.
     pub(crate) connections: AtomicU64,
+    /// Connections of other controls that are served.
+    pub(crate) peers: Semaphore,
     /// Queue of members that advertise a newer generation or list of leaving hosts.
     pub(crate) pulls: Sender<Source>,
     pub(crate) tasks: Tasks,
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -59,7 +59,7 @@
     };
     // A follower is closed to make room only after all connections that have named no service.
     guard.set_phase(Phase::Head);
-    let channel = BaseChannel::with_defaults(transport::frame_feed(stream));
+    let channel = BaseChannel::with_defaults(transport::frame_short_requests(stream));
     let channel = channel.max_concurrent_requests(MAX_REQUESTS);
     let requests = channel.execute(Handler { state }.serve());
     requests
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -25,8 +25,8 @@
 /// Maximum size of a message in bytes: a configuration of 1 MB with headroom for its framing.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
-/// Maximum size in bytes of a request to [`Feed`](crate::feed), whose arguments take some dozens.
-const MAX_FEED_REQUEST_BYTES: usize = 4 << 10;
+/// Maximum size in bytes of a request to a service whose arguments take some dozens.
+const MAX_SHORT_REQUEST_BYTES: usize = 4 << 10;
 
 /// Service that a connection requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -117,16 +117,16 @@
     frame_up_to(MAX_MESSAGE_BYTES, stream)
 }
 
-/// As [`frame`], for the server of [`Feed`](crate::feed). Its requests are limited to less than its responses, because an
-/// incomplete one is buffered for each of many connections.
+/// As [`frame`], for the servers of [`Feed`](crate::feed), [`Local`](crate::local) and [`Operator`](crate::operator). Their
+/// requests are limited to less than their responses, because an incomplete one is buffered for each of many connections.
 #[must_use]
-pub fn frame_feed<Item, SinkItem>(stream: TcpStream) -> Duplex<Item, SinkItem>
+pub fn frame_short_requests<Item, SinkItem>(stream: TcpStream) -> Duplex<Item, SinkItem>
 where
     Item: for<'de> Deserialize<'de>,
     SinkItem: Serialize,
 {
     Duplex {
-        incoming: frame_up_to(MAX_FEED_REQUEST_BYTES, stream.clone()),
+        incoming: frame_up_to(MAX_SHORT_REQUEST_BYTES, stream.clone()),
         outgoing: frame_up_to(MAX_MESSAGE_BYTES, stream),
     }
 }
