Share the checks of the gateway's crowds, and guard the loads of the fleet

framing.rs and datagrams.rs had the same checks of ordinary requests and the same guard that ends a crowd; both are in the harness now. No check or bound is changed. A test without a network shows that the load of the fleet counts while unknown hosts fill what a collector holds.

--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -429,3 +429,35 @@
     }
     assert_eq!(offered(&hosts, ROUND * 20), [Some(900); 9]);
 }
+
+/// Guards against loads of unknown hosts that displace those of the fleet when as much is held as may be.
+#[test]
+fn a_flood_of_unknown_hosts_does_not_displace_the_load_of_the_fleet() {
+    let (mut hosts, members) = hosts(9);
+    let server: id::Server = "engine-1".parse().unwrap();
+    for host in &mut hosts {
+        host.load.add(&server, usage(2));
+    }
+    run_rounds(&mut hosts, &members, 0, 2);
+    let mut flood = Load::default();
+    for number in 0..7_000 {
+        let server: id::Server = format!("unknown-{number}").parse().unwrap();
+        flood.add(&server, usage(1));
+    }
+    let flood = Tally::from(&flood);
+    for host in &mut hosts {
+        host.load.add(&server, usage(1));
+    }
+    for round in 2..6 {
+        for number in 0..100 {
+            let message = census::Message::Host {
+                host: format!("unknown-{round}-{number}").parse().unwrap(),
+                tally: flood.clone(),
+            };
+            let sender = SocketAddrV4::new([10, 0, 0, 9].into(), number);
+            hosts[0].census.receive(message, sender, ROUND * round);
+        }
+        run_rounds(&mut hosts, &members, round, 1);
+    }
+    assert_eq!(estimates(&hosts, &server, ROUND * 6), [27; 9]);
+}
--- a/crates/gateway/tests/crowd/datagrams.rs
+++ b/crates/gateway/tests/crowd/datagrams.rs
@@ -11,6 +11,7 @@
 
 use serde::Serialize;
 
+use crate::host::Done;
 use crate::host::Host;
 use crate::host::Limits;
 use agatemill_fleet::Demand;
@@ -34,9 +35,6 @@
 /// Time for which datagrams are sent before the first check.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
-/// Ordinary requests of which one has to be answered.
-const TRIES: usize = 2;
-
 /// Sends datagrams, each made from a number, and checks a host meanwhile and afterwards.
 fn run(datagram: impl Fn(u64) -> Vec<u8> + Sync) {
     let mut host = Host::start(Limits {
@@ -62,27 +60,13 @@
         thread::sleep(SETTLE_TIME);
         host.assert_within(MEMORY_MB * 1_000_000);
         host.assert_open_within(DESCRIPTORS);
-        for route in ["read", "draft"] {
-            let is_served = (0..TRIES).any(|_| host.answer(route) == Some(200));
-            assert!(is_served, "no ordinary request is answered");
-        }
-        let is_ready = (0..TRIES).any(|_| host.readiness() == Some(200));
-        assert!(is_ready, "the readiness check is not answered");
+        host.assert_answers("datagrams");
     });
     host.assert_serves("read");
     host.assert_serves("draft");
     host.assert_within(MEMORY_MB * 1_000_000);
 }
 
-/// Ends the senders when it is dropped, also by a failed check.
-struct Done<'a>(&'a AtomicBool);
-
-impl Drop for Done<'_> {
-    fn drop(&mut self) {
-        self.0.store(true, Ordering::Relaxed);
-    }
-}
-
 /// Rows of the load of a host on servers that nobody knows.
 fn rows(number: u64, count: usize) -> BTreeMap<u32, (u32, u32, u32)> {
     let mut random = fastrand::Rng::with_seed(number);
--- a/crates/gateway/tests/crowd/framing.rs
+++ b/crates/gateway/tests/crowd/framing.rs
@@ -13,8 +13,10 @@
 use serde_json::json;
 
 use crate::host;
+use crate::host::Done;
 use crate::host::Host;
 use crate::host::Limits;
+use crate::host::TRIES;
 use agatemill_standin::Engine;
 use agatemill_standin::http;
 
@@ -46,9 +48,6 @@
 /// Time for which a crowd sends before the first check.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 
-/// Ordinary requests of which one has to be answered. Each may take as long as the harness waits.
-const TRIES: usize = 2;
-
 /// What follows the head of a chunked body: a beginning, and what is repeated after it.
 type Framing = (&'static str, &'static str, &'static [u8]);
 
@@ -97,12 +96,7 @@
     thread::sleep(SETTLE_TIME);
     host.assert_within(MEMORY_MB * 1_000_000);
     host.assert_open_within(DESCRIPTORS);
-    for route in ["read", "draft"] {
-        let is_served = (0..TRIES).any(|_| host.answer(route) == Some(200));
-        assert!(is_served, "{what}: no ordinary request is answered");
-    }
-    let is_ready = (0..TRIES).any(|_| host.readiness() == Some(200));
-    assert!(is_ready, "{what}: the readiness check is not answered");
+    host.assert_answers(what);
 }
 
 /// Runs crowds with each of the framings against a listener.
@@ -123,15 +117,6 @@
     host.assert_within(MEMORY_MB * 1_000_000);
 }
 
-/// Ends a crowd when it is dropped, also by a failed check.
-struct Done<'a>(&'a AtomicBool);
-
-impl Drop for Done<'_> {
-    fn drop(&mut self) {
-        self.0.store(true, Ordering::Relaxed);
-    }
-}
-
 fn head_of_call() -> String {
     host::head("read", "framing", "transfer-encoding: chunked")
 }
@@ -191,12 +176,7 @@
         thread::sleep(SETTLE_TIME);
         host.assert_within(MEMORY_MB * 1_000_000);
         host.assert_open_within(limits.descriptors);
-        for route in ["read", "draft"] {
-            let is_served = (0..TRIES).any(|_| host.answer(route) == Some(200));
-            assert!(is_served, "no ordinary request is answered");
-        }
-        let is_ready = (0..TRIES).any(|_| host.readiness() == Some(200));
-        assert!(is_ready, "the readiness check is not answered");
+        host.assert_answers("single bytes");
     });
     host.assert_serves("read");
     host.assert_within(MEMORY_MB * 1_000_000);
--- a/crates/gateway/tests/crowd/host.rs
+++ b/crates/gateway/tests/crowd/host.rs
@@ -1,6 +1,8 @@
 //! The program `agatemill-gateway` in a process of its own, beside stand-ins of the platform.
 
 use core::net::SocketAddrV4;
+use core::sync::atomic::AtomicBool;
+use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::fs;
 use std::io::Read;
@@ -32,6 +34,9 @@
 /// Timeout for the response to an ordinary request; far above what it takes on a busy machine.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Ordinary requests of which one has to be answered while a crowd sends. Each may take as long as the harness waits.
+pub const TRIES: usize = 2;
+
 /// Held by the test that runs: the crowds of two tests at a time would measure each other.
 static TURN: Mutex<()> = Mutex::new(());
 
@@ -232,6 +237,16 @@
         assert!(open <= max as usize, "{open} of {max} descriptors are open");
     }
 
+    /// Checks that ordinary requests and the readiness check are answered while a crowd sends.
+    pub fn assert_answers(&self, what: &str) {
+        for route in ["read", "draft"] {
+            let is_served = (0..TRIES).any(|_| self.answer(route) == Some(200));
+            assert!(is_served, "{what}: no ordinary request is answered");
+        }
+        let is_ready = (0..TRIES).any(|_| self.readiness() == Some(200));
+        assert!(is_ready, "{what}: the readiness check is not answered");
+    }
+
     /// What the process has logged.
     pub fn read_log(&self) -> String {
         fs::read_to_string(self.log.path()).unwrap()
@@ -265,6 +280,15 @@
     }
 }
 
+/// Ends a crowd when it is dropped, also by a failed check.
+pub struct Done<'a>(pub &'a AtomicBool);
+
+impl Drop for Done<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Head of a request to a route; `rest` are further header lines without the last line end.
 pub fn head(route: &str, attempt: &str, rest: &str) -> String {
     format!(
