--- a/crates/fleet/src/throttle.rs
+++ b/crates/fleet/src/throttle.rs
@@ -202,7 +202,8 @@
         }
     }
 
-    /// Adds the limits that another host knows, up to [`MAX_TOLD`]; the latest answer of a server counts. Returns whether any changed.
+    /// Adds the limits that another host knows, as long as they fit into a datagram; the latest answer of a server counts. Returns
+    /// whether any changed.
     pub fn receive(&mut self, notice: Notice, now: Duration) -> bool {
         let mut has_changed = false;
         for row in notice.rows {
