Give each fake service of the entry's tests an address of its own

Cause: the test closes a service and goes on sending to its address. All listeners of the tests take free ports of 127.0.0.1, so that the entry of another test in the same process may get the port meanwhile; only an entry answers 404 as not run. A trial that starts an entry at the address of the closed service got the same answer. No product code is involved.

Each service listens on a loopback address of its own, so that nothing listens there after it has closed. What the test checks is unchanged.

--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "each test target uses a part of this module")]
 
 use core::net::SocketAddr;
+use core::sync::atomic::AtomicU16;
+use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::io::Read;
 use std::io::Write;
@@ -28,6 +30,9 @@
 pub const CHAT: &str =
     r#"{"model":"drafter","messages":[{"role":"user","content":"Draft a claim"}],"temperature":0"#;
 
+/// Number of services that were started, in the last two bytes of their addresses; 127.1.0.0 is none.
+static SERVICES: AtomicU16 = AtomicU16::new(1);
+
 pub struct System {
     pub entry: Handle,
     pub engines: Vec<Engine>,
@@ -83,8 +88,12 @@
     block_on(Engine::listen(settings)).unwrap()
 }
 
+/// Starts a service on a loopback address of its own: after it has closed, no listener of another test gets its port.
 fn service() -> Service {
-    let settings = service::Settings { listen: loopback() };
+    let number = SERVICES.fetch_add(1, Ordering::Relaxed);
+    let [high, low] = number.to_be_bytes();
+    let listen = SocketAddr::from(([127, 1, high, low], 0));
+    let settings = service::Settings { listen };
     block_on(Service::listen(&settings)).unwrap()
 }
 
