Judge streams by the clock when a planned stop is under way

Cause: the stage that refuses streams was set by a loop that looks at the time each 100 ms, counts from when the main loop has taken the signal up, and begins after the calls of the deregistration, up to 3 s with a store that does not respond. The bound was met exactly, so each of these delays broke it. A stream was judged once, before it waited for a path.

Fix: the thread that receives signals records when (signal::Signal). From that time shutdown::Schedule computes the times of the shutdown once, and State::stage compares them with the clock whenever a request is judged; nothing has to run for a stage to begin. Streams are judged again at each attempt to find a path, after which a run starts in the same turn. New streams end 50 ms before three eighths of the grace period: a signal may wait for a processor. A stream that may have run is still sent again, since its refusal could not say that it has not. The deregistration is bounded by the end of the shutdown, which it could delay.

--- a/crates/entry/src/command.rs
+++ b/crates/entry/src/command.rs
@@ -11,6 +11,7 @@
 use crate::Settings;
 use agatemill_core::id;
 use agatemill_runtime::signal;
+use agatemill_runtime::signal::Signal;
 
 /// Log filter unless `RUST_LOG` is set. `tarpc` logs each call at the level "info".
 const LOG_FILTER: &str = "info,tarpc=warn";
@@ -108,7 +109,7 @@
 
 /// Serves until a termination signal arrives or the control requests a drain, then shuts down gracefully. A
 /// second signal aborts the shutdown.
-async fn serve(settings: Settings, signals: Receiver<i32>) -> Result<ExitCode, Error> {
+async fn serve(settings: Settings, signals: Receiver<Signal>) -> Result<ExitCode, Error> {
     let handle = crate::run(settings).await?;
     let signalled = async {
         // The channel closes only when the process ends.
--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -17,6 +17,7 @@
 use crate::log_output::Writer;
 use crate::supervise::Failure;
 use agatemill_runtime::signal;
+use agatemill_runtime::signal::Signal;
 
 /// Interval at which the settings file is polled, since it may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(5);
@@ -75,7 +76,7 @@
 
 /// Events of the main loop: a signal, the next poll of the settings file, or the end of a required task.
 enum Event {
-    Signal(i32),
+    Signal(Signal),
     Poll,
     Failed(Failure),
 }
@@ -89,12 +90,12 @@
 pub async fn serve(
     options: &Options,
     settings: Settings,
-    signals: Receiver<i32>,
+    signals: Receiver<Signal>,
 ) -> Result<(), Error> {
     let process = Process::start(settings).await?;
     let failures = process.failures();
     let mut known = read_settings(options);
-    loop {
+    let terminated = loop {
         let signal = async {
             let signal = signals.recv().await;
             // Without its thread, the process would not notice that it should end.
@@ -109,8 +110,8 @@
         };
         let failure = async { Event::Failed(next_failure(&failures).await) };
         match smol::future::or(failure, smol::future::or(signal, poll)).await {
-            Event::Signal(SIGHUP) => reload(options, process.state()),
-            Event::Signal(_) => break,
+            Event::Signal(signal) if signal.number == SIGHUP => reload(options, process.state()),
+            Event::Signal(signal) => break signal.received,
             Event::Failed(failure) => return Err(Error::Task(failure)),
             Event::Poll => {
                 let now = read_settings(options);
@@ -121,9 +122,9 @@
             }
         }
         known = read_settings(options);
-    }
+    };
     let close = async {
-        process.close().await;
+        process.close_since(terminated).await;
         Ok(())
     };
     let failure = async { Err(Error::Task(next_failure(&failures).await)) };
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,5 +1,6 @@
 //! The gateway process: the tasks of one host.
 
+use core::time::Duration;
 use std::sync::Arc;
 
 use smol::channel::Receiver;
@@ -147,7 +148,12 @@
 
     /// Shuts down gracefully, within the grace period of the settings.
     pub async fn close(self) {
-        shutdown::run(&self.state, &self.registration).await;
+        self.close_since(agatemill_runtime::now()).await;
+    }
+
+    /// As [`Process::close`], within a grace period that began when the process was told to end.
+    pub async fn close_since(self, told: Duration) {
+        shutdown::run(&self.state, &self.registration, told).await;
         self.tasks.close().await;
         log::info!("gateway: stopped");
     }
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -24,6 +24,7 @@
 use crate::run::Step;
 use crate::stream;
 use crate::stream::Obstacle;
+use crate::stream::Search;
 use crate::stream::Start;
 use agatemill_core::Cause;
 use agatemill_core::Reason;
@@ -408,17 +409,22 @@
             Claim::New
         };
         let running = self.active.iter().map(|run| run.path.first().address);
-        let running = running.collect();
+        let search = Search {
+            purpose,
+            claim,
+            running: running.collect(),
+            may_have_run: self.attempts.runs() > 0,
+        };
         let state = Arc::clone(&self.state);
         let job = Arc::clone(&self.job);
         let model = Arc::clone(&self.model);
-        let search = async move {
+        let find = async move {
             if !pause.is_zero() {
                 agatemill_runtime::sleep(pause).await;
             }
-            stream::find_start(state, job, model, purpose, claim, running).await
+            stream::find_start(state, job, model, search).await
         };
-        self.search = Some(search.boxed());
+        self.search = Some(find.boxed());
     }
 
     fn start(&mut self, start: Start) {
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -1,5 +1,7 @@
 //! Graceful shutdown.
 
+pub mod schedule;
+
 use core::time::Duration;
 use std::sync::Arc;
 
@@ -7,18 +9,11 @@
 use crate::registration::Registration;
 use crate::state::Stage;
 
+pub use schedule::Schedule;
+
 /// Multiple of the directory's stated lifetime for which callers may cache its response.
 const DIRECTORY_CACHE_FACTOR: u32 = 3;
 
-/// Time before the kill at which the process exits by itself.
-const KILL_MARGIN: Duration = Duration::from_millis(500);
-
-/// Share of the grace period after which no new streams start: a later one might not end in time.
-const STREAM_GRACE_SHARE: f64 = 0.4;
-
-/// Time before the exit at which requests that still run are answered.
-const ANSWER_TIME: Duration = Duration::from_millis(250);
-
 /// Interval between checks for remaining requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -26,33 +21,35 @@
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Deregisters the host and keeps serving until callers have moved to other hosts. Returns when the last response
-/// is written or the grace period is almost over.
-pub async fn run(state: &Arc<State>, registration: &Registration) {
-    let began = agatemill_runtime::now();
-    let past = || agatemill_runtime::now().saturating_sub(began);
+/// is written or the grace period, which began at `told`, is almost over.
+pub async fn run(state: &Arc<State>, registration: &Registration, told: Duration) {
     let settings = state.settings();
-    let grace = settings
-        .bounds
-        .grace
-        .to_duration()
-        .saturating_sub(KILL_MARGIN);
-    let directory_expiry = settings.directory_lifetime.to_duration() * DIRECTORY_CACHE_FACTOR;
-    log::info!(active = state.active(); "shutdown: draining requests");
-    state.set_stage(Stage::Leaving);
-    registration.close(state).await;
+    let schedule = Schedule::new(told, settings.bounds.grace.to_duration());
+    let left = agatemill_runtime::now();
+    let delay = left.saturating_sub(told);
+    let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+    log::info!(active = state.active(), delay_ms; "shutdown: draining requests");
+    state.leave(schedule);
+    // The store may not respond for longer than the grace period.
+    let deregister = Box::pin(registration.close(state));
+    let until_ending = schedule.ending.saturating_sub(left);
+    let deregistered = agatemill_runtime::timeout(until_ending, deregister).await;
+    if deregistered.is_none() {
+        log::warn!("shutdown: the store does not respond");
+    }
+    let directory_expiry =
+        left + settings.directory_lifetime.to_duration() * DIRECTORY_CACHE_FACTOR;
     loop {
-        let is_idle = state.active() == 0 && past() >= directory_expiry;
-        if is_idle || past() >= grace.saturating_sub(ANSWER_TIME) {
+        let now = agatemill_runtime::now();
+        let is_idle = state.active() == 0 && now >= directory_expiry;
+        if is_idle || now >= schedule.ending {
             break;
         }
-        if past() >= grace.mul_f64(STREAM_GRACE_SHARE) && state.stage() == Stage::Leaving {
-            state.set_stage(Stage::Closing);
-        }
-        agatemill_runtime::sleep(POLL_INTERVAL).await;
+        agatemill_runtime::sleep(POLL_INTERVAL.min(schedule.ending.saturating_sub(now))).await;
     }
     log::info!(active = state.active(), connections = state.connections(); "shutdown: closing connections");
     state.set_stage(Stage::Ending);
-    while state.connections() > 0 && past() < grace {
+    while state.connections() > 0 && agatemill_runtime::now() < schedule.exit {
         agatemill_runtime::sleep(CLOSE_POLL_INTERVAL).await;
     }
     log::info!(active = state.active(), connections = state.connections(); "shutdown: drain ended");
--- /dev/null
+++ b/crates/gateway/src/shutdown/schedule.rs
@@ -0,0 +1,60 @@
+//! Times of a graceful shutdown.
+
+use core::time::Duration;
+
+use crate::state::Stage;
+
+/// Time before the kill at which the process exits by itself.
+const KILL_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time before the exit at which requests that still run are answered.
+const ANSWER_TIME: Duration = Duration::from_millis(250);
+
+/// Share of the grace period after whose end no stream may be sent to the host that is cut when the process exits.
+const STREAM_GRACE_SHARE: f64 = 3.0 / 8.0;
+
+/// Time for a signal to reach the thread that records it, which on a busy machine waits for several turns of other processes.
+/// The share above counts from the sending of the signal.
+const SIGNAL_MARGIN: Duration = Duration::from_millis(50);
+
+/// Times of a graceful shutdown, as [`agatemill_runtime::now`] gives them.
+///
+/// Invariant: `closing <= ending <= exit`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Schedule {
+    /// From when no streams are started.
+    pub closing: Duration,
+    /// From when no requests are started, and those that still run are answered.
+    pub ending: Duration,
+    /// When the process exits at the latest.
+    pub exit: Duration,
+}
+
+impl Schedule {
+    /// The schedule of a process that was told to end at `told` and is killed after `grace`.
+    #[must_use]
+    pub fn new(told: Duration, grace: Duration) -> Self {
+        let exit = grace.saturating_sub(KILL_MARGIN);
+        let ending = exit.saturating_sub(ANSWER_TIME);
+        let closing = grace
+            .mul_f64(STREAM_GRACE_SHARE)
+            .saturating_sub(SIGNAL_MARGIN);
+        Self {
+            closing: told + closing.min(ending),
+            ending: told + ending,
+            exit: told + exit,
+        }
+    }
+
+    /// The stage that is reached at the time `now`.
+    #[must_use]
+    pub fn stage(&self, now: Duration) -> Stage {
+        if now >= self.ending {
+            Stage::Ending
+        } else if now >= self.closing {
+            Stage::Closing
+        } else {
+            Stage::Leaving
+        }
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 
 use event_listener::Event;
@@ -28,6 +29,7 @@
 use crate::intake::Intake;
 use crate::purpose;
 use crate::reply::Faults;
+use crate::shutdown::Schedule;
 use crate::stall;
 use crate::turns::Turns;
 use agatemill_adapter::Store;
@@ -110,7 +112,10 @@
     pub intake: Intake,
     /// Keeps requests until the host is ready for the first time.
     pub gate: Gate,
+    /// Stage that was reached for another reason than the time.
     stage: AtomicU8,
+    /// Set when the shutdown begins.
+    schedule: OnceLock<Schedule>,
     /// Notified when the stage changes.
     stage_changes: Event,
     /// Number of requests in progress.
@@ -166,6 +171,7 @@
             allocator: Mutex::default(),
             gate: Gate::new(agatemill_runtime::now()),
             stage: AtomicU8::new(0),
+            schedule: OnceLock::new(),
             stage_changes: Event::new(),
             active: Counter::default(),
             connections: Counter::default(),
@@ -432,7 +438,17 @@
     /// Shutdown stage of the process.
     #[must_use]
     pub fn stage(&self) -> Stage {
-        self.stage.load(Ordering::Relaxed).into()
+        let reached = Stage::from(self.stage.load(Ordering::Relaxed));
+        // No task has to run at the time of the next stage for it to take effect.
+        self.schedule.get().map_or(reached, |schedule| {
+            reached.max(schedule.stage(agatemill_runtime::now()))
+        })
+    }
+
+    /// Begins the shutdown. A schedule that was set before remains in force.
+    pub fn leave(&self, schedule: Schedule) {
+        self.schedule.get_or_init(|| schedule);
+        self.set_stage(Stage::Leaving);
     }
 
     /// Sets the shutdown stage.
--- a/crates/gateway/src/state/stage.rs
+++ b/crates/gateway/src/state/stage.rs
@@ -7,7 +7,8 @@
     Serving,
     /// Still serving, but closing connections so that callers move to other hosts.
     Leaving,
-    /// No new streams are started, since they might outlast the process.
+    /// No new streams are started, since they might outlast the process. Streams that have begun may continue at other
+    /// engines.
     Closing,
     /// No requests are started, and connections are closed as soon as their responses are written.
     Ending,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -80,6 +80,18 @@
     pub probe: Option<Probe>,
 }
 
+/// A search for a path on which a run may start.
+pub struct Search {
+    /// Why the request is sent again; `None` for the first time.
+    pub purpose: Option<Purpose>,
+    /// What the request may claim.
+    pub claim: Claim,
+    /// Engines at which the path does not start, since they run the request already.
+    pub running: Vec<SocketAddrV4>,
+    /// Whether the request may have run, so that its failure could not be reported as not run.
+    pub may_have_run: bool,
+}
+
 /// Why no run can start.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Obstacle {
@@ -104,6 +116,9 @@
     /// The route allows no further attempt.
     #[display("the attempts are used up")]
     Attempts,
+    /// The process exits before the stream is likely to end.
+    #[display("the host is leaving")]
+    Leaving,
 }
 
 /// Opens a stream and returns its response, whose body is relayed as it is read.
@@ -117,9 +132,7 @@
     active: counter::Guard,
 ) -> Result<Response<Body>, Refusal> {
     if state.stage() >= Stage::Closing {
-        return Err(
-            Refusal::not_run(Reason::Draining, "the host is leaving").retry_after(Duration::ZERO)
-        );
+        return Err(leaving_refusal());
     }
     let model = job
         .model
@@ -176,8 +189,7 @@
     ))
 }
 
-/// Finds a path on which a run of a request may start now, and takes what the run needs. `purpose` says why the request
-/// is sent again, if it is, `claim` what it may claim, and the path does not start at the engines in `running`.
+/// Finds a path on which a run of a request may start now, and takes what the run needs. The run has to start at once.
 ///
 /// # Errors
 ///
@@ -186,15 +198,10 @@
     state: Arc<State>,
     job: Arc<Job>,
     model: Arc<Model>,
-    purpose: Option<Purpose>,
-    claim: Claim,
-    running: Vec<SocketAddrV4>,
+    search: Search,
 ) -> Result<Start, Obstacle> {
-    let is_less_urgent = claim == Claim::Retried && admission::is_less_urgent(&state, &job);
-    let purpose = purpose.map(|purpose| match purpose {
-        Purpose::Retry if is_less_urgent => Purpose::LessUrgent,
-        other => other,
-    });
+    let (claim, running) = (search.claim, &search.running);
+    let purpose = retry_purpose(&state, &job, &search);
     // A path takes credits and a part of the links between zones.
     if purpose.is_some_and(|purpose| !state.has_retry(&job.service, purpose)) {
         return Err(budget_obstacle(&state, &job));
@@ -212,6 +219,10 @@
     }
     let mut previous = None;
     loop {
+        // The shutdown may have begun while the request waited.
+        if !search.may_have_run && state.stage() >= Stage::Closing {
+            return Err(Obstacle::Leaving);
+        }
         let is_last = agatemill_runtime::now() >= end;
         let prompt = &job.parameters.parts;
         let probe = match quarantine::admit(&state, prompt) {
@@ -229,7 +240,7 @@
                 continue;
             }
         };
-        let path = match choice::choose(&state, &job, &model, size, &running, claim) {
+        let path = match choice::choose(&state, &job, &model, size, running, claim) {
             Ok(path) => path,
             Err(Shortage {
                 missing,
@@ -238,9 +249,9 @@
                 drop(probe);
                 let before = previous.replace(missing);
                 if missing == Missing::Backoff
-                    && let Some(wait) = common_wait(&state, &job, &running)
+                    && let Some(wait) = common_wait(&state, &job, running)
                 {
-                    wait_for_backoff(&state, &job, wait, end, &running).await?;
+                    wait_for_backoff(&state, &job, wait, end, running).await?;
                     continue;
                 }
                 if let Some(assessment) = assessment
@@ -289,6 +300,15 @@
     }
 }
 
+/// Why the request is sent again, for its service's budget of retries.
+fn retry_purpose(state: &State, job: &Job, search: &Search) -> Option<Purpose> {
+    let is_less_urgent = search.claim == Claim::Retried && admission::is_less_urgent(state, job);
+    search.purpose.map(|purpose| match purpose {
+        Purpose::Retry if is_less_urgent => Purpose::LessUrgent,
+        other => other,
+    })
+}
+
 fn budget_obstacle(state: &State, job: &Job) -> Obstacle {
     let balance = state.retry_balance(&job.service);
     log::warn!(
@@ -354,6 +374,7 @@
         }
         Obstacle::Backoff(wait) => return backoff::refusal(*wait),
         Obstacle::Full(wait) => return admission::refusal(*wait),
+        Obstacle::Leaving => return leaving_refusal(),
         Obstacle::Suspected => {
             let detail = "another request with a suspected part of the prompt comes first";
             (Reason::Quarantined, detail)
@@ -375,6 +396,10 @@
     Refusal::not_run(reason, detail).retry_after(jitter(RETRY_AFTER))
 }
 
+fn leaving_refusal() -> Refusal {
+    Refusal::not_run(Reason::Draining, "the host is leaving").retry_after(Duration::ZERO)
+}
+
 fn jitter(time: Duration) -> Duration {
     time.mul_f64(0.7 + 0.6 * fastrand::f64())
 }
--- a/crates/gateway/tests/all/answers.rs
+++ b/crates/gateway/tests/all/answers.rs
@@ -10,9 +10,12 @@
 
 use crate::run_test;
 use crate::system::System;
+use agatemill_gateway::state::Stage;
 use agatemill_standin::Engine;
+use agatemill_standin::caller::Call;
 use agatemill_standin::document;
 use agatemill_standin::engine::Behaviour;
+use agatemill_standin::store::Fault;
 
 /// Timeout for an answer; far above what it takes on a busy machine.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -215,6 +218,58 @@
     });
 }
 
+/// Guards against a stream that is let in although it is sent later than callers may count on, and is cut when the process exits.
+#[test]
+fn a_stream_that_is_sent_late_in_a_planned_stop_is_not_started() {
+    run_test(2, |system| async move {
+        let mut connection = Connection::open(host(&system)).await;
+        connection.send(&head("pay", "p1", 0)).await;
+        assert!(connection.answer().await.contains("200 OK"));
+        let excused = system.settings.bounds.grace.to_duration().mul_f64(0.375);
+        // A slow deregistration must not delay the refusals.
+        system.store.set_fault(Fault::Silent);
+        let (engines, process) = (system.engines, system.process);
+        let told = agatemill_runtime::now();
+        let late = async {
+            agatemill_runtime::sleep(excused).await;
+            connection.send(&head("draft", "d1", 0)).await;
+            connection.answer().await
+        };
+        let (answer, ()) = futures::join!(late, process.close_since(told));
+        assert!(answer.is_empty() || answer.contains("503"), "{answer:?}");
+        let mut arrivals = engines.iter().flat_map(Engine::arrivals);
+        assert!(arrivals.all(|arrival| arrival.attempt != "d1"));
+    });
+}
+
+/// Guards against the same when the stream came before and waits for a path.
+#[test]
+fn a_stream_that_waits_until_late_in_a_planned_stop_is_not_started() {
+    run_test(2, |system| async move {
+        let patient = document::routes(4, r#""k1","k2""#)
+            .replace(r#""timeout-ms":4000"#, r#""timeout-ms":60000"#)
+            .replace(r#""target-latency-ms":500"#, r#""target-latency-ms":60000"#);
+        configure(&system, 4, &patient).await;
+        let state = system.process.state().clone();
+        for engine in &system.engines {
+            state.avoid(engine.address, Duration::from_secs(5), "test");
+        }
+        let call = Call {
+            deadline: Duration::from_mins(1),
+            ..system.call("draft", "d1")
+        };
+        let stop = async {
+            system
+                .wait_until("the stream waits", || state.active() == 1)
+                .await;
+            state.set_stage(Stage::Closing);
+        };
+        let (response, ()) = futures::join!(system.send_call(call), stop);
+        assert_eq!(response.status, 503, "{response:?}");
+        assert_eq!(system.run_count("d1"), 0);
+    });
+}
+
 /// Guards against a request that begins at the moment at which the process exits.
 #[test]
 fn a_request_after_the_grace_period_is_not_sent() {
--- a/crates/gateway/tests/all/hosts.rs
+++ b/crates/gateway/tests/all/hosts.rs
@@ -9,6 +9,8 @@
 use agatemill_fleet::Evidence;
 use agatemill_fleet::budget::Purpose;
 use agatemill_gateway::connection::Connection;
+use agatemill_gateway::shutdown::Schedule;
+use agatemill_gateway::state::Stage;
 use agatemill_standin::Engine;
 use agatemill_standin::document;
 use agatemill_standin::engine::Behaviour;
@@ -32,7 +34,7 @@
             system
                 .wait_until("the request runs", || system.run_count("p1") > 0)
                 .await;
-            state.set_stage(agatemill_gateway::state::Stage::Leaving);
+            state.set_stage(Stage::Leaving);
             assert_eq!(system.ready().await, 503);
             assert_eq!(
                 system.get(&resolve).await.0,
@@ -53,6 +55,36 @@
     });
 }
 
+/// Guards against a stop that lets streams in for exactly as long as callers may count on, although the signal was sent
+/// before its receipt, and against stages out of order when the grace period is short.
+#[test]
+fn a_planned_stop_refuses_streams_before_the_last_that_callers_may_send() {
+    let told = Duration::from_secs(5);
+    for grace_ms in [3_000, 8_000, 60_000] {
+        let grace = Duration::from_millis(grace_ms);
+        let schedule = Schedule::new(told, grace);
+        assert!(schedule.closing < told + grace.mul_f64(0.375));
+        assert!(schedule.exit < told + grace);
+        let just = Duration::from_nanos(1);
+        let stages = [
+            (told, Stage::Leaving),
+            (schedule.closing.saturating_sub(just), Stage::Leaving),
+            (schedule.closing, Stage::Closing),
+            (schedule.ending.saturating_sub(just), Stage::Closing),
+            (schedule.ending, Stage::Ending),
+            (schedule.exit, Stage::Ending),
+        ];
+        for (time, stage) in stages {
+            assert_eq!(schedule.stage(time), stage, "{grace:?} {time:?}");
+        }
+    }
+    for grace_ms in [0, 100, 600] {
+        let schedule = Schedule::new(told, Duration::from_millis(grace_ms));
+        assert!(schedule.closing <= schedule.ending);
+        assert!(schedule.ending <= schedule.exit);
+    }
+}
+
 /// Guards against a reload that resets the retry budget of the current window.
 #[test]
 fn a_reload_keeps_the_retry_budget() {
@@ -137,7 +169,7 @@
             leader()
         );
         let state = system.process.state().clone();
-        state.set_stage(agatemill_gateway::state::Stage::Closing);
+        state.set_stage(Stage::Closing);
         system
             .wait_until("the second host leads", || leader().starts_with("h2-"))
             .await;
@@ -291,7 +323,7 @@
         let listed = || system.store.value("agatemill/hosts/h2").is_some();
         system.wait_until("the second host is listed", listed).await;
         let state = system.process.state().clone();
-        state.set_stage(agatemill_gateway::state::Stage::Closing);
+        state.set_stage(Stage::Closing);
         let leader = || system.store.value("agatemill/planner").unwrap_or_default();
         system
             .wait_until("the second host leads", || leader().starts_with("h2-"))
