Refuse streams that would outlast a planned stop

What callers saw: a host that leaves let in streams that could not end before it exited, and cut them after up to 7 s of work.

Cause: a stream was let in for a share of the grace period, whatever its length, though the path that was chosen for it tells how long its engines need.

Fix: a stream that has not been sent before is refused as not run, with Retry-After 0, when the estimate of its path exceeds two thirds of the time until the exit. The estimate leaves out the waits between engines. The refused caller opens a new connection, to another host.

Test: a_stream_that_would_outlast_a_planned_stop_is_not_started failed before (status 200).

--- a/crates/fleet/src/path.rs
+++ b/crates/fleet/src/path.rs
@@ -94,6 +94,8 @@
     Limit,
     /// The engines that a path may start at asked this host for no requests for a while.
     Backoff,
+    /// The host exits before a stream along the path is likely to end.
+    Uptime,
 }
 
 impl Path {
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -157,7 +157,8 @@
 ///
 /// # Errors
 ///
-/// [`Shortage`] when no path is free, or when the prompts queued at its engines take too long to read.
+/// [`Shortage`] when no path is free, when the prompts queued at its engines take too long to read, or when a stream that has
+/// not been sent before is likely to outlast the process.
 pub fn choose(
     state: &State,
     job: &Job,
@@ -222,6 +223,14 @@
             assessment,
         });
     }
+    let stream_ms = read_ms + size.answer * token_ms;
+    if claim == Claim::New && !state.may_outlast(stream_ms) {
+        let missing = Missing::Uptime;
+        return Err(Shortage {
+            missing,
+            assessment,
+        });
+    }
     if !throttle::take(state, Key::from(&path.first().server)) {
         let missing = Missing::Limit;
         return Err(Shortage {
--- a/crates/gateway/src/shutdown/schedule.rs
+++ b/crates/gateway/src/shutdown/schedule.rs
@@ -17,6 +17,9 @@
 /// The share above counts from the sending of the signal.
 const SIGNAL_MARGIN: Duration = Duration::from_millis(50);
 
+/// Factor on the estimated time of a stream, which leaves out that its engines wait for each other.
+const STREAM_TIME_FACTOR: f64 = 1.5;
+
 /// Times of a graceful shutdown, as [`agatemill_runtime::now`] gives them.
 ///
 /// Invariant: `closing <= ending <= exit`.
@@ -46,6 +49,13 @@
         }
     }
 
+    /// Whether a stream that starts at the time `now` is likely to end before the process exits. `estimate` is the time for
+    /// which its engines work on it.
+    #[must_use]
+    pub fn has_time(&self, estimate: Duration, now: Duration) -> bool {
+        estimate <= self.exit.saturating_sub(now).div_f64(STREAM_TIME_FACTOR)
+    }
+
     /// The stage that is reached at the time `now`.
     #[must_use]
     pub fn stage(&self, now: Duration) -> Stage {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -445,6 +445,16 @@
         })
     }
 
+    /// Whether this process may live until a stream has ended whose engines work on it for `stream_ms` milliseconds.
+    #[must_use]
+    pub fn may_outlast(&self, stream_ms: f64) -> bool {
+        // A time that is no `Duration` is longer than any process lives.
+        let estimate = Duration::try_from_secs_f64(stream_ms / 1_000.0).unwrap_or(Duration::MAX);
+        let now = agatemill_runtime::now();
+        let schedule = self.schedule.get();
+        schedule.is_none_or(|schedule| schedule.has_time(estimate, now))
+    }
+
     /// Begins the shutdown. A schedule that was set before remains in force.
     pub fn leave(&self, schedule: Schedule) {
         self.schedule.get_or_init(|| schedule);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -242,6 +242,7 @@
         };
         let path = match choice::choose(&state, &job, &model, size, running, claim) {
             Ok(path) => path,
+            Err(shortage) if shortage.missing == Missing::Uptime => return Err(Obstacle::Leaving),
             Err(Shortage {
                 missing,
                 assessment,
@@ -374,7 +375,7 @@
         }
         Obstacle::Backoff(wait) => return backoff::refusal(*wait),
         Obstacle::Full(wait) => return admission::refusal(*wait),
-        Obstacle::Leaving => return leaving_refusal(),
+        Obstacle::Leaving | Obstacle::NoPath(Missing::Uptime) => return leaving_refusal(),
         Obstacle::Suspected => {
             let detail = "another request with a suspected part of the prompt comes first";
             (Reason::Quarantined, detail)
--- a/crates/gateway/tests/all/answers.rs
+++ b/crates/gateway/tests/all/answers.rs
@@ -10,6 +10,7 @@
 
 use crate::run_test;
 use crate::system::System;
+use agatemill_gateway::shutdown::Schedule;
 use agatemill_gateway::state::Stage;
 use agatemill_standin::Engine;
 use agatemill_standin::caller::Call;
@@ -270,6 +271,27 @@
     });
 }
 
+/// Guards against a stream that is started in a planned stop although it cannot end in time, and is cut when the process exits.
+#[test]
+fn a_stream_that_would_outlast_a_planned_stop_is_not_started() {
+    run_test(2, |system| async move {
+        let state = system.process.state().clone();
+        let exit = agatemill_runtime::now() + Duration::from_hours(1);
+        state.leave(Schedule {
+            closing: exit,
+            ending: exit,
+            exit,
+        });
+        assert_eq!(system.send("draft", "short").await.status, 200);
+        let slow = document::routes(4, r#""k1","k2""#)
+            .replace(r#""step_ms":1.0"#, r#""step_ms":1000000.0"#);
+        configure(&system, 4, &slow).await;
+        let response = system.send("draft", "long").await;
+        assert_eq!(response.status, 503, "{response:?}");
+        assert_eq!(system.run_count("long"), 0);
+    });
+}
+
 /// Guards against a request that begins at the moment at which the process exits.
 #[test]
 fn a_request_after_the_grace_period_is_not_sent() {
