Let a view grow stale while its newest configuration cannot be decoded

What callers saw: a version that takes a key away was dropped because it could not be decoded.

Cause: View::put_configuration kept the version before and logged an error, and sync then confirmed the freshness of the view as if the change had been taken. Freshness is what allows keys to be used.

Fix: the view remembers where the store has a configuration that cannot be decoded, and is not confirmed until one at that state or later can be. It holds for whatever cannot be decoded.

--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -361,7 +361,7 @@
 
 /// Records that a call which began at `started` brought the view up to date.
 fn confirm(state: &State, started: Duration) {
-    state.view().freshness.confirm(started);
+    state.view().confirm(started);
     if state.is_ready() {
         state.gate.update(Startup::complete);
     }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -46,6 +46,8 @@
     pub configuration: Option<Arc<Configuration>>,
     /// The entry that the configuration was decoded from.
     pub configuration_item: Option<Item>,
+    /// Where the store has a configuration that cannot be decoded and is newer than all others.
+    unread: Option<Cursor>,
     /// Backend servers of each service, in the order of their ids.
     pub services: HashMap<id::Service, Vec<Arc<Server>>>,
     /// Serving entry hosts.
@@ -273,7 +275,15 @@
             .configuration
             .as_ref()
             .map_or(0, |configuration| configuration.version);
-        match document::decode(&item.value) {
+        let at = Cursor {
+            era: self.era,
+            revision: item.revision,
+        };
+        let decoded = document::decode(&item.value);
+        if decoded.is_ok() {
+            self.unread = self.unread.filter(|unread| *unread > at);
+        }
+        match decoded {
             Ok(new) if new.version > current => {
                 log::info!(version = new.version, revision:% = item.revision; "config: applied");
                 self.configuration = Some(Arc::new(new));
@@ -285,10 +295,19 @@
             Ok(_) => {}
             Err(error) => {
                 log::error!(error, held = current; "config: cannot decode the document, keeping the current version");
+                self.unread = self.unread.max(Some(at));
             }
         }
     }
 
+    /// Records that a call which began at `started` brought the view up to date. It did not if the store has a configuration
+    /// that cannot be decoded, which may revoke keys.
+    pub fn confirm(&mut self, started: Duration) {
+        if self.unread.is_none() {
+            self.freshness.confirm(started);
+        }
+    }
+
     fn put_server(&mut self, item: &Item, now: Duration) {
         match entry::decode(&item.key, &item.value) {
             Ok(server) => {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod backoff;
+mod configuration;
 mod cut;
 mod endless;
 mod foreign;
