Ignore entries of services that the configuration does not name

What callers saw: another writer listed the addresses of two sound engines under a service of its own.

Cause: View::put_server believed any entry with the address of another server and a later start, whatever its service was, and removed the other one.

Fix: an entry whose service the configuration does not name is kept aside. It replaces no server and ends no run; it counts once a version names the service.

The tests of views, foreign entries, addresses used again, configurations, restores and hosts pass (40).

--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -15,6 +15,7 @@
 use agatemill_adapter::store::Lease;
 use agatemill_core::id;
 use agatemill_core::number::Era;
+use agatemill_core::number::Revision;
 use agatemill_fleet::Configuration;
 use agatemill_fleet::Freshness;
 use agatemill_fleet::Member;
@@ -50,6 +51,9 @@
     unread: Option<Cursor>,
     /// Backend servers of each service, in the order of their ids.
     pub services: HashMap<id::Service, Vec<Arc<Server>>>,
+    /// Servers of services that the configuration does not name, with the revisions of their entries. These may come from another
+    /// writer, so that they show nothing about other servers.
+    unnamed: HashMap<id::Server, (Server, Revision)>,
     /// Serving entry hosts.
     pub members: HashMap<id::Host, Member>,
     /// Host that leads the planning.
@@ -288,6 +292,7 @@
                 log::info!(version = new.version, revision:% = item.revision; "config: applied");
                 self.configuration = Some(Arc::new(new));
                 self.configuration_item = Some(item.clone());
+                self.list_named();
             }
             Ok(new) if new.version < current => {
                 log::warn!(version = new.version, held = current; "config: ignored an older version");
@@ -311,32 +316,14 @@
     fn put_server(&mut self, item: &Item, now: Duration) {
         match entry::decode(&item.key, &item.value) {
             Ok(server) => {
-                log::info!(
-                    server:% = server.id, service:% = server.service, zone:% = server.zone, address:% = server.address,
-                    state:? = server.state, kind = server.accelerator.as_deref().unwrap_or("-"),
-                    layers:% = server.layers.map_or_else(|| "none".to_owned(), |layers| layers.to_string()),
-                    revision:% = item.revision; "servers: listed"
-                );
                 self.remove_server(&server.id);
-                if self
-                    .servers_where(|other| other.replaces(&server))
-                    .next()
-                    .is_some()
-                {
-                    log::info!(server:% = server.id; "servers: ignored the entry of a replaced server");
-                    return;
+                if self.is_named(&server.service) {
+                    self.list(server, item.revision);
+                } else {
+                    log::info!(server:% = server.id, service:% = server.service; "servers: ignored the entry of an unknown service");
+                    self.unnamed
+                        .insert(server.id.clone(), (server, item.revision));
                 }
-                let replaced: Vec<id::Server> = self
-                    .servers_where(|other| server.replaces(other))
-                    .map(|other| other.id.clone())
-                    .collect();
-                for id in replaced {
-                    log::info!(server:% = id, by:% = server.id; "servers: replaced by another at its address");
-                    self.remove_server(&id);
-                }
-                let servers = self.services.entry(server.service.clone()).or_default();
-                let position = servers.partition_point(|other| other.id < server.id);
-                servers.insert(position, Arc::new(server));
             }
             Err(error) => {
                 log::warn!(key = item.key, error; "servers: ignored an invalid entry");
@@ -345,12 +332,59 @@
         }
     }
 
+    /// Whether the configuration names a service. Before the first one, every service counts as named.
+    fn is_named(&self, service: &id::Service) -> bool {
+        let configuration = self.configuration.as_ref();
+        configuration.is_none_or(|configuration| configuration.services.contains_key(service))
+    }
+
+    /// Lists the servers of services that the configuration has come to name.
+    fn list_named(&mut self) {
+        for (id, (server, revision)) in core::mem::take(&mut self.unnamed) {
+            if self.is_named(&server.service) {
+                self.list(server, revision);
+            } else {
+                self.unnamed.insert(id, (server, revision));
+            }
+        }
+    }
+
+    /// Lists a server, unless another one was started later at its address, in place of those that were started earlier there.
+    fn list(&mut self, server: Server, revision: Revision) {
+        log::info!(
+            server:% = server.id, service:% = server.service, zone:% = server.zone, address:% = server.address,
+            state:? = server.state, kind = server.accelerator.as_deref().unwrap_or("-"),
+            layers:% = server.layers.map_or_else(|| "none".to_owned(), |layers| layers.to_string()),
+            revision:%; "servers: listed"
+        );
+        if self
+            .servers_where(|other| other.replaces(&server))
+            .next()
+            .is_some()
+        {
+            log::info!(server:% = server.id; "servers: ignored the entry of a replaced server");
+            return;
+        }
+        let replaced: Vec<id::Server> = self
+            .servers_where(|other| server.replaces(other))
+            .map(|other| other.id.clone())
+            .collect();
+        for id in replaced {
+            log::info!(server:% = id, by:% = server.id; "servers: replaced by another at its address");
+            self.remove_server(&id);
+        }
+        let servers = self.services.entry(server.service.clone()).or_default();
+        let position = servers.partition_point(|other| other.id < server.id);
+        servers.insert(position, Arc::new(server));
+    }
+
     fn servers_where(&self, matches: impl Fn(&Server) -> bool) -> impl Iterator<Item = &Server> {
         let servers = self.services.values().flatten().map(AsRef::as_ref);
         servers.filter(move |server| matches(server))
     }
 
     fn remove_server(&mut self, id: &id::Server) {
+        self.unnamed.remove(id);
         for servers in self.services.values_mut() {
             servers.retain(|server| &server.id != id);
         }
--- a/crates/gateway/tests/all/view.rs
+++ b/crates/gateway/tests/all/view.rs
@@ -13,8 +13,10 @@
 use agatemill_core::number::Revision;
 use agatemill_fleet::Capacity;
 use agatemill_fleet::Member;
+use agatemill_fleet::server::Instance;
 use agatemill_gateway::View;
 use agatemill_platform::Lease;
+use agatemill_standin::document;
 
 /// Longer than the entries of a copy are ignored.
 const TRUSTED: Duration = Duration::from_secs(10);
@@ -128,6 +130,37 @@
     assert_eq!(orders(&view, "e1"), None, "its entry has expired");
 }
 
+/// Guards against an entry of another writer that takes sound servers out of use because it has their address.
+#[test]
+fn an_entry_of_an_unknown_service_replaces_no_server() {
+    let own = entry("model", 1, 1, "10.0.0.1:80");
+    let foreign = entry("elsewhere", 2, 1, "10.0.0.1:80");
+    let routes = document::routes(3, r#""k1""#);
+    let mut view = view(&[]);
+    view.apply(put(document::KEY, routes.as_bytes()), Duration::ZERO);
+    let name: id::Server = "s1".parse().unwrap();
+    for first in [true, false] {
+        let mut servers = [("s1", &own), ("s2", &foreign)];
+        if first {
+            servers.reverse();
+        }
+        for (id, entry) in servers {
+            view.apply(put_server(id, entry), Duration::ZERO);
+        }
+        let known = view.server(&name).expect("the server stays listed");
+        let instance = Instance::from(&**known);
+        assert!(!view.is_replaced(&instance, known.address));
+    }
+    let named = document::routes(4, r#""k1""#).replace(
+        r#"{"name":"plain","#,
+        r#"{"name":"elsewhere","max-conns":1},{"name":"plain","#,
+    );
+    view.apply(put(document::KEY, named.as_bytes()), Duration::ZERO);
+    assert!(view.server(&name).is_none(), "another one has its address");
+    let other: id::Server = "s2".parse().unwrap();
+    assert!(view.server(&other).is_some());
+}
+
 /// Guards against an address of two services, of which the copy knows the former.
 #[test]
 fn a_copy_does_not_give_an_address_back_to_its_former_server() {
