--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -151,9 +151,9 @@
         self.close_since(agatemill_runtime::now()).await;
     }
 
-    /// As [`Process::close`], within a grace period that began when the process was told to end.
-    pub async fn close_since(self, told: Duration) {
-        shutdown::run(&self.state, &self.registration, told).await;
+    /// As [`Process::close`], within a grace period that began when the process was signalled to end.
+    pub async fn close_since(self, signalled: Duration) {
+        shutdown::run(&self.state, &self.registration, signalled).await;
         self.tasks.close().await;
         log::info!("gateway: stopped");
     }
--- a/crates/gateway/src/shutdown/schedule.rs
+++ b/crates/gateway/src/shutdown/schedule.rs
@@ -34,18 +34,18 @@
 }
 
 impl Schedule {
-    /// The schedule of a process that was told to end at `told` and is killed after `grace`.
+    /// The schedule of a process that was signalled to end at `signalled` and is killed after `grace`.
     #[must_use]
-    pub fn new(told: Duration, grace: Duration) -> Self {
+    pub fn new(signalled: Duration, grace: Duration) -> Self {
         let exit = grace.saturating_sub(KILL_MARGIN);
         let ending = exit.saturating_sub(ANSWER_TIME);
         let closing = grace
             .mul_f64(STREAM_GRACE_SHARE)
             .saturating_sub(SIGNAL_MARGIN);
         Self {
-            closing: told + closing.min(ending),
-            ending: told + ending,
-            exit: told + exit,
+            closing: signalled + closing.min(ending),
+            ending: signalled + ending,
+            exit: signalled + exit,
         }
     }
 
--- a/crates/gateway/tests/all/answers.rs
+++ b/crates/gateway/tests/all/answers.rs
@@ -230,13 +230,13 @@
         // A slow deregistration must not delay the refusals.
         system.store.set_fault(Fault::Silent);
         let (engines, process) = (system.engines, system.process);
-        let told = agatemill_runtime::now();
+        let signalled = agatemill_runtime::now();
         let late = async {
             agatemill_runtime::sleep(excused).await;
             connection.send(&head("draft", "d1", 0)).await;
             connection.answer().await
         };
-        let (answer, ()) = futures::join!(late, process.close_since(told));
+        let (answer, ()) = futures::join!(late, process.close_since(signalled));
         assert!(answer.is_empty() || answer.contains("503"), "{answer:?}");
         let mut arrivals = engines.iter().flat_map(Engine::arrivals);
         assert!(arrivals.all(|arrival| arrival.attempt != "d1"));
--- a/crates/gateway/tests/all/hosts.rs
+++ b/crates/gateway/tests/all/hosts.rs
@@ -59,15 +59,15 @@
 /// before its receipt, and against stages out of order when the grace period is short.
 #[test]
 fn a_planned_stop_refuses_streams_before_the_last_that_callers_may_send() {
-    let told = Duration::from_secs(5);
+    let signalled = Duration::from_secs(5);
     for grace_ms in [3_000, 8_000, 60_000] {
         let grace = Duration::from_millis(grace_ms);
-        let schedule = Schedule::new(told, grace);
-        assert!(schedule.closing < told + grace.mul_f64(0.375));
-        assert!(schedule.exit < told + grace);
+        let schedule = Schedule::new(signalled, grace);
+        assert!(schedule.closing < signalled + grace.mul_f64(0.375));
+        assert!(schedule.exit < signalled + grace);
         let just = Duration::from_nanos(1);
         let stages = [
-            (told, Stage::Leaving),
+            (signalled, Stage::Leaving),
             (schedule.closing.saturating_sub(just), Stage::Leaving),
             (schedule.closing, Stage::Closing),
             (schedule.ending.saturating_sub(just), Stage::Closing),
@@ -79,7 +79,7 @@
         }
     }
     for grace_ms in [0, 100, 600] {
-        let schedule = Schedule::new(told, Duration::from_millis(grace_ms));
+        let schedule = Schedule::new(signalled, Duration::from_millis(grace_ms));
         assert!(schedule.closing <= schedule.ending);
         assert!(schedule.ending <= schedule.exit);
     }
