Remove deleted entries at once where the store was there all along

What callers saw: in a deployment of one zone, requests reached a server 2.0 to 2.3 s after the store had acknowledged that it was gone, and ran there (DRAIN, drain-ms 2 s), when the host that the others of the zone follow had just come back from 2.2 s without the store.

Cause: that host keeps deleted entries for 2 s after its return, since leases of live engines may have ended in an outage of the store, and tells its followers to do so. They had followed the store directly in the meantime and are in touch.

Fix: a host compares the age of its own view with the end of the other host's outage. If the store was there until less than the shortest lease before that, it removes what is deleted at once. In an outage of the store all views are as old as the outage, so that entries are kept as before.

The test entries_are_kept_for_another_host_only_without_the_store fails with the comparison taken out and passes. The tests of the store, outages and views pass (32).

--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -336,9 +336,11 @@
         state.view().start_deletion_grace(agatemill_runtime::now());
     }
     replicator.record_success(state, source.clone());
-    state
-        .view()
-        .extend_deletion_grace(batch.deletion_grace, agatemill_runtime::now());
+    {
+        let mut view = state.view();
+        let age = view.freshness.age(clock::boot_time());
+        view.follow_deletion_grace(batch.deletion_grace, age, agatemill_runtime::now());
+    }
     if batch.is_whole {
         let items: Vec<Item> = batch
             .changes
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -29,6 +29,9 @@
 /// about two seconds.
 const DELETION_GRACE: Duration = Duration::from_secs(2);
 
+/// Shortest lease of an entry. In a shorter outage none expires that was written just before it.
+const SHORTEST_LEASE: Duration = Duration::from_secs(1);
+
 /// Time for which an entry that a restored store has from its copy is ignored while the host knows better: engines that are
 /// up write theirs again within about two seconds, and the entries of others expire.
 const COPY_DISTRUST: Duration = Duration::from_secs(5);
@@ -172,10 +175,18 @@
         self.deletion_grace_until.saturating_sub(now)
     }
 
-    /// Extends the grace period to at least `time`.
-    pub fn extend_deletion_grace(&mut self, time: Duration, now: Duration) {
-        if !time.is_zero() {
-            self.deletion_grace_until = self.deletion_grace_until.max(now + time);
+    /// Extends the grace period to at least `remaining`, what remains of that of another host. A view whose `age` shows that the store was there
+    /// until about the end of the other host's outage has seen no entry expire, so that what is deleted is gone.
+    pub fn follow_deletion_grace(
+        &mut self,
+        remaining: Duration,
+        age: Option<Duration>,
+        now: Duration,
+    ) {
+        let since_outage = DELETION_GRACE.saturating_sub(remaining);
+        let has_seen_store = age.is_some_and(|age| age < since_outage + SHORTEST_LEASE);
+        if !remaining.is_zero() && !has_seen_store {
+            self.deletion_grace_until = self.deletion_grace_until.max(now + remaining);
         }
     }
 
--- a/crates/gateway/tests/all/store.rs
+++ b/crates/gateway/tests/all/store.rs
@@ -9,6 +9,7 @@
 use crate::system::System;
 use agatemill_adapter::store::Change;
 use agatemill_adapter::store::Item;
+use agatemill_core::id;
 use agatemill_core::number::Revision;
 use agatemill_fleet::history::Cursor;
 use agatemill_gateway::View;
@@ -23,7 +24,7 @@
     let mut entry: Value = serde_json::from_str(&entry).unwrap();
     entry["state"] = json!("draining");
     system.store.put("servers/s9", &entry.to_string());
-    let name: agatemill_core::id::Service = "plain".parse().unwrap();
+    let name: id::Service = "plain".parse().unwrap();
     system
         .wait_until("the host has read the last change", || {
             let view = system.process.state().view();
@@ -151,7 +152,7 @@
 fn a_draining_server_gets_no_new_requests() {
     run_test(2, |system| async move {
         system.services[0].set_entry("state", json!("draining"));
-        let name: agatemill_core::id::Service = "plain".parse().unwrap();
+        let name: id::Service = "plain".parse().unwrap();
         system
             .wait_until("the host sees the draining server", || {
                 system.process.state().usable_servers(&name).len() == 1
@@ -195,7 +196,7 @@
                 state.view().configuration.as_ref().unwrap().version == 4
             })
             .await;
-        let name: agatemill_core::id::Service = "plain".parse().unwrap();
+        let name: id::Service = "plain".parse().unwrap();
         {
             let view = state.view();
             let has_had_grace = !view.deletion_grace(Duration::ZERO).is_zero();
@@ -218,20 +219,23 @@
     });
 }
 
-/// Guards against entries that are removed before the end of the grace period, or kept after it.
-#[test]
-fn entries_deleted_in_the_grace_period_are_removed_at_its_end() {
-    let mut view = View::default();
-    let name: agatemill_core::id::Service = "plain".parse().unwrap();
+fn item(key: &str) -> Item {
     let entry = json!({"service": "plain", "address": "127.0.0.1:9000", "zone": "a", "version": "v1",
         "slots": 8, "state": "ready", "cold-left-ms": 0, "seq": 1, "born": 1_700_000_000_000_u64});
-    let item = |key: &str| Item {
+    Item {
         key: key.to_owned(),
         value: entry.to_string().into_bytes(),
         revision: Revision(1),
         created: Revision(1),
         lease: Lease(0),
-    };
+    }
+}
+
+/// Guards against entries that are removed before the end of the grace period, or kept after it.
+#[test]
+fn entries_deleted_in_the_grace_period_are_removed_at_its_end() {
+    let mut view = View::default();
+    let name: id::Service = "plain".parse().unwrap();
     let deleted = |key: &str| Change::Deleted {
         key: key.to_owned(),
     };
@@ -252,6 +256,25 @@
     assert_eq!(view.servers(&name)[0].id.to_string(), "s0");
 }
 
+/// Guards against requests to a server that has left, because the host that this one follows was cut off from the store for a
+/// while, and against the removal of entries that expired in an outage of the store itself.
+#[test]
+fn entries_are_kept_for_another_host_only_without_the_store() {
+    let name: id::Service = "plain".parse().unwrap();
+    let ms = Duration::from_millis;
+    // Ages of the view when the other host has 1.5 of 2 s left.
+    for (age, kept) in [(Some(ms(1_400)), 0), (Some(ms(2_500)), 1), (None, 1)] {
+        let mut view = View::default();
+        let key = "servers/s0".to_owned();
+        view.apply(Change::Put(item(&key)), ms(0));
+        view.follow_deletion_grace(ms(1_500), age, ms(5_000));
+        view.apply(Change::Deleted { key }, ms(5_300));
+        assert_eq!(view.servers(&name).len(), kept, "{age:?}");
+        view.remove_expired(ms(6_500));
+        assert!(view.servers(&name).is_empty(), "{age:?}");
+    }
+}
+
 /// Guards against a host that stays unlisted, or a second planner, after the response to a write was lost.
 #[test]
 fn a_lost_response_to_a_write_is_recovered() {
