--- a/crates/gateway/src/shutdown/schedule.rs
+++ b/crates/gateway/src/shutdown/schedule.rs
@@ -10,11 +10,11 @@
 /// Time before the exit at which requests that still run are answered.
 const ANSWER_TIME: Duration = Duration::from_millis(250);
 
-/// Share of the grace period after whose end no stream may be sent to the host that is cut when the process exits.
+/// Share of the grace period at whose end callers have to send streams elsewhere. One that is sent later must not be cut.
 const STREAM_GRACE_SHARE: f64 = 3.0 / 8.0;
 
-/// Time for a signal to reach the thread that records it, which on a busy machine waits for several turns of other processes.
-/// The share above counts from the sending of the signal.
+/// Time for a signal to reach the thread that records it, which on a busy machine waits for other processes. The share above
+/// counts from the sending of the signal.
 const SIGNAL_MARGIN: Duration = Duration::from_millis(50);
 
 /// Factor on the estimated time of a stream, which leaves out that its engines wait for each other.
@@ -34,7 +34,7 @@
 }
 
 impl Schedule {
-    /// The schedule of a process that was signalled to end at `signalled` and is killed after `grace`.
+    /// The schedule of a process that was signalled to end at `signalled`, and is killed `grace` later.
     #[must_use]
     pub fn new(signalled: Duration, grace: Duration) -> Self {
         let exit = grace.saturating_sub(KILL_MARGIN);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -175,8 +175,9 @@
         self.deletion_grace_until.saturating_sub(now)
     }
 
-    /// Extends the grace period to at least `remaining`, what remains of that of another host. A view whose `age` shows that the store was there
-    /// until about the end of the other host's outage has seen no entry expire, so that what is deleted is gone.
+    /// Extends the grace period to at least `remaining`, what remains of that of another host. A view whose `age` shows that
+    /// the store was there until about the end of the other host's outage has seen no entry expire, so that what is deleted is
+    /// gone.
     pub fn follow_deletion_grace(
         &mut self,
         remaining: Duration,
