Let calls end that run when a planned stop begins no more requests

What callers saw: a call sent just before the end of a planned stop was answered with 504 at the moment from which no more requests were begun, 0.25 s before the exit. That says that it may have run, though its server was about to answer.

Cause: Stage::Ending stood for both times.

Fix: no requests are begun from 0.15 s earlier on, which a usual call takes; Schedule::answering is when those that still run are answered.

Evidence: a_call_that_runs_when_no_more_requests_are_started_is_completed got 504 with the wait for Schedule::answering taken out, and passes; the tests of answers pass (14).

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -172,9 +172,9 @@
     }
 }
 
-/// Waits until the process exits, and returns the failure of a request that still runs.
+/// Waits until the process is about to exit, and returns the failure of a request that still runs.
 async fn end(state: &State) -> Result<Response<Body>, Refusal> {
-    state.ending().await;
+    state.answering().await;
     let detail = "the host exits before the request has ended";
     let (phase, cause) = (Phase::Sent, Cause::DeadlinePassed);
     Err(Refusal::new(Reason::DeadlineExceeded, phase, cause, detail))
--- a/crates/gateway/src/shutdown/schedule.rs
+++ b/crates/gateway/src/shutdown/schedule.rs
@@ -10,6 +10,9 @@
 /// Time before the exit at which requests that still run are answered.
 const ANSWER_TIME: Duration = Duration::from_millis(250);
 
+/// Time before that at which the last requests are started. A usual call ends within it.
+const LAST_CALL_TIME: Duration = Duration::from_millis(150);
+
 /// Share of the grace period at whose end callers have to send streams elsewhere. One that is sent later must not be cut.
 const STREAM_GRACE_SHARE: f64 = 3.0 / 8.0;
 
@@ -22,13 +25,15 @@
 
 /// Times of a graceful shutdown, as [`agatemill_runtime::now`] gives them.
 ///
-/// Invariant: `closing <= ending <= exit`.
+/// Invariant: `closing <= ending <= answering <= exit`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Schedule {
     /// From when no streams are started.
     pub closing: Duration,
-    /// From when no requests are started, and those that still run are answered.
+    /// From when no requests are started.
     pub ending: Duration,
+    /// When requests that still run are answered.
+    pub answering: Duration,
     /// When the process exits at the latest.
     pub exit: Duration,
 }
@@ -38,13 +43,15 @@
     #[must_use]
     pub fn new(signalled: Duration, grace: Duration) -> Self {
         let exit = grace.saturating_sub(KILL_MARGIN);
-        let ending = exit.saturating_sub(ANSWER_TIME);
+        let answering = exit.saturating_sub(ANSWER_TIME);
+        let ending = answering.saturating_sub(LAST_CALL_TIME);
         let closing = grace
             .mul_f64(STREAM_GRACE_SHARE)
             .saturating_sub(SIGNAL_MARGIN);
         Self {
             closing: signalled + closing.min(ending),
             ending: signalled + ending,
+            answering: signalled + answering,
             exit: signalled + exit,
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -467,6 +467,15 @@
         self.stage_changes.notify(usize::MAX);
     }
 
+    /// Waits until requests that still run have to be answered.
+    pub async fn answering(&self) {
+        self.ending().await;
+        if let Some(schedule) = self.schedule.get() {
+            let left = schedule.answering.saturating_sub(agatemill_runtime::now());
+            agatemill_runtime::sleep(left).await;
+        }
+    }
+
     /// Waits for [`Stage::Ending`].
     pub async fn ending(&self) {
         loop {
--- a/crates/gateway/tests/all/answers.rs
+++ b/crates/gateway/tests/all/answers.rs
@@ -280,6 +280,7 @@
         state.leave(Schedule {
             closing: exit,
             ending: exit,
+            answering: exit,
             exit,
         });
         assert_eq!(system.send("draft", "short").await.status, 200);
@@ -292,6 +293,36 @@
     });
 }
 
+/// Guards against a call whose caller is told that it may have run, although its server is about to answer and there is time.
+#[test]
+fn a_call_that_runs_when_no_more_requests_are_started_is_completed() {
+    run_test(2, |system| async move {
+        for server in &system.services {
+            server.set_behaviour(Behaviour::Slow(300));
+        }
+        let state = system.process.state().clone();
+        let stop = async {
+            system
+                .wait_until("the call runs", || system.run_count("p1") == 1)
+                .await;
+            let now = agatemill_runtime::now();
+            let exit = now + Duration::from_hours(1);
+            state.leave(Schedule {
+                closing: now,
+                ending: now,
+                answering: exit,
+                exit,
+            });
+            state.set_stage(Stage::Ending);
+            let late = system.send("pay", "p2").await;
+            assert_eq!(late.status, 503, "{late:?}");
+        };
+        let (response, ()) = futures::join!(system.send("pay", "p1"), stop);
+        assert_eq!(response.status, 200, "{response:?}");
+        assert_eq!(system.run_count("p2"), 0);
+    });
+}
+
 /// Guards against a request that begins at the moment at which the process exits.
 #[test]
 fn a_request_after_the_grace_period_is_not_sent() {
--- a/crates/gateway/tests/all/hosts.rs
+++ b/crates/gateway/tests/all/hosts.rs
@@ -81,7 +81,8 @@
     for grace_ms in [0, 100, 600] {
         let schedule = Schedule::new(signalled, Duration::from_millis(grace_ms));
         assert!(schedule.closing <= schedule.ending);
-        assert!(schedule.ending <= schedule.exit);
+        assert!(schedule.ending <= schedule.answering);
+        assert!(schedule.answering <= schedule.exit);
     }
 }
 
