Answer callers that connect when a planned stop begins no more requests

What callers saw: one that connected in the last 0.4 s of a planned stop found its connection closed without a response, unless its request had arrived when the connection was first looked at. That leaves open whether the request ran.

Cause: at Stage::Ending the HTTP library is told to shut each connection down, and it closes those on which it has seen no bytes yet.

A request sent 50 ms after connecting got no answer in a_caller_that_connects_when_no_more_requests_are_started_is_answered.

Fix: a connection without a request stays open until its first one or 1 s after it was opened, so that the request gets 503 and `Connection: close`. Connections that have had a request are closed as before, so that checks of the readiness don't delay the exit, which the test shows, too.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -19,6 +19,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use rustix::net::sockopt;
+use smol::channel;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
@@ -53,6 +54,9 @@
 /// force is checked for each request.
 const READ_HEAD_BYTES: usize = 32 << 10;
 
+/// Time from the opening of a connection in which its first request may begin while the process exits: many round trips.
+const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
+
 /// A listener with its open connections. Clones share both.
 #[derive(Clone, Debug)]
 pub struct Listener {
@@ -189,11 +193,14 @@
     let limits = state.limits();
     let peer = stream.peer_addr().ok().map(|address| address.ip());
     let overhead = Overhead::default();
+    let (begun, first_request) = channel::bounded(1);
     let service = service_fn(|mut request: Request<Incoming>| {
         if let Some(peer) = peer {
             request.extensions_mut().insert(intake::Peer(peer));
         }
         guard.set_phase(Phase::Busy);
+        // Fails after the first request, which is enough.
+        let _ = begun.try_send(());
         let request = request.map(|body| agatemill_http::Body::new(body, overhead.clone()));
         let response = respond(Arc::clone(&state), request);
         async { Ok::<_, Infallible>(response.await) }
@@ -208,8 +215,13 @@
         .max_buf_size(limits.header_bytes.max(READ_HEAD_BYTES))
         .serve_connection(FuturesIo::new(socket), service);
     let connection = pin!(connection);
+    let opened = agatemill_runtime::now();
     let ending = async {
         state.ending().await;
+        // A caller that has just connected is told that its request did not run.
+        let open_for = agatemill_runtime::now().saturating_sub(opened);
+        let left = FIRST_REQUEST_TIME.saturating_sub(open_for);
+        agatemill_runtime::timeout(left, first_request.recv()).await;
         true
     };
     let closing = async {
--- a/crates/gateway/tests/all/answers.rs
+++ b/crates/gateway/tests/all/answers.rs
@@ -323,6 +323,33 @@
     });
 }
 
+/// Guards against a caller whose connection is closed without a response because it connects when the process is about to exit.
+#[test]
+fn a_caller_that_connects_when_no_more_requests_are_started_is_answered() {
+    run_test(2, |system| async move {
+        let state = system.process.state().clone();
+        state.set_stage(Stage::Ending);
+        system
+            .wait_until("the kept connections are closed", || {
+                state.connections() == 0
+            })
+            .await;
+        let mut connection = Connection::open(host(&system)).await;
+        agatemill_runtime::sleep(Duration::from_millis(50)).await;
+        connection.send(&head("pay", "p1", 0)).await;
+        let answer = connection.answer().await;
+        assert!(answer.contains("503"), "{answer:?}");
+        assert!(answer.contains("connection: close"), "{answer:?}");
+        assert_eq!(system.run_count("p1"), 0);
+        assert_eq!(system.ready().await, 503);
+        system
+            .wait_until("the connection of the check is closed", || {
+                state.connections() == 0
+            })
+            .await;
+    });
+}
+
 /// Guards against a request that begins at the moment at which the process exits.
 #[test]
 fn a_request_after_the_grace_period_is_not_sent() {
