Compare the start of a server when a response ends with its connection

Cause: a connection was opened to find out whether the server that had run the request still ran. Another instance that was started at its address accepts it.

Fix: the server's report, queried after the response has ended, tells its start, which is compared with the one that was listed when the request was sent. Without such a report the connection decides as before. No limit on the time is involved, since a restart may take any.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -38,6 +38,7 @@
 use agatemill_fleet::budget::Purpose;
 use agatemill_fleet::reply::Verdict;
 use agatemill_fleet::route;
+use agatemill_fleet::server::Instance;
 
 /// Largest response that is buffered, in bytes. The sum over all calls stays far below the memory of a small
 /// host, since a call lasts a fraction of a second.
@@ -422,7 +423,7 @@
         throttle::observe(state, &server.id, response.headers(), sent);
         if has_body(job, response.status())
             && reply::may_be_cut(state, &server.id, header::framing(response.headers()))
-            && stall::has_ended(state, server.address).await
+            && stall::has_ended_instance(state, &Instance::from(&**server), server.address).await
         {
             log::warn!(request:% = job.parameters.attempt, server:% = server.id; "request: the server ended with its answer");
             return Attempt::Unknown(Cause::ConnectionLost);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -258,19 +258,29 @@
 
     /// Finds out whether the first engine of a run that ended has ended too, and records a crash.
     pub async fn has_lost_engine(&mut self) -> bool {
-        let first = self.path.first();
-        let is_replaced = { self.state.view().is_replaced(&self.instance, first.address) };
+        let address = self.path.first().address;
+        let is_replaced = { self.state.view().is_replaced(&self.instance, address) };
         if is_replaced {
             return true;
         }
-        if !stall::has_ended(&self.state, first.address).await {
-            return false;
-        }
-        if !self.has_survived {
+        let has_ended = stall::has_ended(&self.state, address).await;
+        self.record_end(has_ended)
+    }
+
+    /// The same for a run whose response looks complete, and with an engine that was started again since.
+    pub async fn has_lost_instance(&mut self) -> bool {
+        let address = self.path.first().address;
+        let has_ended = stall::has_ended_instance(&self.state, &self.instance, address).await;
+        self.record_end(has_ended)
+    }
+
+    fn record_end(&self, has_ended: bool) -> bool {
+        if has_ended && !self.has_survived {
+            let first = self.path.first();
             let parameters = &self.job.parameters;
             quarantine::record_crash(&self.state, &parameters.attempt, &parameters.parts, first);
         }
-        true
+        has_ended
     }
 
     fn record_events(&self) {
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -244,7 +244,7 @@
     async fn complete(&mut self, index: usize) -> Result<Option<Output>, Refusal> {
         let run = &mut self.active[index];
         let has_begun = run.begun_at.is_some();
-        if (!has_begun || run.may_be_cut()) && run.has_lost_engine().await {
+        if (!has_begun || run.may_be_cut()) && run.has_lost_instance().await {
             let run = self.active.remove(index);
             self.ended_at = agatemill_runtime::now();
             self.attempts.record_loss(&run.path.first().server);
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -13,9 +13,11 @@
 use crate::State;
 use crate::backoff;
 use crate::departure;
+use crate::stream;
 use crate::supervise;
 use agatemill_adapter::engine;
 use agatemill_adapter::engine::Report;
+use agatemill_core::id;
 use agatemill_fleet::Evidence;
 use agatemill_fleet::Path;
 use agatemill_fleet::Server;
@@ -38,8 +40,25 @@
 /// Interval between queries of engines that are silent, which show that they respond again.
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Cached report or failure, with the end of the query.
-type Cached = Arc<smol::lock::Mutex<Option<(Duration, Result<Arc<Report>, engine::Failure>)>>>;
+/// Cached report or failure.
+type Cached = Arc<smol::lock::Mutex<Option<Query>>>;
+
+/// A query that has ended.
+#[derive(Debug)]
+struct Query {
+    began_at: Duration,
+    ended_at: Duration,
+    result: Result<Arc<Report>, engine::Failure>,
+}
+
+/// How recent a report has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Recency {
+    /// [`MAX_REPORT_AGE`] is enough.
+    Cached,
+    /// The query begins after it is asked for.
+    New,
+}
 
 /// Cache of engine reports, shared by all requests that wait for the same engine.
 #[derive(Debug, Default)]
@@ -52,6 +71,7 @@
         &self,
         http: &agatemill_http::Client,
         address: SocketAddrV4,
+        recency: Recency,
     ) -> Result<Arc<Report>, engine::Failure> {
         let slot = {
             let mut engines = self.engines.lock().unwrap_or_else(PoisonError::into_inner);
@@ -59,15 +79,24 @@
         };
         let asked_at = agatemill_runtime::now();
         let mut slot = slot.lock().await;
-        if let Some((ended_at, result)) = &*slot
-            && asked_at < *ended_at + MAX_REPORT_AGE
-        {
-            return result.clone();
+        if let Some(query) = &*slot {
+            let is_recent = match recency {
+                Recency::Cached => asked_at < query.ended_at + MAX_REPORT_AGE,
+                Recency::New => asked_at <= query.began_at,
+            };
+            if is_recent {
+                return query.result.clone();
+            }
         }
+        let began_at = agatemill_runtime::now();
         let result = engine::report(http, address, REPORT_TIMEOUT)
             .await
             .map(Arc::new);
-        *slot = Some((agatemill_runtime::now(), result.clone()));
+        *slot = Some(Query {
+            began_at,
+            ended_at: agatemill_runtime::now(),
+            result: result.clone(),
+        });
         result
     }
 }
@@ -91,7 +120,7 @@
     if known == Standing::FirstSilent {
         return known;
     }
-    match query(state, first.address).await {
+    match query(state, first.address, Recency::Cached).await {
         Ok(report) => {
             for stalled in &report.stalled {
                 state.suspect(stalled.address, Evidence::Awaited);
@@ -108,8 +137,12 @@
 }
 
 /// Queries the state of an engine and records what the result says about it.
-async fn query(state: &State, address: SocketAddrV4) -> Result<Arc<Report>, engine::Failure> {
-    let result = state.reports.get(&state.pooled, address).await;
+async fn query(
+    state: &State,
+    address: SocketAddrV4,
+    recency: Recency,
+) -> Result<Arc<Report>, engine::Failure> {
+    let result = state.reports.get(&state.pooled, address, recency).await;
     match &result {
         Err(error) if !error.is_response() => {
             if let Some(evidence) = error.evidence() {
@@ -138,6 +171,35 @@
     evidence == Evidence::Refused && has_closed_connections(state, address).await
 }
 
+/// Finds out whether the instance of a server at `address` has ended, and records the result. Another one that was started there
+/// since accepts connections as well, but reports another start.
+pub async fn has_ended_instance(state: &State, instance: &Instance, address: SocketAddrV4) -> bool {
+    if state.view().is_replaced(instance, address) {
+        return true;
+    }
+    let Some(born_ms) = reported_start(state, &instance.server, address).await else {
+        return has_ended(state, address).await;
+    };
+    let is_other = instance.born_ms != 0 && born_ms != instance.born_ms;
+    if is_other {
+        // Until it is listed again, it is not known what it holds.
+        state.avoid(address, stream::AVOID_DURATION, "it was started again");
+    }
+    is_other
+}
+
+/// Start of the instance that a server runs now, in milliseconds since the Unix epoch; `None` if it does not tell, or has asked
+/// this host for no requests.
+async fn reported_start(state: &State, server: &id::Server, address: SocketAddrV4) -> Option<u64> {
+    let listed = state.view().server(server).cloned();
+    let is_backing_off = |server: Arc<Server>| backoff::left(state, &server).is_some();
+    if listed.is_some_and(is_backing_off) {
+        return None;
+    }
+    let report = query(state, address, Recency::New).await.ok()?;
+    report.born_ms
+}
+
 /// Waits until it is clear whether a server that has refused a connection has closed all others.
 async fn has_closed_connections(state: &State, address: SocketAddrV4) -> bool {
     let refused_at = agatemill_runtime::now();
@@ -194,7 +256,7 @@
         if connect(server.address).await.is_ok() {
             state.record_response(server.address);
         }
-    } else if let Err(error) = query(state, server.address).await {
+    } else if let Err(error) = query(state, server.address, Recency::Cached).await {
         log::debug!(server:% = server.id, error:%; "servers: no report");
     }
 }
--- a/crates/gateway/tests/all/unframed.rs
+++ b/crates/gateway/tests/all/unframed.rs
@@ -124,16 +124,22 @@
     });
 }
 
-/// Guards against a stream that looks complete without its last events because its engine crashed between two.
+/// Guards against a stream that looks complete without its last events because its engine crashed between two, also when the
+/// engine is back before the host looks.
 #[test]
 fn a_stream_that_ends_with_its_engine_between_events_is_not_complete() {
-    for route in ["draft", "once"] {
+    for (route, end) in [
+        ("draft", End::Exit),
+        ("once", End::Exit),
+        ("draft", End::Restart),
+        ("once", End::Restart),
+    ] {
         run_test(4, |system| async move {
             let runs = Arc::new(AtomicUsize::new(0));
             let counted = Arc::clone(&runs);
             let address = http::serve_unframed(move |_| {
                 counted.fetch_add(1, Ordering::Relaxed);
-                (events(0, 3), End::Exit)
+                (events(0, 3), end)
             });
             system
                 .move_server(system.first_engine(), "model", address)
@@ -143,13 +149,16 @@
             while runs.load(Ordering::Relaxed) == 0 {
                 let response = system.send(route, &format!("a{number}")).await;
                 let is_cut = runs.load(Ordering::Relaxed) > 0 && route == "once";
-                assert_eq!(response.is_complete, !is_cut, "{route}: {response:?}");
+                assert_eq!(
+                    response.is_complete, !is_cut,
+                    "{route} {end:?}: {response:?}"
+                );
                 let expected = if is_cut {
                     events(0, 3)
                 } else {
                     complete_stream()
                 };
-                assert_eq!(response.body, expected, "{route}");
+                assert_eq!(response.body, expected, "{route} {end:?}");
                 number += 1;
             }
         });
@@ -174,7 +183,8 @@
     });
 }
 
-/// Guards against the part of an answer that passes for all of it because its server crashed within it.
+/// Guards against the part of an answer that passes for all of it because its server crashed within it, also when the server is
+/// back before the host looks.
 #[test]
 fn an_answer_that_ends_with_its_server_is_not_complete() {
     run_test(2, |system| async move {
@@ -182,12 +192,17 @@
         system
             .move_server(&system.services[1], "plain", closed)
             .await;
-        for route in ["pay", "read"] {
+        for (route, end) in [
+            ("pay", End::Exit),
+            ("read", End::Exit),
+            ("pay", End::Restart),
+            ("read", End::Restart),
+        ] {
             let runs = Arc::new(AtomicUsize::new(0));
             let counted = Arc::clone(&runs);
             let address = http::serve_unframed(move |_| {
                 counted.fetch_add(1, Ordering::Relaxed);
-                ("done by".to_owned(), End::Exit)
+                ("done by".to_owned(), end)
             });
             system
                 .move_server(&system.services[0], "plain", address)
@@ -195,13 +210,13 @@
             // Either server is chosen.
             let mut number = 0;
             while runs.load(Ordering::Relaxed) == 0 {
-                let response = system.send(route, &format!("{route}{number}")).await;
+                let response = system.send(route, &format!("{route}{end:?}{number}")).await;
                 let is_cut = runs.load(Ordering::Relaxed) > 0 && route == "pay";
                 if is_cut {
                     assert_eq!(response.status, 502, "it may have run: {response:?}");
                 } else {
                     let answer = (response.status.as_u16(), response.body.as_str());
-                    assert_eq!(answer, (200, "done by raw"), "{route}");
+                    assert_eq!(answer, (200, "done by raw"), "{route} {end:?}");
                 }
                 number += 1;
             }
