--- a/review/standin-3/answer.rs
+++ b/review/standin-3/answer.rs
@@ -9,6 +9,8 @@
     Failure,
     /// Events with pauses between them, with neither a length nor chunks.
     Events,
+    /// Events in chunks. Before one of them, the server falls silent for less than a second.
+    Silence,
 }
 
 impl Answer {
@@ -16,6 +18,7 @@
         match text {
             "halves" => Self::Halves,
             "failure" => Self::Failure,
+            "silence" => Self::Silence,
             _ => Self::Events,
         }
     }
@@ -42,3 +45,9 @@
 pub fn event(number: u32) -> String {
     format!("id: {number}\ndata: piece {number} of {EVENTS}\n\n")
 }
+
+/// The event before which [`Answer::Silence`] is silent.
+pub const SILENT_BEFORE: u32 = 20;
+
+/// Milliseconds of that silence.
+pub const SILENCE_MS: u64 = 800;
--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -1,7 +1,11 @@
 //! The cases.
 
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::io;
+use std::io::BufReader;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -52,7 +56,7 @@
 pub fn run(case: &str, folder: &str) -> ExitCode {
     let play = match case {
         "restart" => restart,
-        "leaving" => leaving,
+        "foreign" => foreign,
         "silent" => silent,
         "failure" => failure,
         "drill" => drill,
@@ -183,6 +187,19 @@
 }
 
 fn send(address: SocketAddr, record: &Record, attempt: &str, path: &str, key: &str) -> Response {
+    match client::connect(address) {
+        Ok(mut connection) => send_on(&mut connection, record, attempt, path, key),
+        Err(_) => Response::default(),
+    }
+}
+
+fn send_on(
+    connection: &mut BufReader<TcpStream>,
+    record: &Record,
+    attempt: &str,
+    path: &str,
+    key: &str,
+) -> Response {
     let fields = format!(
         "X-Attempt-Id: {attempt}\r\nX-Model: m0\r\nX-Token-Usage: 760,80\r\nX-Prompt-Prefix: 5c1e07a2:40,{:x}:720\r\n\
          X-Deadline-Ms: 20000\r\nAuthorization: Bearer {key}\r\n",
@@ -196,7 +213,7 @@
         ""
     };
     record.line(&format!("client: sends {attempt} POST {path}{suffix}"));
-    let response = client::send(address, "POST", path, &fields, "the body of the request");
+    let response = client::send_on(connection, "POST", path, &fields, "the body of the request");
     record.line(&format!(
         "client: {attempt} got status {}, seal {:?}, {} bytes, complete: {}, fields {:?}",
         response.status,
@@ -254,20 +271,56 @@
     Ok(is_cut_body(stage, "pay-1", &response))
 }
 
-/// An engine leaves, and is gone two seconds after its notice, within a stream.
-fn leaving(stage: &mut Stage) -> io::Result<bool> {
-    stage.servers.start("draft-models", "a100", "events", 7)?;
+/// Another writer writes entries with the addresses of two sound engines, within streams that pause once.
+fn foreign(stage: &mut Stage) -> io::Result<bool> {
+    stage.servers.start("filing-api", "-", "halves", 3)?;
+    stage.servers.start("draft-models", "a100", "silence", 7)?;
     stage.start_gateway()?;
     stage.wait_for_layers()?;
-    let answer = stage.send("draft-1", "draft");
-    let id = stage.wait_for("event 4 draft-1")?;
+    let mut answers = Vec::new();
+    let mut engines: BTreeMap<String, usize> = BTreeMap::new();
+    for number in 1..=12 {
+        let attempt = format!("note-{number}");
+        let (address, record, sent) = (
+            stage.gateways[0].callers,
+            stage.record.clone(),
+            attempt.clone(),
+        );
+        answers.push(thread::spawn(move || send_twice(address, &record, &sent)));
+        let id = stage.wait_for(&format!("event 1 {attempt}"))?;
+        *engines.entry(id).or_default() += 1;
+    }
+    stage.wait_for("event 8 note-12")?;
     if stage.has_trouble {
-        stage.servers.find(&id).drain();
-        thread::sleep(Duration::from_millis(2_000));
-        stage.servers.find(&id).crash();
+        let mut engines: Vec<(&String, &usize)> = engines.iter().collect();
+        engines.sort_by_key(|(_, streams)| Reverse(**streams));
+        for (id, _) in engines.iter().take(2) {
+            stage.servers.find(id).write_foreign();
+        }
     }
-    let response = joined(answer)?;
-    Ok(is_cut_stream(stage, &response))
+    let mut cut = 0;
+    for answer in answers {
+        let response = joined(answer)?;
+        cut += usize::from(response.status == 200 && !response.is_complete);
+    }
+    let whole = stage.servers.heard.try_iter();
+    let whole = whole
+        .filter(|(_, line)| line.starts_with("whole note-"))
+        .count();
+    stage.record.line(&format!(
+        "check: {cut} of 12 streams were cut; the engines sent {whole} whole ones to the end"
+    ));
+    Ok(cut > 3)
+}
+
+/// Sends a request, and then a stream on the same connection.
+fn send_twice(address: SocketAddr, record: &Record, attempt: &str) -> Response {
+    let Ok(mut connection) = client::connect(address) else {
+        return Response::default();
+    };
+    let first = format!("{attempt}-first");
+    send_on(&mut connection, record, &first, "/read/2f", KEY);
+    send_on(&mut connection, record, attempt, "/note/2f", KEY)
 }
 
 /// The open connections to an engine go silent, one of them within a stream. Later it crashes within a stream on a new
--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -34,37 +34,54 @@
 
 /// Sends a request on a new connection and reads the answer.
 pub fn send(address: SocketAddr, method: &str, path: &str, fields: &str, body: &str) -> Response {
+    match connect(address) {
+        Ok(mut connection) => send_on(&mut connection, method, path, fields, body),
+        Err(_) => Response::default(),
+    }
+}
+
+pub fn connect(address: SocketAddr) -> io::Result<BufReader<TcpStream>> {
+    let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+    stream.set_read_timeout(Some(Duration::from_secs(30)))?;
+    stream.set_nodelay(true)?;
+    Ok(BufReader::new(stream))
+}
+
+/// Sends a request on an open connection and reads the answer.
+pub fn send_on(
+    connection: &mut BufReader<TcpStream>,
+    method: &str,
+    path: &str,
+    fields: &str,
+    body: &str,
+) -> Response {
     let mut response = Response::default();
     // What was received before an error counts.
-    let _ = exchange(address, method, path, fields, body, &mut response);
+    let _ = exchange(connection, method, path, fields, body, &mut response);
     response
 }
 
 fn exchange(
-    address: SocketAddr,
+    reader: &mut BufReader<TcpStream>,
     method: &str,
     path: &str,
     fields: &str,
     body: &str,
     response: &mut Response,
 ) -> io::Result<()> {
-    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
-    stream.set_read_timeout(Some(Duration::from_secs(30)))?;
-    stream.set_nodelay(true)?;
     let length = body.len();
     let request = format!(
         "{method} {path} HTTP/1.1\r\nHost: office.example\r\n{fields}Content-Length: {length}\r\n\r\n{body}"
     );
-    stream.write_all(request.as_bytes())?;
-    let mut reader = BufReader::new(stream);
-    let Some(lines) = http::head(&mut reader)? else {
+    reader.get_mut().write_all(request.as_bytes())?;
+    let Some(lines) = http::head(reader)? else {
         return Ok(());
     };
     let status = lines[0].split(' ').nth(1).unwrap_or_default();
     response.status = status.parse().unwrap_or(0);
     response.headers = http::fields(&lines);
     if response.header("transfer-encoding") == "chunked" {
-        return read_chunks(&mut reader, response);
+        return read_chunks(reader, response);
     }
     let length: usize = response.header("content-length").parse().unwrap_or(0);
     while response.body.len() < length {
--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -82,6 +82,14 @@
             match request.path() {
                 "/agatemill/report" => self.report(&mut writer)?,
                 "/agatemill/order" => self.order(&mut writer, &request)?,
+                path if path.starts_with("/read/") => {
+                    let attempt = request.header("x-attempt-id");
+                    let fields = format!(
+                        "X-Attempt-Id: {attempt}\r\nX-Response-Seal: {}.{attempt}\r\n",
+                        self.id
+                    );
+                    http::respond(&mut writer, 200, &fields, b"read")?;
+                }
                 "/healthz" => {
                     let fields = format!("X-Instance-Id: {}\r\n", self.id);
                     http::respond(&mut writer, 200, &fields, b"")?;
@@ -148,15 +156,33 @@
             "HTTP/1.1 {status} -\r\nX-Attempt-Id: {attempt}\r\nX-Response-Seal: {}.{attempt}\r\nConnection: close\r\n",
             self.id
         );
-        if self.answer == Answer::Events {
-            let head = format!("{head}Content-Type: text/event-stream\r\n\r\n");
+        if matches!(self.answer, Answer::Events | Answer::Silence) {
+            let has_chunks = self.answer == Answer::Silence;
+            let framing = if has_chunks {
+                "Transfer-Encoding: chunked\r\n"
+            } else {
+                ""
+            };
+            let head = format!("{head}{framing}Content-Type: text/event-stream\r\n\r\n");
             writer.write_all(head.as_bytes())?;
             let first: u32 = request.header("last-event-id").parse().unwrap_or(0);
             for number in first + 1..=answer::EVENTS {
-                writer.write_all(answer::event(number).as_bytes())?;
+                if has_chunks && number == answer::SILENT_BEFORE {
+                    thread::sleep(Duration::from_millis(answer::SILENCE_MS));
+                }
+                let event = answer::event(number);
+                let event = if has_chunks {
+                    format!("{:x}\r\n{event}\r\n", event.len())
+                } else {
+                    event
+                };
+                writer.write_all(event.as_bytes())?;
                 say(&format!("event {number} {attempt}"));
                 thread::sleep(Duration::from_millis(answer::EVENT_MS));
             }
+            if has_chunks {
+                writer.write_all(b"0\r\n\r\n")?;
+            }
         } else {
             let [first, second] = answer::halves(attempt);
             writer.write_all(format!("{head}\r\n{first}").as_bytes())?;
--- a/review/standin-3/process.rs
+++ b/review/standin-3/process.rs
@@ -223,12 +223,21 @@
         self.store.put(&format!("servers/{}", self.id), &text);
     }
 
-    /// Registers the server as draining.
-    pub fn drain(&self) {
-        self.entry.lock().unwrap().state = "draining";
+    /// Another writer writes an entry with the address of this server. It lacks the fields `kind` and `layers`.
+    pub fn write_foreign(&self) {
+        let entry = self.entry.lock().unwrap();
+        let text = Entry {
+            state: "ready",
+            service: entry.service.clone(),
+            address: entry.address,
+            born: entry.born + 60_000,
+            kind: "-".to_owned(),
+            layers: None,
+        };
+        let key = format!("servers/foreign-{}", self.id);
         self.record
-            .line(&format!("{}: its entry says draining", self.id));
-        self.register();
+            .line(&format!("another writer: {key} {}", text.text()));
+        self.store.put(&key, &text.text());
     }
 
     /// Kills the process. Its port refuses connections from then on.
